--- /dev/null
+++ b/lib/clock.h
@@ -0,0 +1,24 @@
+#ifndef TR_CLOCK_H
+#define TR_CLOCK_H
+
+#include <apr_time.h>
+
+/*
+ * The clock as an interface. Times are apr_time_t, in microseconds, from a
+ * monotonic clock that goes on while the process is paused. The library
+ * reads no clock of its own.
+ */
+struct tr_clock {
+	apr_time_t (*now)(void *ctx);
+	void *ctx;
+};
+
+static inline apr_time_t tr_clock_now(const struct tr_clock *clock)
+{
+	return clock->now(clock->ctx);
+}
+
+#define TR_MSEC(n) ((apr_time_t)(n)*1000)
+#define TR_SEC(n)  ((apr_time_t)(n)*1000000)
+
+#endif
--- /dev/null
+++ b/lib/detector.h
@@ -0,0 +1,32 @@
+#ifndef TR_DETECTOR_H
+#define TR_DETECTOR_H
+
+#include "board.h"
+
+/* One outcome of an attempt, as far as it speaks of the target. */
+enum tr_sign {
+	TR_SIGN_WELL,
+	TR_SIGN_BAD,
+	TR_SIGN_NONE,
+};
+
+/* What varies between the ways to detect a sick target. */
+struct tr_detector_ops {
+	const char *name;
+	bool fleet;
+	void (*outcome)(struct tr_board *board, struct tr_service *svc,
+			struct tr_target *target, enum tr_sign sign,
+			apr_time_t now);
+	void (*health)(struct tr_service *svc, struct tr_target *target,
+		       bool well, apr_time_t now);
+	void (*step)(struct tr_board *board, struct tr_service *svc,
+		     apr_time_t now);
+};
+
+const struct tr_detector_ops *tr_detector(enum tr_detector_kind kind);
+const struct tr_detector_ops *tr_detector_by_name(const char *name);
+bool tr_detector_sick_anywhere(const struct tr_service *svc,
+			       const struct tr_target *target, apr_time_t now,
+			       int *vantage);
+
+#endif
--- /dev/null
+++ b/lib/error.c
@@ -0,0 +1,43 @@
+#include "error.h"
+
+#include <stdarg.h>
+#include <stdio.h>
+
+/*
+ * Fill in the error and return -1, so that a check can end in one statement.
+ * The file and line are left as they are; the reader of the file sets them.
+ */
+int tr_error_set(struct tr_error *err, enum tr_result code, const char *field,
+		 const char *value, const char *expected, ...)
+{
+	va_list ap;
+
+	if (!err)
+		return -1;
+	err->code = code;
+	snprintf(err->field, sizeof(err->field), "%s", field ? field : "");
+	snprintf(err->value, sizeof(err->value), "%s", value ? value : "");
+	va_start(ap, expected);
+	vsnprintf(err->expected, sizeof(err->expected), expected, ap);
+	va_end(ap);
+	return -1;
+}
+
+/* Write "file:line: field 'x': value 'y': word: expected ..." into buf. */
+void tr_error_format(const struct tr_error *err, char *buf, size_t size)
+{
+	char line[16] = "";
+	char field[112] = "";
+	char value[80] = "";
+
+	if (err->line > 0)
+		snprintf(line, sizeof(line), "%d:", err->line);
+	if (*err->field)
+		snprintf(field, sizeof(field), "%s: ", err->field);
+	if (*err->value)
+		snprintf(value, sizeof(value), "'%s': ", err->value);
+	snprintf(buf, size, "%s%s%s%s%s%s (code %d): %s", err->file,
+		 *err->file ? ":" : "", line, *err->file ? " " : "", field,
+		 value, (int)err->code,
+		 *err->expected ? err->expected : tr_result_text(err->code));
+}
--- /dev/null
+++ b/lib/evidence.h
@@ -0,0 +1,70 @@
+#ifndef TR_EVIDENCE_H
+#define TR_EVIDENCE_H
+
+#include <apr_time.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "document.h"
+
+/* Outcomes since the process started; only ever grows. */
+struct tr_counts {
+	uint32_t well;
+	uint32_t bad;
+};
+
+/* Slot of the VM's own outcomes; the cell's other members follow. */
+#define TR_SOURCE_SELF 0
+#define TR_SOURCES     (TR_MAX_CELL + 1)
+
+/*
+ * What is known of one target. all and here are CUSUM sums, in nats, of the
+ * log-likelihood that it is sick: over the whole cell, and of one vantage (a
+ * data centre) each. Sums of several VMs add up, since their outcomes are
+ * drawn apart from each other.
+ */
+struct tr_evidence {
+	struct tr_counts own;
+	struct tr_counts heard[TR_SOURCES];
+	float by_source[TR_SOURCES];
+	apr_time_t source_at[TR_SOURCES];
+	double all;
+	double here[TR_MAX_VANTAGES];
+	double recent_well;
+	double recent_bad;
+	apr_time_t decayed_at;
+};
+
+/* When evidence is enough; made from the team's document. */
+struct tr_evidence_rules {
+	double sick;
+	double avoid;
+	double least_base;
+	bool corroborate;
+};
+
+/* One batch of outcomes of one source, seen from one vantage. */
+struct tr_batch {
+	unsigned source;
+	int vantage;
+	uint32_t well;
+	uint32_t bad;
+};
+
+void tr_evidence_rules(struct tr_evidence_rules *rules,
+		       const struct tr_ejection_rules *team,
+		       double outcomes_per_day);
+void tr_evidence_add(struct tr_evidence *ev, const struct tr_batch *batch,
+		     double base_rate, apr_time_t now);
+bool tr_evidence_heard(struct tr_evidence *ev, unsigned source,
+		       struct tr_counts total, struct tr_batch *batch);
+void tr_evidence_decay(struct tr_evidence *ev, apr_time_t now);
+void tr_evidence_clear(struct tr_evidence *ev);
+void tr_evidence_forget_source(struct tr_evidence *ev, unsigned source);
+double tr_evidence_rate(const struct tr_evidence *ev);
+bool tr_evidence_sick(const struct tr_evidence *ev,
+		      const struct tr_evidence_rules *rules, double sum,
+		      apr_time_t now);
+double tr_evidence_base_rate(const double *rates, unsigned count, double least);
+
+#endif
--- /dev/null
+++ b/lib/fleet.c
@@ -0,0 +1,120 @@
+#include "fleet.h"
+
+#include <string.h>
+
+#include "hash.h"
+
+/* The VM with that id, or NULL. */
+const struct tr_vm *tr_fleet_find(const struct tr_fleet *fleet, uint64_t id)
+{
+	for (size_t i = 0; i < fleet->count; i++)
+		if (fleet->vms[i].id == id)
+			return &fleet->vms[i];
+	return NULL;
+}
+
+struct candidate {
+	uint64_t score;
+	uint32_t index;
+};
+
+/* Insert into a list sorted by falling score, of at most most entries. */
+static size_t insert_best(struct candidate *best, size_t count, size_t most,
+			  struct candidate c)
+{
+	size_t at = count;
+
+	while (at > 0 && best[at - 1].score < c.score)
+		at--;
+	if (at >= most)
+		return count;
+	if (count < most)
+		count++;
+	memmove(&best[at + 1], &best[at], (count - at - 1) * sizeof(*best));
+	best[at] = c;
+	return count;
+}
+
+static size_t best_of_centre(struct candidate *best, size_t most,
+			     const struct tr_fleet *fleet, const char *centre,
+			     uint64_t service)
+{
+	size_t count = 0;
+
+	for (size_t i = 0; i < fleet->count; i++) {
+		const struct tr_vm *vm = &fleet->vms[i];
+		struct candidate c = { tr_hash_pair(service, vm->id),
+				       (uint32_t)i };
+
+		if (!vm->leaving && !strcmp(vm->data_centre, centre))
+			count = insert_best(best, count, most, c);
+	}
+	return count;
+}
+
+/*
+ * Choose the VMs that serve a service: the document's cell size spread evenly
+ * over its data centres, by rendezvous hashing, so that a VM that comes or
+ * goes moves only its own places. Leaving VMs are never chosen.
+ */
+void tr_cell_choose(struct tr_cell *cell, const struct tr_fleet *fleet,
+		    const struct tr_document *doc)
+{
+	uint64_t service = tr_hash_string(doc->service);
+	struct candidate all[TR_MAX_CELL] = { 0 };
+	size_t count = 0;
+
+	for (unsigned d = 0; d < doc->data_centres_count; d++) {
+		struct candidate best[TR_MAX_CELL];
+		size_t share = doc->cell / doc->data_centres_count +
+			       (d < doc->cell % doc->data_centres_count);
+		size_t got;
+
+		if (share > TR_MAX_CELL)
+			share = TR_MAX_CELL;
+		got = best_of_centre(best, share, fleet, doc->data_centres[d],
+				     service);
+		for (size_t i = 0; i < got; i++)
+			count = insert_best(all, count, TR_MAX_CELL, best[i]);
+	}
+	cell->count = count;
+	for (size_t i = 0; i < count; i++)
+		cell->members[i] = all[i].index;
+}
+
+bool tr_cell_has(const struct tr_cell *cell, const struct tr_fleet *fleet,
+		 uint64_t vm_id)
+{
+	for (size_t i = 0; i < cell->count; i++)
+		if (fleet->vms[cell->members[i]].id == vm_id)
+			return true;
+	return false;
+}
+
+/*
+ * Order the cell for one caller: VMs of its data centre first, then by a
+ * score salted with the caller, so that callers spread. Writes at most most
+ * indexes into out and returns how many.
+ */
+size_t tr_cell_lookup(const struct tr_cell *cell, const struct tr_fleet *fleet,
+		      const char *data_centre, uint64_t salt, uint32_t *out,
+		      size_t most)
+{
+	struct candidate best[TR_MAX_CELL];
+	size_t count = 0;
+
+	if (most > TR_MAX_CELL)
+		most = TR_MAX_CELL;
+	for (size_t i = 0; i < cell->count; i++) {
+		const struct tr_vm *vm = &fleet->vms[cell->members[i]];
+		struct candidate c = { tr_hash_pair(salt, vm->id) >> 1,
+				       cell->members[i] };
+
+		if (data_centre && !strcmp(vm->data_centre, data_centre))
+			c.score |= 1ULL << 63;
+		count = insert_best(best, count, most, c);
+	}
+	for (size_t i = 0; i < count; i++)
+		out[i] = best[i].index;
+	return count;
+}
--- /dev/null
+++ b/lib/gossip.c
@@ -0,0 +1,163 @@
+#include "gossip.h"
+
+#include <string.h>
+
+#include "member.h"
+#include "permit.h"
+
+static bool is_urgent(const struct tr_target *target)
+{
+	return target->avoided || target->grant.kind != TR_ORDER_NONE ||
+	       target->order.kind != TR_ORDER_NONE;
+}
+
+static void add_row(struct tr_gossip *msg, const struct tr_target *target)
+{
+	struct tr_gossip_row *row = &msg->rows[msg->rows_count++];
+
+	row->target = target->id;
+	row->well = target->evidence.own.well;
+	row->bad = target->evidence.own.bad;
+}
+
+/*
+ * Rows in a calm service are a third of the targets from a random one on, which keeps the
+ * bytes low; in a raised one all that fit, those under suspicion first.
+ */
+static void add_rows(const struct tr_service *svc, uint32_t start,
+		     struct tr_gossip *msg)
+{
+	unsigned n = svc->targets_count;
+	unsigned most = svc->raised ? TR_GOSSIP_ROWS : (n + 2) / 3;
+
+	for (unsigned i = 0; i < n && msg->rows_count < TR_GOSSIP_ROWS; i++)
+		if (is_urgent(&svc->targets[i]))
+			add_row(msg, &svc->targets[i]);
+	for (unsigned i = 0; i < n && msg->rows_count < most; i++) {
+		const struct tr_target *target =
+			&svc->targets[(start + i) % n];
+
+		if (!is_urgent(target))
+			add_row(msg, target);
+	}
+}
+
+static void add_orders(struct tr_service *svc, struct tr_gossip *msg,
+		       apr_time_t now)
+{
+	for (unsigned i = 0; i < svc->targets_count; i++) {
+		struct tr_target *target = &svc->targets[i];
+		struct tr_gossip_order *order;
+
+		if (target->grant.kind == TR_ORDER_NONE ||
+		    msg->orders_count == TR_GOSSIP_ROWS)
+			continue;
+		order = &msg->orders[msg->orders_count++];
+		order->target = target->id;
+		order->kind = target->grant.kind;
+		order->vantage = target->grant.vantage;
+		target->grant.promised_until = now + TR_ORDER_TTL;
+	}
+}
+
+/* Write what the peer should hear of the service now. */
+void tr_gossip_build(struct tr_board *board, struct tr_service *svc,
+		     struct tr_peer *peer, uint64_t sequence,
+		     struct tr_gossip *msg)
+{
+	apr_time_t now = tr_clock_now(&board->clock);
+
+	memset(msg, 0, sizeof(*msg));
+	memcpy(msg->service, svc->name, sizeof(msg->service));
+	msg->from = board->vm_id;
+	msg->to = peer->vm_id;
+	msg->boot = board->boot;
+	msg->sequence = sequence;
+	msg->sent_at = now;
+	msg->echo = peer->their_sent_at;
+	if (board->events)
+		msg->hlc = tr_hlc_tick(&board->events->clock,
+				       board->wall(board->wall_ctx));
+	msg->list_revision = board->fleet.revision;
+	msg->document_revision = svc->document_revision;
+	msg->targets_revision = svc->targets_revision;
+	if (board->leaving)
+		msg->flags |= TR_GOSSIP_LEAVING;
+	if (svc->confirmed)
+		msg->flags |= TR_GOSSIP_CONFIRMED;
+	if (board->suspects_itself)
+		msg->flags |= TR_GOSSIP_SUSPECTS_SELF;
+	if (svc->document &&
+	    tr_permit_vote(board, svc, peer->vm_id, now))
+		msg->flags |= TR_GOSSIP_VOTES_FOR_YOU;
+	add_rows(svc, tr_random_below(&board->random, svc->targets_count),
+		 msg);
+	if (svc->vote.owner) {
+		msg->flags |= TR_GOSSIP_OWNER;
+		add_orders(svc, msg, now);
+	}
+	peer->sent_to_at = now;
+}
+
+static void take_rows(struct tr_service *svc, const struct tr_peer *peer,
+		      const struct tr_gossip *msg, apr_time_t now)
+{
+	unsigned source = tr_member_source(svc, peer);
+
+	for (uint32_t i = 0; i < msg->rows_count; i++) {
+		const struct tr_gossip_row *row = &msg->rows[i];
+		struct tr_target *target = tr_service_target(svc, row->target);
+		struct tr_counts total = { row->well, row->bad };
+		struct tr_batch batch = { .vantage = peer->vantage };
+
+		if (!target || !tr_evidence_heard(&target->evidence, source,
+						  total, &batch))
+			continue;
+		if (peer->suspects_itself)
+			continue;
+		tr_evidence_add(&target->evidence, &batch, svc->base_rate,
+				now);
+	}
+}
+
+/*
+ * Take in a message of a peer. TR_OK; TR_NO_SERVICE when this VM does not
+ * serve the service or the sender is not of its cell; TR_STALE_DATAGRAM.
+ */
+enum tr_result tr_gossip_take(struct tr_board *board,
+			      const struct tr_gossip *msg)
+{
+	struct tr_service *svc = tr_board_service(board, msg->service);
+	apr_time_t now = tr_clock_now(&board->clock);
+	struct tr_peer *peer;
+	enum tr_result res;
+
+	if (!svc || msg->to != board->vm_id)
+		return TR_NO_SERVICE;
+	peer = tr_member_find(svc, msg->from);
+	if (!peer)
+		return TR_NO_SERVICE;
+	res = tr_member_heard(board, svc, peer, msg, now);
+	if (res != TR_OK)
+		return res;
+	if (board->events)
+		tr_hlc_merge(&board->events->clock, msg->hlc,
+			     board->wall(board->wall_ctx));
+	take_rows(svc, peer, msg, now);
+	tr_permit_voted(svc, peer, msg->flags & TR_GOSSIP_VOTES_FOR_YOU, now);
+	tr_permit_take(board, svc, peer, msg, now);
+	return TR_OK;
+}
+
+/*
+ * Is it time to send to the peer? While something is wrong a message goes out
+ * several times a second, else every TR_TICK_CALM: detection is quick when it
+ * matters and the bytes stay low when it does not.
+ */
+bool tr_gossip_due(const struct tr_service *svc, const struct tr_peer *peer,
+		   apr_time_t now)
+{
+	apr_time_t tick = svc->raised ? TR_TICK_BUSY : TR_TICK_CALM;
+
+	return now - peer->sent_to_at >= tick;
+}
--- /dev/null
+++ b/lib/gossip.h
@@ -0,0 +1,60 @@
+#ifndef TR_GOSSIP_H
+#define TR_GOSSIP_H
+
+#include "board.h"
+
+#define TR_GOSSIP_LEAVING	0x01
+#define TR_GOSSIP_SUSPECTS_SELF 0x02
+#define TR_GOSSIP_VOTES_FOR_YOU 0x04
+#define TR_GOSSIP_OWNER		0x08
+#define TR_GOSSIP_CONFIRMED	0x10
+
+#define TR_GOSSIP_ROWS 32
+
+struct tr_gossip_row {
+	uint32_t target;
+	uint32_t well;
+	uint32_t bad;
+};
+
+struct tr_gossip_order {
+	uint32_t target;
+	uint32_t kind;
+	int32_t vantage;
+};
+
+/*
+ * What one VM tells another of one service. Counts are running totals, so a
+ * message that is lost, doubled or late does no harm. sent_at is of the
+ * sender's clock; echo is the newest sent_at that it has of the receiver. A
+ * message names its receiver, or one could be replayed to another VM, whose
+ * leases its echo would then lengthen.
+ */
+struct tr_gossip {
+	char service[TR_NAME_MAX + 1];
+	uint64_t from;
+	uint64_t to;
+	struct tr_boot boot;
+	uint64_t sequence;
+	apr_time_t sent_at;
+	apr_time_t echo;
+	struct tr_hlc hlc;
+	uint32_t flags;
+	uint64_t list_revision;
+	uint64_t document_revision;
+	uint64_t targets_revision;
+	uint32_t rows_count;
+	struct tr_gossip_row rows[TR_GOSSIP_ROWS];
+	uint32_t orders_count;
+	struct tr_gossip_order orders[TR_GOSSIP_ROWS];
+};
+
+void tr_gossip_build(struct tr_board *board, struct tr_service *svc,
+		     struct tr_peer *peer, uint64_t sequence,
+		     struct tr_gossip *msg);
+enum tr_result tr_gossip_take(struct tr_board *board,
+			      const struct tr_gossip *msg);
+bool tr_gossip_due(const struct tr_service *svc, const struct tr_peer *peer,
+		   apr_time_t now);
+
+#endif
--- /dev/null
+++ b/src/arrive.c
@@ -0,0 +1,194 @@
+/* What is checked of a request before its body is read. */
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "config.h"
+#include "headers.h"
+#include "loop.h"
+#include "proxy.h"
+
+#define ARRIVE_WAIT   TR_MSEC(1000)
+#define SERVICE_PATH  "/s/"
+#define LEAST_DEADLINE TR_MSEC(1)
+
+struct framing {
+	unsigned lengths;
+	unsigned encodings;
+	bool malformed;
+	int64_t length;
+};
+
+static int look_at_header(void *ctx, enum MHD_ValueKind kind, const char *name,
+			  const char *value)
+{
+	struct framing *f = ctx;
+	size_t len = value ? strlen(value) : 0;
+
+	(void)kind;
+	if (!strcasecmp(name, "Content-Length")) {
+		f->lengths++;
+		f->malformed |= !len || strspn(value, "0123456789") != len ||
+				len > 15;
+		f->length = len ? strtoll(value, NULL, 10) : 0;
+	}
+	if (!strcasecmp(name, "Transfer-Encoding")) {
+		f->encodings++;
+		f->malformed |= !value || strcasecmp(value, "chunked") != 0;
+	}
+	if (strchr(name, ' ') || (value && strpbrk(value, "\r\n")))
+		f->malformed = true;
+	return MHD_YES;
+}
+
+/*
+ * Refuse what two readers could take for requests of different length. A
+ * request hidden behind another would else run without a route, a key or a
+ * place in the ledger.
+ */
+static bool well_framed(struct request *r)
+{
+	struct framing f = { 0 };
+
+	MHD_get_connection_values(r->conn, MHD_HEADER_KIND,
+				  (MHD_KeyValueIterator)look_at_header, &f);
+	if (f.malformed || f.lengths > 1 || f.encodings > 1 ||
+	    (f.lengths && f.encodings))
+		return false;
+	r->has_body = f.encodings || f.length > 0;
+	r->body_length = f.encodings ? -1 : f.length;
+	return true;
+}
+
+static bool copy_name(struct request *r, const char *from, size_t len)
+{
+	if (!len || len > TR_NAME_MAX)
+		return false;
+	memcpy(r->service, from, len);
+	r->service[len] = 0;
+	return strspn(r->service, "abcdefghijklmnopqrstuvwxyz0123456789-.") ==
+	       len;
+}
+
+/* The service is named by the path, /s/NAME/..., or by the host's first
+ * label. */
+static bool name_service(struct request *r)
+{
+	const char *host = request_header(r, "Host");
+	size_t skip = strlen(SERVICE_PATH);
+	size_t len;
+
+	if (!strncmp(r->uri, SERVICE_PATH, skip)) {
+		len = strcspn(r->uri + skip, "/?");
+		if (!copy_name(r, r->uri + skip, len))
+			return false;
+		r->path = r->uri + skip + len;
+		if (*r->path != '/')
+			r->path = "/";
+		return true;
+	}
+	return host && copy_name(r, host, strcspn(host, ".:"));
+}
+
+static void set_deadline(struct request *r)
+{
+	const struct tr_document *doc = r->svc->document;
+	const char *text = request_header(r, HEADER_DEADLINE);
+	apr_time_t most = TR_MSEC(
+		tr_document_deadline(doc, &doc->routes[r->route]));
+	apr_time_t wish = text ? TR_MSEC(strtol(text, NULL, 10)) : most;
+
+	if (wish < LEAST_DEADLINE)
+		wish = LEAST_DEADLINE;
+	r->deadline = r->began + (wish < most ? wish : most);
+}
+
+static enum tr_result take_key(struct request *r)
+{
+	const char *text = request_header(r, HEADER_KEY);
+	const char *own = request_header(r, HEADER_OWN_KEY);
+
+	if (own && *own)
+		r->own_key = tr_hash_pair(r->svc->id, tr_hash_string(own));
+	if (!text)
+		return TR_KEY_NEEDED;
+	if (tr_key_read(&r->key, r->proxy->secret, text) ||
+	    r->key.service != r->svc->id)
+		return TR_KEY_MALFORMED;
+	r->has_key = true;
+	return TR_OK;
+}
+
+static enum tr_result take_route(struct request *r)
+{
+	const struct tr_document *doc = r->svc->document;
+	const struct tr_route *route =
+		tr_document_route(doc, r->method, r->path);
+	const char *org = request_header(r, HEADER_ORGANISATION);
+
+	if (!route)
+		return TR_NO_ROUTE;
+	r->route = (unsigned)(route - doc->routes);
+	r->may_repeat = route->repeat == TR_REPEAT_IDEMPOTENT;
+	r->priority = route->priority;
+	r->organisation = org && *org ? tr_hash_string(org) : 0;
+	r->body_max = (uint64_t)doc->max_body_mb * 1024 * 1024;
+	set_deadline(r);
+	if (r->body_length > 0 && (uint64_t)r->body_length > r->body_max)
+		return TR_TOO_LARGE;
+	return r->may_repeat ? TR_OK : take_key(r);
+}
+
+static bool served_here(const struct request *r, apr_time_t now)
+{
+	const struct tr_service *svc = r->svc;
+
+	return svc->in_cell || (svc->was_in_cell && now < svc->needed_until) ||
+	       r->forwarded_in;
+}
+
+static enum tr_result not_there(const struct request *r)
+{
+	if (r->svc && !r->svc->document && r->svc->platform_said_none)
+		return TR_NO_SERVICE;
+	return TR_NOT_READY;
+}
+
+/*
+ * Look at a request's head. False: its service's document is not there yet,
+ * ask again. True: state DONE means that a reply is ready, else its body can
+ * be read.
+ */
+bool proxy_arrive(struct request *r)
+{
+	apr_time_t now = tr_clock_now(loop_clock(r->proxy->loop));
+	enum tr_result res = TR_BAD_REQUEST;
+
+	request_reply_clear(&r->reply);
+	if (!well_framed(r)) {
+		proxy_finish(r, TR_BAD_REQUEST);
+		return true;
+	}
+	if (!strncmp(r->uri, "/v1/", 4))
+		return api_handle(r);
+	r->forwarded_in = request_header(r, HEADER_FORWARDED) != NULL;
+	if (!name_service(r)) {
+		proxy_finish(r, TR_NO_SERVICE);
+		return true;
+	}
+	r->svc = config_attend(r->proxy->config, r->service);
+	if (!r->svc || !r->svc->document || !r->svc->confirmed) {
+		if (now - r->began < ARRIVE_WAIT && r->svc &&
+		    !r->svc->platform_said_none)
+			return false;
+		res = not_there(r);
+	} else if (!served_here(r, now)) {
+		res = TR_WRONG_VM;
+	} else {
+		r->svc->counts.requests++;
+		res = take_route(r);
+	}
+	if (res != TR_OK)
+		proxy_finish(r, res);
+	return true;
+}
--- /dev/null
+++ b/src/attempt.c
@@ -0,0 +1,462 @@
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+
+#include "cleanup.h"
+#include "client.h"
+#include "headers.h"
+#include "loop.h"
+#include "request.h"
+
+#define HEADERS_MAX (32 * 1024)
+
+static apr_time_t now_of(const struct request *r)
+{
+	return tr_clock_now(loop_clock(r->proxy->loop));
+}
+
+/*
+ * The library sends a request again by itself when a kept connection dies
+ * before the first byte of an answer. For a request that must not repeat that
+ * would be a second run, which only the target's ledger would show. It asks
+ * here before each issue; the second of one attempt is refused.
+ */
+static int before_issue(void *ctx, char *to_ip, char *from_ip, int to_port,
+			int from_port)
+{
+	struct request *r = ctx;
+
+	(void)to_ip;
+	(void)from_ip;
+	(void)to_port;
+	(void)from_port;
+	if (r->attempt.issued++)
+		return CURL_PREREQFUNC_ABORT;
+	if (r->record != TR_NO_RECORD)
+		tr_dispatcher_sent(&r->proxy->board->dispatcher, r->record);
+	return CURL_PREREQFUNC_OK;
+}
+
+static size_t send_body(char *out, size_t size, size_t n, void *ctx)
+{
+	struct request *r = ctx;
+	struct attempt *a = &r->attempt;
+	size_t want = size * n;
+	size_t got;
+
+	if (!r->body_streamed) {
+		got = r->body.len - a->body_at;
+		if (got > want)
+			got = want;
+		memcpy(out, buffer_bytes(&r->body) + a->body_at, got);
+		a->body_at += got;
+		return got;
+	}
+	got = buffer_take(&r->body, out, want);
+	if (!got && !r->body_complete) {
+		a->read_paused = true;
+		return CURL_READFUNC_PAUSE;
+	}
+	if (got && !r->body_complete)
+		request_resume(r);
+	return got;
+}
+
+static int refuse_rewind(void *ctx, curl_off_t offset, int origin)
+{
+	(void)ctx;
+	(void)offset;
+	(void)origin;
+	return CURL_SEEKFUNC_FAIL;
+}
+
+static size_t take_body(char *data, size_t size, size_t n, void *ctx)
+{
+	struct request *r = ctx;
+	struct reply *reply = &r->reply;
+	size_t len = size * n;
+
+	if (r->state == REQUEST_DONE && !reply->streaming)
+		return 0;
+	if (!r->conn && buffer_room(&reply->body) < len) {
+		/* Nobody reads it any more: only that it ended counts. */
+		reply->streaming = true;
+		reply->body.len = 0;
+		reply->body.start = 0;
+	}
+	if (buffer_room(&reply->body) < len) {
+		r->attempt.write_paused = true;
+		reply->streaming = true;
+		request_resume(r);
+		return CURL_WRITEFUNC_PAUSE;
+	}
+	buffer_put(&reply->body, data, len);
+	if (!r->attempt.headers_at)
+		r->attempt.headers_at = now_of(r);
+	if (reply->body.len > r->proxy->body_buffer)
+		reply->streaming = true;
+	if (reply->streaming)
+		request_resume(r);
+	return len;
+}
+
+static bool is_header(const char *line, size_t len, const char *name,
+		      const char **value, size_t *value_len)
+{
+	size_t n = strlen(name);
+
+	if (len <= n || strncasecmp(line, name, n) != 0 || line[n] != ':')
+		return false;
+	line += n + 1;
+	len -= n + 1;
+	while (len && (*line == ' ' || *line == '\t')) {
+		line++;
+		len--;
+	}
+	*value = line;
+	*value_len = len;
+	return true;
+}
+
+/* The target's own words to this system. They are not passed on, except by a
+ * VM to which the request was forwarded. */
+static bool take_words(struct request *r, const char *line, size_t len)
+{
+	const char *value;
+	size_t n;
+
+	if (is_header(line, len, HEADER_NOT_RUN, &value, &n)) {
+		r->attempt.refused = true;
+		return true;
+	}
+	if (is_header(line, len, HEADER_LOAD, &value, &n)) {
+		r->attempt.load = strtol(value, NULL, 10);
+		return true;
+	}
+	if (is_header(line, len, HEADER_TARGET_STATE, &value, &n)) {
+		r->attempt.says_leaving = n >= 7 &&
+					  !strncasecmp(value, "leaving", 7);
+		return true;
+	}
+	return false;
+}
+
+static bool stays_here(const char *line, size_t len, bool forwarded)
+{
+	static const char *const names[] = {
+		"Connection",	     "Keep-Alive", "Proxy-Authenticate",
+		"Transfer-Encoding", "Trailer",	   "Upgrade",
+	};
+	const char *value;
+	size_t n;
+
+	for (size_t i = 0; i < sizeof(names) / sizeof(names[0]); i++)
+		if (is_header(line, len, names[i], &value, &n))
+			return true;
+	return !forwarded && len > strlen(HEADER_PREFIX) &&
+	       !strncasecmp(line, HEADER_PREFIX, strlen(HEADER_PREFIX));
+}
+
+static void take_status_line(struct request *r, const char *line)
+{
+	r->attempt.header_bytes = 0;
+	r->attempt.length_known = false;
+	request_reply_clear(&r->reply);
+	sscanf(line, "HTTP/%*s %d", &r->reply.status);
+}
+
+static size_t take_header(char *data, size_t size, size_t n, void *ctx)
+{
+	struct request *r = ctx;
+	struct attempt *a = &r->attempt;
+	size_t total = size * n;
+	size_t len = total;
+	const char *value;
+	const char *colon;
+	size_t value_len;
+
+	while (len && (data[len - 1] == '\r' || data[len - 1] == '\n'))
+		len--;
+	if (len > 5 && !strncmp(data, "HTTP/", 5)) {
+		take_status_line(r, data);
+		return total;
+	}
+	a->header_bytes += len;
+	if (a->header_bytes > HEADERS_MAX)
+		return 0;
+	if (is_header(data, len, "Content-Length", &value, &value_len)) {
+		r->reply.length = strtoll(value, NULL, 10);
+		a->length_known = true;
+		return total;
+	}
+	if (is_header(data, len, "Transfer-Encoding", &value, &value_len))
+		a->length_known = true;
+	if (take_words(r, data, len) || stays_here(data, len, a->forwarded))
+		return total;
+	colon = memchr(data, ':', len);
+	if (!colon)
+		return total;
+	value = colon + 1;
+	value_len = len - (size_t)(value - data);
+	while (value_len && *value == ' ') {
+		value++;
+		value_len--;
+	}
+	reply_put_header(&r->reply, data, (size_t)(colon - data), value,
+			 value_len);
+	return total;
+}
+
+static bool has_no_body(const struct request *r)
+{
+	return !strcmp(r->method, "HEAD") || r->reply.status == 204 ||
+	       r->reply.status == 304;
+}
+
+static enum tr_attempt_end classify(const struct request *r, CURLcode code)
+{
+	const struct attempt *a = &r->attempt;
+
+	if (code != CURLE_OK && !a->issued)
+		return TR_ATTEMPT_UNREACHED;
+	switch (code) {
+	case CURLE_OK:
+		break;
+	case CURLE_OPERATION_TIMEDOUT:
+		return TR_ATTEMPT_TIMED_OUT;
+	case CURLE_PARTIAL_FILE:
+		return TR_ATTEMPT_CUT_SHORT;
+	case CURLE_WEIRD_SERVER_REPLY:
+	case CURLE_UNSUPPORTED_PROTOCOL:
+	case CURLE_OUT_OF_MEMORY:
+	case CURLE_WRITE_ERROR:
+		return TR_ATTEMPT_GARBAGE;
+	default:
+		return TR_ATTEMPT_BROKEN;
+	}
+	/* Without a length nobody can tell a whole answer from a cut one. */
+	if (!a->length_known && !has_no_body(r))
+		return TR_ATTEMPT_CUT_SHORT;
+	if (r->reply.status == 503 && a->refused)
+		return TR_ATTEMPT_TARGET_REFUSED;
+	return r->reply.status >= 500 ? TR_ATTEMPT_FAILED_STATUS :
+					TR_ATTEMPT_ANSWERED;
+}
+
+static struct tr_target *target_of(const struct request *r)
+{
+	return r->attempt.forwarded ?
+		       NULL :
+		       tr_service_target(r->svc, r->attempt.target);
+}
+
+static void release(struct request *r)
+{
+	struct attempt *a = &r->attempt;
+
+	if (a->easy)
+		client_drop(r->proxy->client, a->easy);
+	curl_slist_free_all(a->headers);
+	a->easy = NULL;
+	a->headers = NULL;
+	r->attempt_running = false;
+}
+
+static void tell_target(struct request *r, enum tr_attempt_end how)
+{
+	struct tr_target *target = target_of(r);
+	struct tr_board *board = r->proxy->board;
+	apr_time_t now = now_of(r);
+
+	if (!target)
+		return;
+	if (r->attempt.load >= 0)
+		tr_target_reports(target, (uint32_t)r->attempt.load, now);
+	if (r->attempt.says_leaving)
+		tr_target_says_leaving(board, r->svc, target);
+	/* The time of a streamed body is its sender's, not the target's. */
+	tr_attempt_end(board, r->svc, target, r->route, how,
+		       r->body_streamed && how == TR_ATTEMPT_ANSWERED ?
+			       now - tr_service_usual(r->svc, r->route) :
+			       r->attempt.began,
+		       r->attempt.counted, now);
+}
+
+static void done(void *owner, CURLcode code)
+{
+	struct request *r = owner;
+	enum tr_attempt_end how = classify(r, code);
+
+	release(r);
+	tell_target(r, how);
+	proxy_attempt_over(r, how);
+}
+
+/* End a running attempt; its connection is closed with it. */
+void attempt_abandon(struct request *r, enum tr_attempt_end how)
+{
+	if (!r->attempt_running)
+		return;
+	release(r);
+	tell_target(r, how);
+}
+
+static int add_header(void *ctx, enum MHD_ValueKind kind, const char *name,
+		      const char *value)
+{
+	static const char *const dropped[] = {
+		"Connection", "Keep-Alive",	"Proxy-Authorization",
+		"TE",	      "Trailer",	"Transfer-Encoding",
+		"Upgrade",    "Content-Length", "Expect",
+		"Host",
+	};
+	struct request *r = ctx;
+	char line[8192];
+
+	(void)kind;
+	for (size_t i = 0; i < sizeof(dropped) / sizeof(dropped[0]); i++)
+		if (!strcasecmp(name, dropped[i]))
+			return MHD_YES;
+	if (!r->attempt.forwarded &&
+	    !strncasecmp(name, HEADER_PREFIX, strlen(HEADER_PREFIX)))
+		return MHD_YES;
+	if (value && *value)
+		snprintf(line, sizeof(line), "%s: %s", name, value);
+	else
+		snprintf(line, sizeof(line), "%s;", name);
+	r->attempt.headers = curl_slist_append(r->attempt.headers, line);
+	return MHD_YES;
+}
+
+static void set_headers(struct request *r, apr_time_t left)
+{
+	struct attempt *a = &r->attempt;
+	char line[128];
+
+	if (r->conn)
+		MHD_get_connection_values(r->conn, MHD_HEADER_KIND,
+					  (MHD_KeyValueIterator)add_header, r);
+	snprintf(line, sizeof(line), "Host: %s", r->service);
+	a->headers = curl_slist_append(a->headers, line);
+	a->headers = curl_slist_append(a->headers, "Expect:");
+	snprintf(line, sizeof(line), "%s: %ld",
+		 a->forwarded ? HEADER_FORWARDED : HEADER_TARGET_DEADLINE,
+		 a->forwarded ? 1L : (long)(left / 1000));
+	a->headers = curl_slist_append(a->headers, line);
+	curl_easy_setopt(a->easy, CURLOPT_HTTPHEADER, a->headers);
+}
+
+static void set_method(struct request *r)
+{
+	CURL *easy = r->attempt.easy;
+
+	if (r->has_body) {
+		curl_easy_setopt(easy, CURLOPT_UPLOAD, 1L);
+		curl_easy_setopt(easy, CURLOPT_INFILESIZE_LARGE,
+				 r->body_streamed ?
+					 (curl_off_t)r->body_length :
+					 (curl_off_t)r->body.len);
+		curl_easy_setopt(easy, CURLOPT_READFUNCTION, send_body);
+		curl_easy_setopt(easy, CURLOPT_READDATA, r);
+		curl_easy_setopt(easy, CURLOPT_SEEKFUNCTION, refuse_rewind);
+	} else if (!strcmp(r->method, "HEAD")) {
+		curl_easy_setopt(easy, CURLOPT_NOBODY, 1L);
+	} else if (strcmp(r->method, "GET") != 0) {
+		curl_easy_setopt(easy, CURLOPT_POSTFIELDS, "");
+		curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE, 0L);
+	}
+	if (strcmp(r->method, "GET") != 0 && strcmp(r->method, "HEAD") != 0)
+		curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, r->method);
+}
+
+static int start(struct request *r, const char *authority)
+{
+	struct attempt *a = &r->attempt;
+	apr_time_t now = now_of(r);
+	apr_time_t left = r->deadline - now;
+	auto_free char *url = NULL;
+
+	request_reply_clear(&r->reply);
+	a->began = now;
+	a->load = -1;
+	a->easy = client_easy(r->proxy->client, done, r);
+	if (!a->easy || asprintf(&url, "http://%s%s", authority, r->path) < 0)
+		return -1;
+	curl_easy_setopt(a->easy, CURLOPT_URL, url);
+	curl_easy_setopt(a->easy, CURLOPT_PATH_AS_IS, 1L);
+	curl_easy_setopt(a->easy, CURLOPT_TIMEOUT_MS,
+			 left > 1000 ? (long)(left / 1000) : 1L);
+	curl_easy_setopt(a->easy, CURLOPT_PREREQFUNCTION, before_issue);
+	curl_easy_setopt(a->easy, CURLOPT_PREREQDATA, r);
+	curl_easy_setopt(a->easy, CURLOPT_WRITEFUNCTION, take_body);
+	curl_easy_setopt(a->easy, CURLOPT_WRITEDATA, r);
+	curl_easy_setopt(a->easy, CURLOPT_HEADERFUNCTION, take_header);
+	curl_easy_setopt(a->easy, CURLOPT_HEADERDATA, r);
+	/* A kept connection may be closing just now, and then nobody can say
+	 * whether the request was run. A new one costs a millisecond. */
+	curl_easy_setopt(a->easy, CURLOPT_FRESH_CONNECT,
+			 r->may_repeat ? 0L : 1L);
+	set_method(r);
+	set_headers(r, left);
+	r->attempt_running = true;
+	r->attempts++;
+	return client_start(r->proxy->client, a->easy);
+}
+
+/* Send the request to the target. -1 when it could not be started at all. */
+int attempt_start(struct request *r, struct tr_target *target,
+		  enum tr_pick_kind kind)
+{
+	memset(&r->attempt, 0, sizeof(r->attempt));
+	r->attempt.target = target->id;
+	if (r->tried.count < sizeof(r->tried.ids) / sizeof(r->tried.ids[0]))
+		r->tried.ids[r->tried.count++] = target->id;
+	tr_attempt_begin(r->svc, target, kind, now_of(r));
+	if (!start(r, target->address))
+		return 0;
+	attempt_abandon(r, TR_ATTEMPT_ABANDONED);
+	return -1;
+}
+
+/* Send the request on to the VM whose process minted its key. */
+int attempt_forward(struct request *r, const char *authority)
+{
+	memset(&r->attempt, 0, sizeof(r->attempt));
+	r->attempt.forwarded = true;
+	if (!start(r, authority))
+		return 0;
+	release(r);
+	return -1;
+}
+
+/* More of the caller's body has come. */
+void attempt_body_ready(struct request *r)
+{
+	if (!r->attempt_running || !r->attempt.read_paused)
+		return;
+	r->attempt.read_paused = false;
+	curl_easy_pause(r->attempt.easy,
+			r->attempt.write_paused ? CURLPAUSE_RECV :
+						  CURLPAUSE_CONT);
+}
+
+/* The caller has taken some of the answer. */
+void attempt_reply_drained(struct request *r)
+{
+	if (!r->attempt_running || !r->attempt.write_paused)
+		return;
+	if (buffer_room(&r->reply.body) < r->reply.body.max / 2)
+		return;
+	r->attempt.write_paused = false;
+	curl_easy_pause(r->attempt.easy,
+			r->attempt.read_paused ? CURLPAUSE_SEND :
+						 CURLPAUSE_CONT);
+}
+
+/* Could the whole request be sent again, and does the caller not yet have a
+ * part of an answer? */
+bool attempt_may_replay(const struct request *r)
+{
+	return !r->body_streamed && !r->reply.streaming && !r->responded;
+}
--- /dev/null
+++ b/src/cleanup.h
@@ -0,0 +1,21 @@
+#ifndef CLEANUP_H
+#define CLEANUP_H
+
+#include <jansson.h>
+#include <stdlib.h>
+
+/* Free on leaving the block. */
+static inline void cleanup_free(void *p)
+{
+	free(*(void **)p);
+}
+
+static inline void cleanup_json(json_t **json)
+{
+	json_decref(*json);
+}
+
+#define auto_free __attribute__((cleanup(cleanup_free)))
+#define auto_json __attribute__((cleanup(cleanup_json)))
+
+#endif
--- /dev/null
+++ b/src/client.h
@@ -0,0 +1,37 @@
+#ifndef CLIENT_H
+#define CLIENT_H
+
+#include <apr_time.h>
+#include <curl/curl.h>
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+struct loop;
+struct client;
+struct fetch;
+
+/* The answer to a fetch. status 0: none, and curl says why. */
+struct fetch_answer {
+	long status;
+	CURLcode curl;
+	const char *body;
+	size_t len;
+	uint64_t index;
+	const char *mac;
+};
+
+typedef void (*fetch_fn)(void *ctx, const struct fetch_answer *answer);
+typedef void (*client_done_fn)(void *owner, CURLcode code);
+
+struct client *client_new(struct loop *loop, const char *source_ip);
+void client_destroy(struct client *client);
+struct fetch *client_fetch(struct client *client, const char *url,
+			   const char *post, apr_time_t timeout, fetch_fn fn,
+			   void *ctx);
+void client_fetch_cancel(struct client *client, struct fetch *fetch);
+CURL *client_easy(struct client *client, client_done_fn fn, void *owner);
+int client_start(struct client *client, CURL *easy);
+void client_drop(struct client *client, CURL *easy);
+
+#endif
--- /dev/null
+++ b/src/config.h
@@ -0,0 +1,46 @@
+#ifndef CONFIG_H
+#define CONFIG_H
+
+#include <jansson.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "board.h"
+
+struct client;
+struct loop;
+struct config;
+
+struct config_options {
+	const char *platform;
+	const struct tr_secret *secret;
+	const char *const *seeds;
+	unsigned seeds_count;
+};
+
+/* What the operator sees of the configuration. */
+struct config_counts {
+	uint64_t platform_calls;
+	uint64_t platform_failures;
+	uint64_t peer_pulls;
+	uint64_t old_revisions;
+	uint64_t refused;
+};
+
+struct config *config_new(struct loop *loop, struct client *client,
+			  struct tr_board *board,
+			  const struct config_options *options);
+void config_destroy(struct config *config);
+struct tr_service *config_attend(struct config *config, const char *service);
+void config_step(struct config *config);
+void config_peer_has(struct config *config, struct tr_service *svc,
+		     const struct tr_peer *peer, uint64_t list_revision);
+json_t *config_resource(struct config *config, const char *service);
+json_t *config_list_resource(struct config *config);
+json_t *config_status(struct config *config, const struct tr_service *svc);
+bool config_platform_up(const struct config *config);
+bool config_has_list(const struct config *config);
+const struct config_counts *config_counts(const struct config *config);
+void config_on_change(struct config *config, void (*fn)(void *ctx), void *ctx);
+
+#endif
--- /dev/null
+++ b/src/loop.c
@@ -0,0 +1,313 @@
+#include "loop.h"
+
+#include <apr_network_io.h>
+#include <apr_poll.h>
+#include <apr_portable.h>
+#include <glib.h>
+#include <signal.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/signalfd.h>
+#include <time.h>
+#include <unistd.h>
+
+#define MAX_FDS	      65536
+#define POLLSET_SIZE  1024
+#define MAX_HOOKS     8
+#define LONGEST_SLEEP TR_SEC(1)
+
+struct watch {
+	apr_pollfd_t pfd;
+	apr_socket_t *sock;
+	bool active;
+	loop_fd_fn fn;
+	void *ctx;
+};
+
+struct loop_timer {
+	apr_time_t at;
+	uint64_t order;
+	loop_fn fn;
+	void *ctx;
+	GSequenceIter *iter;
+};
+
+struct hook {
+	loop_fn fn;
+	void *ctx;
+};
+
+struct loop {
+	apr_pool_t *pool;
+	apr_pollset_t *pollset;
+	struct watch **watches;
+	GSequence *timers;
+	uint64_t timers_made;
+	struct hook hooks[MAX_HOOKS];
+	int hooks_count;
+	struct hook on_signal;
+	int signal_fd;
+	bool running;
+	struct tr_clock clock;
+};
+
+/* CLOCK_BOOTTIME goes on while the process or the whole VM is paused. */
+static apr_time_t now_of(void *ctx)
+{
+	struct timespec ts;
+
+	(void)ctx;
+	clock_gettime(CLOCK_BOOTTIME, &ts);
+	return (apr_time_t)ts.tv_sec * APR_USEC_PER_SEC + ts.tv_nsec / 1000;
+}
+
+/* Wall time in microseconds, for the time line only; decides nothing. */
+uint64_t loop_wall(void *ctx)
+{
+	(void)ctx;
+	return (uint64_t)apr_time_now();
+}
+
+static gint compare_timers(gconstpointer a, gconstpointer b, gpointer ctx)
+{
+	const struct loop_timer *x = a;
+	const struct loop_timer *y = b;
+
+	(void)ctx;
+	if (x->at != y->at)
+		return x->at < y->at ? -1 : 1;
+	return x->order < y->order ? -1 : x->order > y->order;
+}
+
+/* A loop in the pool, or NULL. */
+struct loop *loop_new(apr_pool_t *pool)
+{
+	struct loop *loop = apr_pcalloc(pool, sizeof(*loop));
+
+	if (apr_pollset_create(&loop->pollset, POLLSET_SIZE, pool,
+			       APR_POLLSET_NOCOPY) != APR_SUCCESS)
+		return NULL;
+	loop->pool = pool;
+	loop->watches = calloc(MAX_FDS, sizeof(*loop->watches));
+	loop->timers = g_sequence_new(NULL);
+	loop->clock.now = now_of;
+	loop->signal_fd = -1;
+	return loop->watches ? loop : NULL;
+}
+
+void loop_destroy(struct loop *loop)
+{
+	GSequenceIter *it = g_sequence_get_begin_iter(loop->timers);
+
+	for (; !g_sequence_iter_is_end(it); it = g_sequence_iter_next(it))
+		free(g_sequence_get(it));
+	g_sequence_free(loop->timers);
+	apr_pollset_destroy(loop->pollset);
+	for (int i = 0; i < MAX_FDS; i++)
+		free(loop->watches[i]);
+	free(loop->watches);
+	if (loop->signal_fd >= 0)
+		close(loop->signal_fd);
+}
+
+const struct tr_clock *loop_clock(const struct loop *loop)
+{
+	return &loop->clock;
+}
+
+/* The socket object of a number is made once and serves whoever has it. */
+static struct watch *watch_of(struct loop *loop, int fd)
+{
+	struct watch *w;
+
+	if (fd < 0 || fd >= MAX_FDS)
+		return NULL;
+	w = loop->watches[fd];
+	if (w)
+		return w;
+	w = calloc(1, sizeof(*w));
+	if (!w)
+		return NULL;
+	if (apr_os_sock_put(&w->sock, &fd, loop->pool) != APR_SUCCESS) {
+		free(w);
+		return NULL;
+	}
+	loop->watches[fd] = w;
+	return w;
+}
+
+/* Call fn when fd is ready; a second call changes what is waited for. */
+int loop_watch(struct loop *loop, int fd, int events, loop_fd_fn fn, void *ctx)
+{
+	struct watch *w = watch_of(loop, fd);
+
+	if (!w)
+		return -1;
+	loop_unwatch(loop, fd);
+	memset(&w->pfd, 0, sizeof(w->pfd));
+	w->pfd.p = loop->pool;
+	w->pfd.desc_type = APR_POLL_SOCKET;
+	w->pfd.desc.s = w->sock;
+	w->pfd.client_data = w;
+	if (events & LOOP_READ)
+		w->pfd.reqevents |= APR_POLLIN;
+	if (events & LOOP_WRITE)
+		w->pfd.reqevents |= APR_POLLOUT;
+	w->fn = fn;
+	w->ctx = ctx;
+	w->active = apr_pollset_add(loop->pollset, &w->pfd) == APR_SUCCESS;
+	return w->active ? 0 : -1;
+}
+
+void loop_unwatch(struct loop *loop, int fd)
+{
+	struct watch *w = fd >= 0 && fd < MAX_FDS ? loop->watches[fd] : NULL;
+
+	if (!w || !w->active)
+		return;
+	apr_pollset_remove(loop->pollset, &w->pfd);
+	w->active = false;
+}
+
+/* Call fn once after delay microseconds. */
+struct loop_timer *loop_after(struct loop *loop, apr_time_t delay, loop_fn fn,
+			      void *ctx)
+{
+	struct loop_timer *t = calloc(1, sizeof(*t));
+
+	if (!t)
+		return NULL;
+	t->at = tr_clock_now(&loop->clock) + delay;
+	t->order = loop->timers_made++;
+	t->fn = fn;
+	t->ctx = ctx;
+	t->iter = g_sequence_insert_sorted(loop->timers, t, compare_timers,
+					   NULL);
+	return t;
+}
+
+void loop_cancel(struct loop *loop, struct loop_timer *timer)
+{
+	(void)loop;
+	if (!timer)
+		return;
+	g_sequence_remove(timer->iter);
+	free(timer);
+}
+
+/* Call fn before each wait, for libraries that queue work of their own. */
+void loop_before_poll(struct loop *loop, loop_fn fn, void *ctx)
+{
+	if (loop->hooks_count < MAX_HOOKS)
+		loop->hooks[loop->hooks_count++] = (struct hook){ fn, ctx };
+}
+
+static void run_timers(struct loop *loop)
+{
+	apr_time_t now = tr_clock_now(&loop->clock);
+
+	for (;;) {
+		GSequenceIter *it = g_sequence_get_begin_iter(loop->timers);
+		struct loop_timer *t;
+		struct hook call;
+
+		if (g_sequence_iter_is_end(it))
+			return;
+		t = g_sequence_get(it);
+		if (t->at > now)
+			return;
+		call = (struct hook){ t->fn, t->ctx };
+		g_sequence_remove(it);
+		free(t);
+		call.fn(call.ctx);
+	}
+}
+
+static apr_time_t sleep_time(const struct loop *loop)
+{
+	GSequenceIter *it = g_sequence_get_begin_iter(loop->timers);
+	apr_time_t left;
+
+	if (g_sequence_iter_is_end(it))
+		return LONGEST_SLEEP;
+	left = ((struct loop_timer *)g_sequence_get(it))->at -
+	       tr_clock_now(&loop->clock);
+	if (left <= 0)
+		return 0;
+	/* APR waits in whole milliseconds, rounded down: round up here, or
+	 * the last part of each wait is spent spinning. */
+	left = (left + 999) / 1000 * 1000;
+	return left < LONGEST_SLEEP ? left : LONGEST_SLEEP;
+}
+
+static void run_ready(struct loop *loop)
+{
+	const apr_pollfd_t *ready = NULL;
+	apr_int32_t n = 0;
+	apr_status_t rv;
+
+	rv = apr_pollset_poll(loop->pollset, sleep_time(loop), &n, &ready);
+	if (rv != APR_SUCCESS)
+		return;
+	for (apr_int32_t i = 0; i < n; i++) {
+		struct watch *w = ready[i].client_data;
+		int events = 0;
+		int fd = -1;
+
+		if (!w->active)
+			continue;
+		if (ready[i].rtnevents & (APR_POLLIN | APR_POLLHUP))
+			events |= LOOP_READ;
+		if (ready[i].rtnevents & APR_POLLOUT)
+			events |= LOOP_WRITE;
+		if (ready[i].rtnevents & APR_POLLERR)
+			events |= LOOP_READ | LOOP_WRITE;
+		apr_os_sock_get(&fd, w->sock);
+		w->fn(w->ctx, fd, events);
+	}
+}
+
+/* Run until loop_stop. */
+void loop_run(struct loop *loop)
+{
+	loop->running = true;
+	while (loop->running) {
+		run_timers(loop);
+		for (int i = 0; i < loop->hooks_count; i++)
+			loop->hooks[i].fn(loop->hooks[i].ctx);
+		if (loop->running)
+			run_ready(loop);
+	}
+}
+
+void loop_stop(struct loop *loop)
+{
+	loop->running = false;
+}
+
+static void signal_ready(void *ctx, int fd, int events)
+{
+	struct loop *loop = ctx;
+	struct signalfd_siginfo info;
+
+	(void)events;
+	if (read(fd, &info, sizeof(info)) == (ssize_t)sizeof(info))
+		loop->on_signal.fn(loop->on_signal.ctx);
+}
+
+/* Call fn for each SIGTERM or SIGINT, from the loop. */
+void loop_on_signals(struct loop *loop, loop_fn fn, void *ctx)
+{
+	sigset_t set;
+
+	signal(SIGPIPE, SIG_IGN);
+	sigemptyset(&set);
+	sigaddset(&set, SIGTERM);
+	sigaddset(&set, SIGINT);
+	sigprocmask(SIG_BLOCK, &set, NULL);
+	loop->on_signal = (struct hook){ fn, ctx };
+	loop->signal_fd = signalfd(-1, &set, SFD_NONBLOCK | SFD_CLOEXEC);
+	if (loop->signal_fd >= 0)
+		loop_watch(loop, loop->signal_fd, LOOP_READ, signal_ready,
+			   loop);
+}
--- /dev/null
+++ b/src/metrics.h
@@ -0,0 +1,8 @@
+#ifndef METRICS_H
+#define METRICS_H
+
+struct operator_parts;
+
+char *metrics_text(const struct operator_parts *parts);
+
+#endif
--- /dev/null
+++ b/src/server.h
@@ -0,0 +1,36 @@
+#ifndef SERVER_H
+#define SERVER_H
+
+#include <microhttpd.h>
+#include <stdint.h>
+
+struct loop;
+struct server;
+struct tr_error;
+
+struct server_options {
+	const char *ip;
+	uint16_t port;
+	const char *field;
+	unsigned connections;
+	unsigned idle_s;
+	MHD_AccessHandlerCallback handler;
+	MHD_RequestCompletedCallback completed;
+	void *(*begin)(void *ctx, const char *uri,
+		       struct MHD_Connection *conn);
+	void *ctx;
+};
+
+struct server *server_new(struct loop *loop,
+			  const struct server_options *options,
+			  struct tr_error *err);
+void server_destroy(struct server *server);
+void server_kick(struct server *server);
+void server_stop_listening(struct server *server);
+unsigned server_connections(const struct server *server);
+enum MHD_Result server_answer_text(struct MHD_Connection *conn, int status,
+				   const char *type, char *text);
+enum MHD_Result server_answer_json(struct MHD_Connection *conn, int status,
+				   void *json);
+
+#endif
--- /dev/null
+++ b/src/sweep.c
@@ -0,0 +1,115 @@
+/* What is looked at while requests run: lateness, callers that went away. */
+#include <sys/socket.h>
+
+#include "headers.h"
+#include "loop.h"
+#include "proxy.h"
+
+#define GONE_CHECK_AFTER TR_MSEC(30)
+#define STREAM_AFTER	 TR_MSEC(100)
+#define UPLOAD_GRACE	 TR_SEC(30)
+#define HEDGE_NUMERATOR	 3
+#define HEDGE_DENOMINATOR 2
+
+static bool caller_gone(const struct request *r)
+{
+	const union MHD_ConnectionInfo *info;
+	char byte;
+
+	if (!r->conn || !r->suspended)
+		return false;
+	info = MHD_get_connection_info(r->conn,
+				       MHD_CONNECTION_INFO_CONNECTION_FD);
+	return info && recv(info->connect_fd, &byte, 1,
+			    MSG_PEEK | MSG_DONTWAIT) == 0;
+}
+
+/*
+ * A request that may repeat and is overdue at one target is moved to another,
+ * within the retry budget, rather than left to its deadline.
+ */
+static void maybe_hedge(struct request *r, apr_time_t now)
+{
+	apr_time_t after = tr_service_slow_after(r->svc, r->route) *
+			   HEDGE_NUMERATOR / HEDGE_DENOMINATOR;
+
+	if (!r->may_repeat || !r->attempt.counted || r->forward_out ||
+	    now - r->attempt.began < after || r->attempt.headers_at ||
+	    !attempt_may_replay(r) ||
+	    now + tr_service_usual(r->svc, r->route) > r->deadline ||
+	    !tr_retry_spend(&r->svc->retries))
+		return;
+	r->proxy->counts.hedged++;
+	r->svc->counts.retries++;
+	attempt_abandon(r, TR_ATTEMPT_ABANDONED);
+	proxy_dispatch(r);
+}
+
+static void sweep_attempt(struct request *r, apr_time_t now)
+{
+	struct tr_target *target;
+
+	if (!r->attempt_running || r->attempt.forwarded)
+		return;
+	if (r->attempt.headers_at && !r->reply.streaming &&
+	    now - r->attempt.headers_at > STREAM_AFTER) {
+		r->reply.streaming = true;
+		request_resume(r);
+		return;
+	}
+	target = tr_service_target(r->svc, r->attempt.target);
+	if (target && !r->attempt.counted && !r->body_streamed)
+		r->attempt.counted =
+			tr_attempt_overdue(r->proxy->board, r->svc, target,
+					   r->route, r->attempt.began, now);
+	maybe_hedge(r, now);
+}
+
+static void sweep_queue(struct proxy *proxy, struct tr_service *svc,
+			apr_time_t now)
+{
+	struct request *late;
+
+	if (!svc->used || !svc->queue.waiters)
+		return;
+	while ((late = tr_queue_late(&svc->queue, tr_service_usual(svc, 0),
+				     now))) {
+		late->waiter = TR_NO_WAITER;
+		proxy_finish(late, TR_WOULD_BE_LATE);
+	}
+	proxy_serve_queue(proxy, svc);
+}
+
+static void sweep_request(struct request *r, apr_time_t now)
+{
+	if (r->state == REQUEST_ARRIVING) {
+		request_resume(r);
+		return;
+	}
+	if (r->state == REQUEST_READING && now - r->began > UPLOAD_GRACE &&
+	    !r->body_streamed && now > r->deadline) {
+		proxy_finish(r, TR_WOULD_BE_LATE);
+		return;
+	}
+	if (now - r->began > GONE_CHECK_AFTER && r->state != REQUEST_DONE &&
+	    caller_gone(r) && r->record == TR_NO_RECORD) {
+		proxy_finish(r, TR_CALLER_GONE);
+		return;
+	}
+	if (r->state == REQUEST_AT_TARGET)
+		sweep_attempt(r, now);
+}
+
+/* Look at all requests; call about every 10 ms. */
+void proxy_sweep(struct proxy *proxy)
+{
+	apr_time_t now = tr_clock_now(loop_clock(proxy->loop));
+	struct request *next;
+
+	for (struct request *r = proxy->requests; r; r = next) {
+		next = r->next;
+		sweep_request(r, now);
+	}
+	for (int i = 0; i < TR_MAX_SERVICES; i++)
+		sweep_queue(proxy, &proxy->board->services[i], now);
+}
--- /dev/null
+++ b/src/toucanreel_target.c
@@ -0,0 +1,553 @@
+/*
+ * Stand-in target: a server with a few slots that starts cold, drains, sheds,
+ * and takes deadlines and cancellation; with gray faults on request. It keeps
+ * a ledger of every request that it began to run, by X-Request-Id, which is
+ * what claims of not-run and at-most-once are checked against.
+ */
+#include <argtable2.h>
+#include <glib.h>
+#include <jansson.h>
+#include <math.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+
+#include "cleanup.h"
+#include "error.h"
+#include "event.h"
+#include "events_json.h"
+#include "hash.h"
+#include "headers.h"
+#include "loop.h"
+#include "server.h"
+#include "standin.h"
+
+#define CONNECTIONS   512
+#define SWEEP	      TR_MSEC(5)
+#define COLD_FACTOR   5.0
+#define CUT_SIZE      4096
+#define HANG	      TR_SEC(600)
+
+enum fault {
+	FAULT_OK,
+	FAULT_GRAY,
+	FAULT_SLOW,
+	FAULT_ERROR,
+	FAULT_TRUNCATE,
+	FAULT_GARBAGE,
+	FAULT_RESET,
+	FAULT_FLAP,
+	FAULT_SOME,
+	FAULT_COUNT,
+};
+
+static const char *const fault_words[FAULT_COUNT] = {
+	"ok",	   "gray",  "slow", "error", "truncate",
+	"garbage", "reset", "flap", "some",
+};
+
+/* How often, and when last, a request began to run here. */
+struct entry {
+	unsigned runs;
+	bool finished;
+	uint64_t began_wall;
+};
+
+struct job {
+	struct MHD_Connection *conn;
+	struct job *next;
+	char id[80];
+	bool known;
+	bool running;
+	bool suspended;
+	bool ready;
+	bool drop;
+	apr_time_t ends;
+	apr_time_t deadline;
+	uint64_t body_bytes;
+	uint64_t body_hash;
+	int pad;
+};
+
+struct target {
+	struct standin standin;
+	struct server *server;
+	const char *name;
+	unsigned slots;
+	double work_ms;
+	apr_time_t started;
+	apr_time_t cold;
+	struct tr_random random;
+	GHashTable *ledger;
+	struct job *jobs;
+	unsigned busy;
+	bool leaving;
+	enum fault fault;
+	double slow_factor;
+	apr_time_t flap_period;
+	apr_time_t fault_at;
+	char served_from[46];
+	struct tr_event_ring events;
+	uint64_t refused;
+	uint64_t last_work_wall;
+};
+
+static struct target the_target;
+
+static apr_time_t now_of(const struct target *t)
+{
+	return tr_clock_now(loop_clock(t->standin.loop));
+}
+
+static enum fault fault_now(const struct target *t, struct MHD_Connection *conn)
+{
+	char ip[46];
+
+	if (t->fault == FAULT_FLAP)
+		return (now_of(t) - t->fault_at) / t->flap_period % 2 ?
+			       FAULT_OK :
+			       FAULT_GRAY;
+	if (t->fault == FAULT_SOME) {
+		standin_peer_ip(conn, ip);
+		return strncmp(ip, t->served_from, strlen(t->served_from)) ?
+			       FAULT_GRAY :
+			       FAULT_OK;
+	}
+	return t->fault;
+}
+
+static apr_time_t work_time(struct target *t, struct MHD_Connection *conn)
+{
+	const char *wish = MHD_lookup_connection_value(conn, MHD_HEADER_KIND,
+						       "X-Work-Ms");
+	double mean = wish ? strtod(wish, NULL) : t->work_ms;
+	double ms = -mean * log(1.0 - tr_random_unit(&t->random));
+
+	if (now_of(t) - t->started < t->cold)
+		ms *= COLD_FACTOR;
+	switch (fault_now(t, conn)) {
+	case FAULT_SLOW:
+		return (apr_time_t)(ms * t->slow_factor * 1000);
+	case FAULT_GRAY:
+		return HANG;
+	default:
+		return (apr_time_t)(ms * 1000);
+	}
+}
+
+static void put_words(const struct target *t, struct MHD_Response *response)
+{
+	char load[16];
+
+	snprintf(load, sizeof(load), "%u", t->busy);
+	MHD_add_response_header(response, HEADER_LOAD, load);
+	if (t->leaving)
+		MHD_add_response_header(response, HEADER_TARGET_STATE,
+					"leaving");
+}
+
+static enum MHD_Result answer(const struct target *t, struct job *job,
+			      int status, const char *not_run, char *text)
+{
+	struct MHD_Response *response = MHD_create_response_from_buffer(
+		strlen(text), text, MHD_RESPMEM_MUST_FREE);
+	enum MHD_Result ret;
+
+	put_words(t, response);
+	MHD_add_response_header(response, "Content-Type", "application/json");
+	if (not_run)
+		MHD_add_response_header(response, HEADER_NOT_RUN, not_run);
+	ret = MHD_queue_response(job->conn, (unsigned)status, response);
+	MHD_destroy_response(response);
+	return ret;
+}
+
+static enum MHD_Result refuse(struct target *t, struct job *job,
+			      const char *why)
+{
+	t->refused++;
+	return answer(t, job, 503, why, strdup("{\"error\": \"not run\"}\n"));
+}
+
+static void write_ledger(struct target *t, const struct job *job)
+{
+	struct entry *e;
+
+	t->last_work_wall = loop_wall(NULL);
+	if (!job->known)
+		return;
+	e = g_hash_table_lookup(t->ledger, job->id);
+	if (!e) {
+		e = g_new0(struct entry, 1);
+		g_hash_table_insert(t->ledger, g_strdup(job->id), e);
+	}
+	e->runs++;
+	e->began_wall = t->last_work_wall;
+}
+
+static enum MHD_Result start_job(struct target *t, struct job *job)
+{
+	const char *deadline = MHD_lookup_connection_value(
+		job->conn, MHD_HEADER_KIND, HEADER_TARGET_DEADLINE);
+	apr_time_t now = now_of(t);
+
+	if (fault_now(t, job->conn) == FAULT_RESET) {
+		write_ledger(t, job);
+		return MHD_NO;
+	}
+	if (t->leaving)
+		return refuse(t, job, "leaving");
+	if (t->busy >= t->slots)
+		return refuse(t, job, "shed");
+	job->running = true;
+	t->busy++;
+	write_ledger(t, job);
+	job->ends = now + work_time(t, job->conn);
+	job->deadline = deadline ? now + TR_MSEC(strtol(deadline, NULL, 10)) :
+				   0;
+	job->suspended = true;
+	MHD_suspend_connection(job->conn);
+	return MHD_YES;
+}
+
+static void end_job(struct target *t, struct job *job)
+{
+	if (!job->running)
+		return;
+	job->running = false;
+	t->busy--;
+}
+
+static ssize_t cut_reader(void *ctx, uint64_t pos, char *buf, size_t max)
+{
+	(void)ctx;
+	if (pos >= CUT_SIZE / 2)
+		return MHD_CONTENT_READER_END_WITH_ERROR;
+	if (max > CUT_SIZE / 2 - pos)
+		max = CUT_SIZE / 2 - pos;
+	memset(buf, 'x', max);
+	return (ssize_t)max;
+}
+
+static enum MHD_Result cut_answer(struct job *job)
+{
+	struct MHD_Response *response = MHD_create_response_from_callback(
+		CUT_SIZE, CUT_SIZE, cut_reader, NULL, NULL);
+	enum MHD_Result ret = MHD_queue_response(job->conn, 200, response);
+
+	MHD_destroy_response(response);
+	return ret;
+}
+
+static enum MHD_Result garbage(struct job *job)
+{
+	static const char text[] = "\x01\x02 this is no HTTP\r\n\r\n";
+	const union MHD_ConnectionInfo *info = MHD_get_connection_info(
+		job->conn, MHD_CONNECTION_INFO_CONNECTION_FD);
+
+	if (send(info->connect_fd, text, sizeof(text) - 1, MSG_NOSIGNAL) < 0)
+		return MHD_NO;
+	return MHD_NO;
+}
+
+static char *result_text(const struct target *t, const struct job *job)
+{
+	char *pad = malloc((size_t)job->pad + 1);
+	char *text = NULL;
+
+	memset(pad, 'p', (size_t)job->pad);
+	pad[job->pad] = 0;
+	if (asprintf(&text,
+		     "{\"target\": \"%s\", \"request\": \"%s\", "
+		     "\"body_bytes\": %lu, \"body_hash\": \"%lx\", "
+		     "\"pad\": \"%s\", \"end\": true}\n",
+		     t->name, job->id, (unsigned long)job->body_bytes,
+		     (unsigned long)job->body_hash, pad) < 0)
+		text = NULL;
+	free(pad);
+	return text;
+}
+
+static enum MHD_Result finish_job(struct target *t, struct job *job)
+{
+	struct entry *e = g_hash_table_lookup(t->ledger, job->id);
+
+	end_job(t, job);
+	if (job->drop)
+		return MHD_NO;
+	if (e)
+		e->finished = true;
+	switch (fault_now(t, job->conn)) {
+	case FAULT_ERROR:
+		return answer(t, job, 500, NULL,
+			      strdup("{\"error\": \"internal\"}\n"));
+	case FAULT_TRUNCATE:
+		return cut_answer(job);
+	case FAULT_GARBAGE:
+		return garbage(job);
+	default:
+		return answer(t, job, 200, NULL, result_text(t, job));
+	}
+}
+
+static void put_entry(gpointer key, gpointer value, gpointer ctx)
+{
+	const struct entry *e = value;
+
+	json_object_set_new(ctx, key,
+			    json_pack("{s:i, s:b, s:I}", "runs", (int)e->runs,
+				      "finished", (int)e->finished, "wall",
+				      (json_int_t)e->began_wall));
+}
+
+static enum MHD_Result answer_ledger(struct target *t,
+				     struct MHD_Connection *conn)
+{
+	json_t *entries = json_object();
+
+	g_hash_table_foreach(t->ledger, put_entry, entries);
+	return server_answer_json(
+		conn, 200,
+		json_pack("{s:s, s:I, s:o}", "target", t->name, "last_work_us",
+			  (json_int_t)t->last_work_wall, "ledger", entries));
+}
+
+static enum MHD_Result set_fault(struct target *t, struct MHD_Connection *conn)
+{
+	const char *mode = standin_query(conn, "mode", "ok");
+	int found = -1;
+
+	if (!strcmp(mode, "leaving")) {
+		t->leaving = true;
+		return server_answer_json(conn, 200,
+					  json_pack("{s:s}", "mode", mode));
+	}
+	if (!strcmp(mode, "restart")) {
+		t->started = now_of(t);
+		t->leaving = false;
+		for (struct job *job = t->jobs; job; job = job->next) {
+			job->drop = true;
+			job->ends = 0;
+		}
+		found = FAULT_OK;
+	}
+	for (int i = 0; i < FAULT_COUNT; i++)
+		if (!strcmp(mode, fault_words[i]))
+			found = i;
+	if (found < 0)
+		return server_answer_json(conn, 400,
+					  json_pack("{s:s}", "error",
+						    "no such mode"));
+	t->fault = (enum fault)found;
+	t->fault_at = now_of(t);
+	t->slow_factor = (double)standin_query_number(conn, "factor", 10);
+	t->flap_period = TR_MSEC(standin_query_number(conn, "period_ms", 3000));
+	snprintf(t->served_from, sizeof(t->served_from), "%s",
+		 standin_query(conn, "from", "127."));
+	tr_event_put(&t->events, loop_wall(NULL), TR_EVENT_FAULT, "", t->name,
+		     "%s", mode);
+	return server_answer_json(
+		conn, 200,
+		json_pack("{s:s, s:I}", "mode", mode, "at_us",
+			  (json_int_t)loop_wall(NULL)));
+}
+
+static enum MHD_Result own_page(struct target *t, struct MHD_Connection *conn,
+				const char *url)
+{
+	if (!strcmp(url, "/_health"))
+		return server_answer_json(conn, 200,
+					  json_pack("{s:s}", "health", "ok"));
+	if (!strcmp(url, "/_load"))
+		return server_answer_json(
+			conn, 200,
+			json_pack("{s:i, s:i, s:I}", "busy", (int)t->busy,
+				  "slots", (int)t->slots, "refused",
+				  (json_int_t)t->refused));
+	if (!strcmp(url, "/_ledger"))
+		return answer_ledger(t, conn);
+	if (!strcmp(url, "/_fault"))
+		return set_fault(t, conn);
+	return server_answer_json(conn, 404,
+				  json_pack("{s:s}", "error", "no such path"));
+}
+
+static enum MHD_Result handler(void *ctx, struct MHD_Connection *conn,
+			       const char *url, const char *method,
+			       const char *version, const char *upload,
+			       size_t *upload_len, void **con_cls)
+{
+	struct target *t = ctx;
+	struct job *job = *con_cls;
+
+	(void)version;
+	(void)method;
+	if (!job->conn) {
+		const char *id = MHD_lookup_connection_value(
+			conn, MHD_HEADER_KIND, "X-Request-Id");
+		const char *pad = MHD_lookup_connection_value(
+			conn, MHD_HEADER_KIND, "X-Pad");
+
+		job->conn = conn;
+		job->known = id != NULL;
+		job->pad = pad ? (int)strtol(pad, NULL, 10) : 0;
+		snprintf(job->id, sizeof(job->id), "%s", id ? id : "");
+		return MHD_YES;
+	}
+	if (*upload_len) {
+		job->body_bytes += *upload_len;
+		job->body_hash += tr_hash(upload, *upload_len);
+		*upload_len = 0;
+		return MHD_YES;
+	}
+	if (job->ready)
+		return finish_job(t, job);
+	if (!strcmp(url, "/v1/events"))
+		return server_answer_json(conn, 200,
+					  events_json(&t->events, t->name, 0));
+	if (!strncmp(url, "/_", 2))
+		return own_page(t, conn, url);
+	return start_job(t, job);
+}
+
+static void *begin(void *ctx, const char *uri, struct MHD_Connection *conn)
+{
+	struct target *t = ctx;
+	struct job *job = g_new0(struct job, 1);
+
+	(void)uri;
+	(void)conn;
+	job->next = t->jobs;
+	t->jobs = job;
+	return job;
+}
+
+static void completed(void *ctx, struct MHD_Connection *conn, void **con_cls,
+		      enum MHD_RequestTerminationCode code)
+{
+	struct target *t = ctx;
+	struct job *job = *con_cls;
+	struct job **at = &t->jobs;
+
+	(void)conn;
+	(void)code;
+	if (!job)
+		return;
+	while (*at && *at != job)
+		at = &(*at)->next;
+	if (*at)
+		*at = job->next;
+	end_job(t, job);
+	g_free(job);
+	*con_cls = NULL;
+}
+
+static bool caller_gone(const struct job *job)
+{
+	const union MHD_ConnectionInfo *info = MHD_get_connection_info(
+		job->conn, MHD_CONNECTION_INFO_CONNECTION_FD);
+	char byte;
+
+	return recv(info->connect_fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
+}
+
+/* Work ends when it is done, when its deadline passes or its caller goes. */
+static void sweep(void *ctx)
+{
+	struct target *t = ctx;
+	apr_time_t now = now_of(t);
+
+	for (struct job *job = t->jobs; job; job = job->next) {
+		bool over;
+
+		if (!job->suspended)
+			continue;
+		over = (job->deadline && now > job->deadline) ||
+		       caller_gone(job);
+		if (!over && now < job->ends)
+			continue;
+		if (over && now < job->ends)
+			job->drop = true;
+		job->ready = true;
+		job->suspended = false;
+		MHD_resume_connection(job->conn);
+		server_kick(t->server);
+	}
+	loop_after(t->standin.loop, SWEEP / 5, sweep, t);
+}
+
+static int run(struct target *t, const char *listen)
+{
+	struct tr_error err = { 0 };
+	struct server_options options = {
+		.field = "listen",
+		.connections = CONNECTIONS,
+		.handler = handler,
+		.completed = completed,
+		.begin = begin,
+		.ctx = t,
+	};
+	char ip[46];
+	char text[512];
+
+	if (standin_address(listen, ip, &options.port)) {
+		fprintf(stderr, "toucanreel-target: --listen: '%s': "
+				"expected IP:PORT\n",
+			listen);
+		return 2;
+	}
+	options.ip = ip;
+	t->ledger = g_hash_table_new(g_str_hash, g_str_equal);
+	t->server = server_new(t->standin.loop, &options, &err);
+	if (!t->server) {
+		tr_error_format(&err, text, sizeof(text));
+		fprintf(stderr, "toucanreel-target: %s\n", text);
+		return 2;
+	}
+	t->started = now_of(t) - t->cold;
+	sweep(t);
+	standin_run(&t->standin);
+	for (struct job *job = t->jobs; job; job = job->next)
+		if (job->suspended)
+			MHD_resume_connection(job->conn);
+	server_destroy(t->server);
+	return 0;
+}
+
+int main(int argc, char **argv)
+{
+	struct arg_lit *help = arg_lit0("h", "help", "say how to use it");
+	struct arg_str *listen = arg_str1("l", "listen", "IP:PORT",
+					  "where to answer");
+	struct arg_str *name = arg_str1("n", "name", "NAME", "its name");
+	struct arg_int *slots = arg_int0("s", "slots", "N", "slots (3)");
+	struct arg_dbl *work = arg_dbl0("w", "work-ms", "MS",
+					"mean time of work (10)");
+	struct arg_int *cold = arg_int0("c", "cold-ms", "MS",
+					"cold after a restart (2000)");
+	struct arg_end *end = arg_end(8);
+	void *table[] = { help, listen, name, slots, work, cold, end };
+	struct target *t = &the_target;
+	int code = 2;
+	int errors = arg_parse(argc, argv, table);
+
+	if (help->count) {
+		printf("Usage: toucanreel-target");
+		arg_print_syntax(stdout, table, "\n");
+		arg_print_glossary(stdout, table, "  %-24s %s\n");
+		code = 0;
+	} else if (errors) {
+		arg_print_errors(stderr, end, "toucanreel-target");
+	} else if (!standin_begin(&t->standin, name->sval[0])) {
+		t->name = name->sval[0];
+		t->slots = slots->count ? (unsigned)slots->ival[0] : 3;
+		t->work_ms = work->count ? work->dval[0] : 10;
+		t->cold = TR_MSEC(cold->count ? cold->ival[0] : 2000);
+		t->random.state = tr_hash_string(t->name);
+		code = run(t, listen->sval[0]);
+		standin_end(&t->standin);
+	}
+	arg_freetable(table, sizeof(table) / sizeof(table[0]));
+	return code;
+}
--- /dev/null
+++ b/src/toucanreeld.c
@@ -0,0 +1,327 @@
+#include <apr_general.h>
+#include <argtable2.h>
+#include <arpa/inet.h>
+#include <curl/curl.h>
+#include <sodium.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "board.h"
+#include "client.h"
+#include "config.h"
+#include "detector.h"
+#include "error.h"
+#include "gossip.h"
+#include "loop.h"
+#include "member.h"
+#include "operator.h"
+#include "peer.h"
+#include "proxy.h"
+#include "server.h"
+#include "service.h"
+#include "settings.h"
+#include "version.h"
+
+#define LOG_MODULE "main"
+#include "log.h"
+
+#define STEP_PERIOD   TR_MSEC(50)
+#define SWEEP_PERIOD  TR_MSEC(10)
+#define CONFIG_PERIOD TR_MSEC(100)
+#define STOP_CHECK    TR_MSEC(200)
+#define SWEEP_RECORDS 256
+#define MEGABYTE      (1024 * 1024)
+#define EXIT_USAGE    2
+
+struct daemon {
+	struct loop *loop;
+	struct settings *settings;
+	struct tr_secret secret;
+	struct tr_board *board;
+	struct tr_event_ring *events;
+	struct client *client;
+	struct config *config;
+	struct proxy *proxy;
+	struct peer_link *link;
+	struct operator_port *operator_port;
+	apr_time_t stop_at;
+	apr_time_t quiet_since;
+};
+
+static void step(void *ctx)
+{
+	struct daemon *d = ctx;
+	apr_time_t now = tr_clock_now(&d->board->clock);
+
+	for (int i = 0; i < TR_MAX_SERVICES; i++)
+		if (d->board->services[i].used)
+			tr_service_step(d->board, &d->board->services[i], now);
+	peer_step(d->link);
+	tr_dispatcher_sweep(&d->board->dispatcher, now, SWEEP_RECORDS);
+	loop_after(d->loop, STEP_PERIOD, step, d);
+}
+
+static void sweep(void *ctx)
+{
+	struct daemon *d = ctx;
+
+	proxy_sweep(d->proxy);
+	loop_after(d->loop, SWEEP_PERIOD, sweep, d);
+}
+
+static void step_config(void *ctx)
+{
+	struct daemon *d = ctx;
+
+	config_step(d->config);
+	loop_after(d->loop, CONFIG_PERIOD, step_config, d);
+}
+
+/* A peer speaks of a service of whose cell it takes this VM to be part. */
+static void heard(void *ctx, const struct tr_gossip *msg)
+{
+	struct daemon *d = ctx;
+	struct tr_service *svc = config_attend(d->config, msg->service);
+	struct tr_peer *peer = svc ? tr_member_find(svc, msg->from) : NULL;
+
+	if (!peer)
+		return;
+	peer->document_revision = msg->document_revision;
+	peer->targets_revision = msg->targets_revision;
+	config_peer_has(d->config, svc, peer, msg->list_revision);
+}
+
+static void check_stopped(void *ctx)
+{
+	struct daemon *d = ctx;
+	apr_time_t now = tr_clock_now(&d->board->clock);
+
+	if (d->proxy->in_flight)
+		d->quiet_since = now;
+	if (now >= d->stop_at ||
+	    (!server_connections(d->proxy->server) && !d->proxy->in_flight)) {
+		loop_stop(d->loop);
+		return;
+	}
+	loop_after(d->loop, STOP_CHECK, check_stopped, d);
+}
+
+/* How long callers may still hold an address of this VM. */
+static apr_time_t longest_kept(const struct daemon *d)
+{
+	apr_time_t most = 0;
+
+	for (int i = 0; i < TR_MAX_SERVICES; i++) {
+		const struct tr_service *svc = &d->board->services[i];
+		apr_time_t keep;
+
+		if (!svc->used || !svc->document || !svc->in_cell)
+			continue;
+		keep = TR_SEC(svc->document->keep_s);
+		most = keep > most ? keep : most;
+	}
+	return most;
+}
+
+/*
+ * First signal: a lame duck. Lookups no longer name this VM, what is running
+ * and what still comes from callers that keep its address is served, up to a
+ * bound. Second signal: end now.
+ */
+static void on_signal(void *ctx)
+{
+	struct daemon *d = ctx;
+	apr_time_t now = tr_clock_now(&d->board->clock);
+	apr_time_t bound = TR_SEC(d->settings->stop_after_s);
+	apr_time_t kept = longest_kept(d);
+
+	if (d->board->leaving) {
+		loop_stop(d->loop);
+		return;
+	}
+	d->board->leaving = true;
+	d->stop_at = now + (kept < bound ? kept : bound);
+	for (int i = 0; i < TR_MAX_SERVICES; i++)
+		for (unsigned p = 0; p < d->board->services[i].peers_count;
+		     p++)
+			d->board->services[i].peers[p].sent_to_at = 0;
+	tr_board_event(d->board, TR_EVENT_STOP, "", d->board->vm_name,
+		       "leaving, for at most %ld s",
+		       (long)((d->stop_at - now) / APR_USEC_PER_SEC));
+	log_info("leaving");
+	loop_after(d->loop, STOP_CHECK, check_stopped, d);
+}
+
+static int make_board(struct daemon *d)
+{
+	struct settings *s = d->settings;
+	struct tr_board *b = calloc(1, sizeof(*b));
+	struct in_addr ip;
+	uint64_t seed;
+
+	d->events = calloc(1, sizeof(*d->events));
+	if (!b || !d->events)
+		return -1;
+	d->board = b;
+	b->clock = *loop_clock(d->loop);
+	b->events = d->events;
+	b->wall = loop_wall;
+	b->started_at = tr_clock_now(&b->clock);
+	b->vm_id = tr_hash_string(s->name);
+	snprintf(b->vm_name, sizeof(b->vm_name), "%s", s->name);
+	snprintf(b->data_centre, sizeof(b->data_centre), "%s",
+		 s->data_centre);
+	randombytes_buf(&b->boot, sizeof(b->boot));
+	randombytes_buf(&seed, sizeof(seed));
+	b->random.state = seed;
+	if (tr_dispatcher_init(&b->dispatcher, &b->boot, &d->secret,
+			       s->keys_remembered, s->key_lifetime_s,
+			       (size_t)s->answers_mb * MEGABYTE))
+		return -1;
+	inet_pton(AF_INET, s->address, &ip);
+	b->dispatcher.address = ntohl(ip.s_addr);
+	b->dispatcher.port = s->port;
+	return 0;
+}
+
+static int open_ports(struct daemon *d, struct tr_error *err)
+{
+	struct settings *s = d->settings;
+	struct config_options config = {
+		.platform = s->platform,
+		.secret = &d->secret,
+		.seeds = (const char *const *)s->seeds,
+		.seeds_count = s->seeds_count,
+	};
+	struct proxy_options proxy = {
+		.ip = s->address,
+		.port = s->port,
+		.connections = s->connections,
+		.body_buffer = (size_t)s->body_buffer_kb * 1024,
+	};
+	struct operator_parts parts;
+
+	d->client = client_new(d->loop, s->address);
+	d->config = config_new(d->loop, d->client, d->board, &config);
+	d->proxy = proxy_new(d->loop, d->client, d->board, d->config,
+			     &d->secret, &proxy, err);
+	if (!d->proxy)
+		return -1;
+	config_on_change(d->config, proxy_config_changed, d->proxy);
+	d->link = peer_open(d->loop, d->board, &d->secret, s->address,
+			    s->peer_port, heard, d, err);
+	if (!d->link)
+		return -1;
+	parts = (struct operator_parts){ d->board, d->config,  d->proxy,
+					 d->link,  &d->secret, s->region };
+	d->operator_port = operator_new(d->loop, &parts, s->address,
+					s->operator_port, err);
+	return d->operator_port ? 0 : -1;
+}
+
+static void close_all(struct daemon *d)
+{
+	if (d->operator_port)
+		operator_destroy(d->operator_port);
+	if (d->link)
+		peer_close(d->link);
+	if (d->proxy)
+		proxy_destroy(d->proxy);
+	if (d->config)
+		config_destroy(d->config);
+	if (d->client)
+		client_destroy(d->client);
+	if (d->board)
+		tr_dispatcher_release(&d->board->dispatcher);
+	free(d->board);
+	free(d->events);
+	settings_free(d->settings);
+}
+
+static void say(const struct tr_error *err)
+{
+	char text[512];
+
+	tr_error_format(err, text, sizeof(text));
+	fprintf(stderr, "toucanreeld: %s\n", text);
+}
+
+static int serve(const char *path, apr_pool_t *pool, bool check_only)
+{
+	struct daemon d = { 0 };
+	struct tr_error err = { 0 };
+	int code = EXIT_USAGE;
+
+	d.settings = settings_load(path, &err);
+	if (!d.settings || settings_secret(d.settings, &d.secret, &err)) {
+		say(&err);
+		close_all(&d);
+		return EXIT_USAGE;
+	}
+	if (check_only) {
+		close_all(&d);
+		return EXIT_SUCCESS;
+	}
+	memset(&err, 0, sizeof(err));
+	snprintf(err.file, sizeof(err.file), "%s", path);
+	log_setup((enum log_level)d.settings->log_level, d.settings->log_json,
+		  d.settings->name);
+	d.loop = loop_new(pool);
+	if (!d.loop || make_board(&d) || open_ports(&d, &err)) {
+		say(&err);
+	} else {
+		loop_on_signals(d.loop, on_signal, &d);
+		tr_board_event(d.board, TR_EVENT_START, "", d.board->vm_name,
+			       "version %s", TOUCANREEL_VERSION);
+		log_info("serving on %s:%u", d.settings->address,
+			 d.settings->port);
+		step_config(&d);
+		step(&d);
+		sweep(&d);
+		loop_run(d.loop);
+		log_info("ended");
+		code = EXIT_SUCCESS;
+	}
+	close_all(&d);
+	if (d.loop)
+		loop_destroy(d.loop);
+	return code;
+}
+
+int main(int argc, char **argv)
+{
+	struct arg_lit *help = arg_lit0("h", "help", "say how to use it");
+	struct arg_lit *version = arg_lit0(NULL, "version", "say which");
+	struct arg_lit *check = arg_lit0(NULL, "check",
+					 "check the settings and end");
+	struct arg_file *file = arg_file0("s", "settings", "FILE",
+					  "settings of this VM, in YAML");
+	struct arg_end *end = arg_end(8);
+	void *table[] = { help, version, check, file, end };
+	apr_pool_t *pool;
+	int code = EXIT_USAGE;
+	int errors = arg_parse(argc, argv, table);
+
+	if (help->count) {
+		printf("Usage: toucanreeld");
+		arg_print_syntax(stdout, table, "\n");
+		arg_print_glossary(stdout, table, "  %-24s %s\n");
+		code = EXIT_SUCCESS;
+	} else if (version->count) {
+		printf("toucanreeld %s\n", TOUCANREEL_VERSION);
+		code = EXIT_SUCCESS;
+	} else if (errors || !file->count) {
+		arg_print_errors(stderr, end, "toucanreeld");
+		fprintf(stderr, "toucanreeld: expected --settings FILE\n");
+	} else if (sodium_init() >= 0 && apr_initialize() == APR_SUCCESS &&
+		   !curl_global_init(CURL_GLOBAL_DEFAULT)) {
+		apr_pool_create(&pool, NULL);
+		code = serve(file->filename[0], pool, check->count > 0);
+		apr_pool_destroy(pool);
+		curl_global_cleanup();
+		apr_terminate();
+	}
+	arg_freetable(table, sizeof(table) / sizeof(table[0]));
+	return code;
+}
