--- /dev/null
+++ b/src/load_report.c
@@ -0,0 +1,251 @@
+#include <glib.h>
+#include <jansson.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "cleanup.h"
+#include "client.h"
+#include "load.h"
+#include "loop.h"
+
+#define LEDGER_TIMEOUT TR_SEC(10)
+#define BIN_US	       100000
+
+/* What the targets' ledgers say, against what callers were told. */
+struct verdict {
+	unsigned long doubled;
+	unsigned long not_run_lies;
+	unsigned long answered_not_run;
+	unsigned long unknown_ran;
+	unsigned long ledgers;
+};
+
+struct gathering {
+	struct load *load;
+	GHashTable *runs;
+	unsigned waiting;
+	unsigned got;
+};
+
+struct question {
+	struct gathering *all;
+};
+
+static void add_run(GHashTable *runs, const char *id, unsigned n)
+{
+	unsigned have = GPOINTER_TO_UINT(g_hash_table_lookup(runs, id));
+
+	g_hash_table_replace(runs, g_strdup(id), GUINT_TO_POINTER(have + n));
+}
+
+static void ledger_answered(void *ctx, const struct fetch_answer *answer)
+{
+	struct gathering *all = ctx;
+	auto_json json_t *root = NULL;
+	const char *id;
+	json_t *entry;
+
+	if (answer->status == 200)
+		root = json_loadb(answer->body, answer->len, 0, NULL);
+	if (root) {
+		all->got++;
+		json_object_foreach(json_object_get(root, "ledger"), id,
+				    entry)
+			add_run(all->runs, id,
+				(unsigned)json_integer_value(
+					json_object_get(entry, "runs")));
+	}
+	if (--all->waiting == 0)
+		loop_stop(all->load->standin.loop);
+}
+
+static GHashTable *gather(struct load *load, unsigned *got)
+{
+	struct gathering all = {
+		.load = load,
+		.runs = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+					      NULL),
+	};
+	char url[128];
+
+	for (unsigned i = 0; i < load->options.targets_count; i++) {
+		snprintf(url, sizeof(url), "http://%s/_ledger",
+			 load->options.targets[i]);
+		if (client_fetch(load->client, url, NULL, LEDGER_TIMEOUT,
+				 ledger_answered, &all))
+			all.waiting++;
+	}
+	if (all.waiting)
+		loop_run(load->standin.loop);
+	*got = all.got;
+	return all.runs;
+}
+
+static void judge(const struct load *load, GHashTable *runs,
+		  struct verdict *v)
+{
+	for (size_t i = 0; i < load->ops_count; i++) {
+		const struct op *op = load->ops[i];
+		unsigned n = GPOINTER_TO_UINT(
+			g_hash_table_lookup(runs, op->id));
+
+		if (op->never && n > 1)
+			v->doubled++;
+		if (op->end == OP_NOT_RUN && !op->maybe_run && n > 0)
+			v->not_run_lies++;
+		if (op->end == OP_ANSWERED && n == 0)
+			v->answered_not_run++;
+		if (op->end == OP_UNKNOWN && n > 0)
+			v->unknown_ran++;
+	}
+}
+
+static int compare_times(const void *a, const void *b)
+{
+	const apr_time_t *x = a;
+	const apr_time_t *y = b;
+
+	return (*x > *y) - (*x < *y);
+}
+
+static double ms_at(const apr_time_t *sorted, size_t n, double q)
+{
+	size_t at = (size_t)((double)n * q);
+
+	if (!n)
+		return 0;
+	return (double)sorted[at < n ? at : n - 1] / 1000.0;
+}
+
+static json_t *latencies(const struct load *load)
+{
+	apr_time_t *times = calloc(load->ops_count + 1, sizeof(*times));
+	size_t n = 0;
+	json_t *json;
+
+	for (size_t i = 0; i < load->ops_count; i++) {
+		const struct op *op = load->ops[i];
+
+		if (op->end == OP_ANSWERED)
+			times[n++] = op->ended - op->intended;
+	}
+	qsort(times, n, sizeof(*times), compare_times);
+	json = json_pack("{s:f, s:f, s:f, s:f, s:f}", "p50",
+			 ms_at(times, n, 0.5), "p90", ms_at(times, n, 0.9),
+			 "p99", ms_at(times, n, 0.99), "p999",
+			 ms_at(times, n, 0.999), "max", ms_at(times, n, 1));
+	free(times);
+	return json;
+}
+
+static json_t *codes(const struct load *load)
+{
+	json_t *json = json_object();
+	char word[64];
+
+	for (size_t i = 0; i < load->ops_count; i++) {
+		const struct op *op = load->ops[i];
+
+		snprintf(word, sizeof(word), "%d %s", op->code,
+			 op->code ? tr_result_word((enum tr_result)op->code) :
+				    "no-answer");
+		json_object_set_new(
+			json, word,
+			json_integer(json_integer_value(json_object_get(
+					     json, word)) +
+				     1));
+	}
+	return json;
+}
+
+static json_t *ends(const struct load *load, bool never, bool must)
+{
+	unsigned long count[OP_FAILED + 1] = { 0 };
+	unsigned long all = 0;
+
+	for (size_t i = 0; i < load->ops_count; i++) {
+		const struct op *op = load->ops[i];
+
+		if (op->never != never || op->must != must)
+			continue;
+		count[op->end]++;
+		all++;
+	}
+	return json_pack("{s:I, s:I, s:I, s:I, s:I}", "sent", (json_int_t)all,
+			 "answered", (json_int_t)count[OP_ANSWERED], "not_run",
+			 (json_int_t)count[OP_NOT_RUN], "unknown",
+			 (json_int_t)count[OP_UNKNOWN], "no_answer",
+			 (json_int_t)(count[OP_FAILED] + count[OP_OPEN]));
+}
+
+static unsigned long count_flag(const struct load *load, bool cut)
+{
+	unsigned long n = 0;
+
+	for (size_t i = 0; i < load->ops_count; i++)
+		n += cut ? load->ops[i]->cut : load->ops[i]->misdelivered;
+	return n;
+}
+
+/* Per tenth of a second: when intended, how many sent, answered and failed. */
+static void write_series(const struct load *load)
+{
+	size_t bins = (size_t)(load->options.seconds * 10) + 1;
+	unsigned *sent = calloc(bins * 3, sizeof(*sent));
+	FILE *f = fopen(load->options.series, "w");
+
+	for (size_t i = 0; i < load->ops_count; i++) {
+		const struct op *op = load->ops[i];
+		size_t bin = (size_t)((op->intended - load->began) / BIN_US);
+
+		if (bin >= bins)
+			continue;
+		sent[bin * 3]++;
+		sent[bin * 3 + 1] += op->end == OP_ANSWERED;
+		sent[bin * 3 + 2] += op->end != OP_ANSWERED;
+	}
+	for (size_t b = 0; f && b < bins; b++)
+		fprintf(f, "%.1f %u %u %u\n", (double)b / 10, sent[b * 3],
+			sent[b * 3 + 1], sent[b * 3 + 2]);
+	if (f)
+		fclose(f);
+	free(sent);
+}
+
+/* Check the run against the ledgers and write the report. 0 or -1. */
+int load_report(struct load *load)
+{
+	const struct load_options *o = &load->options;
+	struct verdict v = { 0 };
+	unsigned got = 0;
+	GHashTable *runs = gather(load, &got);
+	json_t *json;
+	int res = -1;
+
+	judge(load, runs, &v);
+	g_hash_table_destroy(runs);
+	json = json_pack(
+		"{s:s, s:f, s:f, s:I, s:o, s:o, s:o, s:o, s:o, s:I, s:I, s:I, "
+		"s:I, s:I, s:I, s:i, s:i}",
+		"service", o->service, "rate", o->rate, "seconds", o->seconds,
+		"sent", (json_int_t)load->ops_count, "reads",
+		ends(load, false, false), "never", ends(load, true, false),
+		"must", ends(load, false, true), "latency_ms",
+		latencies(load), "codes", codes(load), "doubled",
+		(json_int_t)v.doubled, "not_run_lies",
+		(json_int_t)v.not_run_lies, "answered_not_run",
+		(json_int_t)v.answered_not_run, "unknown_ran",
+		(json_int_t)v.unknown_ran, "misdelivered",
+		(json_int_t)count_flag(load, false), "cut_as_whole",
+		(json_int_t)count_flag(load, true), "ledgers", (int)got,
+		"targets", (int)o->targets_count);
+	if (o->series)
+		write_series(load);
+	if (o->report)
+		res = json_dump_file(json, o->report, JSON_INDENT(1));
+	else
+		res = json_dumpf(json, stdout, JSON_INDENT(1));
+	json_decref(json);
+	return res;
+}
