--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -153,6 +153,10 @@
 fleet_begin() { # DEPLOYMENT DIR
 	local s c n values
 	fleet_describe "$1" || return
+	if curl -sf -m 1 -o /dev/null "http://$PLATFORM/_calls"; then
+		echo "another fleet is running on this machine" >&2
+		return 1
+	fi
 	FLEET_DIR=$2
 	rm -rf "$FLEET_DIR"
 	mkdir -p "$FLEET_DIR"
--- /dev/null
+++ b/src/capacity.c
@@ -0,0 +1,283 @@
+#include "capacity.h"
+
+#include <glib.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "cleanup.h"
+#include "error.h"
+#include "yamlfile.h"
+
+#define SECONDS_A_DAY 86400.0
+#define CALM_TICK_S   2.0
+#define BUSY_TICK_S   0.4
+#define STEPS_A_S     20.0
+#define WATCH_S	      20.0
+#define READERS	      2.0
+#define LIST_READERS  3.0
+#define POLL_CALLS    1000.0
+#define POLL_LEAST_S  2.0
+#define PERCENT_OF_US 1e4
+#define SIZE	      struct capacity_sizes
+#define SLOPE	      struct capacity_slopes
+#define BUDGET	      struct capacity_budgets
+#define REQ	      CYAML_FLAG_DEFAULT
+
+static const cyaml_schema_field_t size_fields[] = {
+	CYAML_FIELD_FLOAT("vms", REQ, SIZE, vms),
+	CYAML_FIELD_FLOAT("servers", REQ, SIZE, servers),
+	CYAML_FIELD_FLOAT("services", REQ, SIZE, services),
+	CYAML_FIELD_FLOAT("routes", REQ, SIZE, routes),
+	CYAML_FIELD_FLOAT("organisations", REQ, SIZE, organisations),
+	CYAML_FIELD_FLOAT("requests_a_second", REQ, SIZE, requests_a_second),
+	CYAML_FIELD_FLOAT("changes_a_day", REQ, SIZE, changes_a_day),
+	CYAML_FIELD_FLOAT("restarts_a_day", REQ, SIZE, restarts_a_day),
+	CYAML_FIELD_FLOAT("data_centres", REQ, SIZE, data_centres),
+	CYAML_FIELD_FLOAT("cell", REQ, SIZE, cell),
+	CYAML_FIELD_FLOAT("document_bytes", REQ, SIZE, document_bytes),
+	CYAML_FIELD_FLOAT("list_row_bytes", REQ, SIZE, list_row_bytes),
+	CYAML_FIELD_FLOAT("keys_share", REQ, SIZE, keys_share),
+	CYAML_FIELD_FLOAT("key_lifetime_s", REQ, SIZE, key_lifetime_s),
+	CYAML_FIELD_FLOAT("raised_share", REQ, SIZE, raised_share),
+	CYAML_FIELD_END,
+};
+
+static const cyaml_schema_field_t slope_fields[] = {
+	CYAML_FIELD_FLOAT("base_mb", REQ, SLOPE, base_mb),
+	CYAML_FIELD_FLOAT("service_kb", REQ, SLOPE, service_kb),
+	CYAML_FIELD_FLOAT("route_kb", REQ, SLOPE, route_kb),
+	CYAML_FIELD_FLOAT("record_bytes", REQ, SLOPE, record_bytes),
+	CYAML_FIELD_FLOAT("message_bytes", REQ, SLOPE, message_bytes),
+	CYAML_FIELD_FLOAT("row_bytes", REQ, SLOPE, row_bytes),
+	CYAML_FIELD_FLOAT("message_us", REQ, SLOPE, message_us),
+	CYAML_FIELD_FLOAT("row_us", REQ, SLOPE, row_us),
+	CYAML_FIELD_FLOAT("step_us", REQ, SLOPE, step_us),
+	CYAML_FIELD_FLOAT("step_target_us", REQ, SLOPE, step_target_us),
+	CYAML_FIELD_FLOAT("idle_percent", REQ, SLOPE, idle_percent),
+	CYAML_FIELD_FLOAT("cell_us_a_vm", REQ, SLOPE, cell_us_a_vm),
+	CYAML_FIELD_FLOAT("document_us", REQ, SLOPE, document_us),
+	CYAML_FIELD_FLOAT("request_us", REQ, SLOPE, request_us),
+	CYAML_FIELD_END,
+};
+
+static const cyaml_schema_field_t budget_fields[] = {
+	CYAML_FIELD_FLOAT("core_percent", REQ, BUDGET, core_percent),
+	CYAML_FIELD_FLOAT("mb", REQ, BUDGET, mb),
+	CYAML_FIELD_FLOAT("bytes_a_second", REQ, BUDGET, bytes_a_second),
+	CYAML_FIELD_FLOAT("force_s", REQ, BUDGET, force_s),
+	CYAML_FIELD_FLOAT("platform_calls_a_second", REQ, BUDGET,
+			  platform_calls_a_second),
+	CYAML_FIELD_END,
+};
+
+static const cyaml_schema_field_t fields[] = {
+	CYAML_FIELD_MAPPING("sizes", REQ, struct capacity_model, sizes,
+			    size_fields),
+	CYAML_FIELD_MAPPING("slopes", REQ, struct capacity_model, slopes,
+			    slope_fields),
+	CYAML_FIELD_MAPPING("budgets", REQ, struct capacity_model, budgets,
+			    budget_fields),
+	CYAML_FIELD_END,
+};
+
+static const cyaml_schema_value_t schema = {
+	CYAML_VALUE_MAPPING(CYAML_FLAG_POINTER, struct capacity_model, fields),
+};
+
+/* Read the sizes and slopes to work with; NULL and err if they are wrong. */
+struct capacity_model *capacity_load(const char *path, struct tr_error *err)
+{
+	size_t len = 0;
+	auto_free char *text = yamlfile_read(path, &len, err);
+	struct capacity_model *m;
+
+	if (!text)
+		return NULL;
+	m = yamlfile_load(text, len, &schema, err);
+	if (m && (m->sizes.vms < 1 || m->sizes.services < 1 ||
+		  m->sizes.cell < 1)) {
+		tr_error_set(err, TR_OUT_OF_RANGE, "sizes", "",
+			     "expected at least one VM, service and member of "
+			     "a cell");
+		capacity_free(m);
+		return NULL;
+	}
+	return m;
+}
+
+void capacity_free(struct capacity_model *model)
+{
+	yamlfile_free(&schema, model);
+}
+
+/* What follows from the sizes for one VM. */
+struct load {
+	double services;
+	double targets;
+	double links;
+	double messages;
+	double rows;
+	double requests;
+	double records;
+	double poll_s;
+};
+
+static struct load load_of(const struct capacity_model *m)
+{
+	const struct capacity_sizes *z = &m->sizes;
+	struct load l;
+
+	l.services = z->services * z->cell / z->vms;
+	l.targets = z->servers / z->services;
+	l.links = l.services * (z->cell - 1);
+	l.messages = l.links * (z->raised_share / BUSY_TICK_S +
+				(1 - z->raised_share) / CALM_TICK_S);
+	l.rows = l.targets / 3;
+	l.requests = z->requests_a_second / z->vms;
+	l.records = l.requests * z->keys_share * z->key_lifetime_s;
+	l.poll_s = l.services * z->vms / POLL_CALLS;
+	if (l.poll_s < POLL_LEAST_S)
+		l.poll_s = POLL_LEAST_S;
+	return l;
+}
+
+struct costs {
+	double gossip_bytes;
+	double document_bytes;
+	double list_bytes;
+	double gossip_percent;
+	double step_percent;
+	double list_percent;
+	double document_percent;
+	double memory_mb;
+	double calls;
+	double force_s;
+};
+
+static double ceil_log(double n, double base)
+{
+	double steps = 0;
+
+	for (double reached = 1; reached < n; reached *= base)
+		steps++;
+	return steps;
+}
+
+static struct costs costs_of(const struct capacity_model *m,
+			     const struct load *l)
+{
+	const struct capacity_sizes *z = &m->sizes;
+	const struct capacity_slopes *s = &m->slopes;
+	double changes = z->changes_a_day * l->services / z->services /
+			 SECONDS_A_DAY;
+	double list_changes = 2 * z->restarts_a_day / SECONDS_A_DAY;
+	struct costs c = { 0 };
+
+	c.gossip_bytes = l->messages * (s->message_bytes +
+					s->row_bytes * l->rows);
+	c.document_bytes = changes * z->document_bytes;
+	c.list_bytes = list_changes * z->vms * z->list_row_bytes;
+	c.gossip_percent = 2 * l->messages *
+			   (s->message_us + s->row_us * l->rows) /
+			   PERCENT_OF_US;
+	c.step_percent = s->idle_percent +
+			 l->services * STEPS_A_S *
+				 (s->step_us + s->step_target_us * l->targets) /
+				 PERCENT_OF_US;
+	c.list_percent = list_changes * l->services * s->cell_us_a_vm * z->vms /
+			 PERCENT_OF_US;
+	c.document_percent = changes * s->document_us / PERCENT_OF_US;
+	c.memory_mb = s->base_mb + l->services * s->service_kb / 1024 +
+		      z->routes / z->services * l->services * s->route_kb /
+			      1024 +
+		      l->records * s->record_bytes / 1048576 +
+		      z->vms * z->list_row_bytes * 2 / 1048576;
+	c.calls = z->services * READERS / WATCH_S +
+		  z->services * z->cell / l->poll_s +
+		  LIST_READERS * z->data_centres *
+			  (1 / WATCH_S + list_changes);
+	c.force_s = BUSY_TICK_S * ceil_log(z->cell, z->cell) + 1;
+	return c;
+}
+
+static void put(GString *out, const char *what, double value, const char *unit,
+		double budget, const char *mechanism)
+{
+	g_string_append_printf(out, "| %s | %.4g %s | ", what, value, unit);
+	if (budget > 0)
+		g_string_append_printf(out, "%.4g | %s", budget,
+				       value <= budget ? "met" : "**not met**");
+	else
+		g_string_append(out, "- | -");
+	g_string_append_printf(out, " | %s |\n", mechanism);
+}
+
+static void put_sums(GString *out, const struct capacity_model *m,
+		     const struct costs *c)
+{
+	const struct capacity_budgets *b = &m->budgets;
+
+	put(out, "control bytes sent, without the list of VMs",
+	    c->gossip_bytes + c->document_bytes, "B/s", b->bytes_a_second,
+	    "gossip inside cells; documents pulled once a change");
+	put(out, "control bytes, with whole lists of VMs",
+	    c->gossip_bytes + c->document_bytes + c->list_bytes, "B/s",
+	    b->bytes_a_second, "the list is pulled whole at each change");
+	put(out, "control processor time",
+	    c->gossip_percent + c->step_percent + c->list_percent +
+		    c->document_percent,
+	    "% of a core", b->core_percent,
+	    "steps, messages, cells worked out anew");
+	put(out, "memory", c->memory_mb, "MB", b->mb,
+	    "fixed rows a service, records of keys, the list");
+	put(out, "calls to the platform, all VMs", c->calls, "1/s",
+	    b->platform_calls_a_second,
+	    "two watching readers a service, slow polls of the others");
+	put(out, "a change in force in its cell", c->force_s, "s", b->force_s,
+	    "watch, then one hop of gossip and a pull");
+}
+
+/* The page's tables as Markdown; the caller frees them. */
+char *capacity_page(const struct capacity_model *model)
+{
+	struct load l = load_of(model);
+	struct costs c = costs_of(model, &l);
+	GString *out = g_string_new(NULL);
+	char *text;
+
+	g_string_append(out, "| per VM | value | budget | verdict | mechanism "
+			     "|\n|---|---|---|---|---|\n");
+	put_sums(out, model, &c);
+	g_string_append(out, "\n| part | value | budget | verdict | mechanism "
+			     "|\n|---|---|---|---|---|\n");
+	put(out, "services served", l.services, "", 0,
+	    "cells by rendezvous hashing");
+	put(out, "targets known", l.services * l.targets, "", 0,
+	    "only those of its services");
+	put(out, "peers spoken to", l.links, "", 0, "cells");
+	put(out, "messages sent", l.messages, "1/s", 0,
+	    "one to each peer in 2 s, in 0.4 s while raised");
+	put(out, "gossip", c.gossip_bytes, "B/s", 0,
+	    "a third of the rows in turn, and those under suspicion");
+	put(out, "documents pulled", c.document_bytes, "B/s", 0,
+	    "by revision");
+	put(out, "lists of VMs pulled", c.list_bytes, "B/s", 0,
+	    "whole; deltas are the change that would meet the budget");
+	put(out, "processor: messages", c.gossip_percent, "%", 0,
+	    "XDR, BLAKE2b");
+	put(out, "processor: steps", c.step_percent, "%", 0,
+	    "20 a second and service");
+	put(out, "processor: lists", c.list_percent, "%", 0,
+	    "every cell chosen anew at each change");
+	put(out, "requests", l.requests, "1/s", 0, "proxied");
+	put(out, "processor: requests, not control",
+	    l.requests * model->slopes.request_us / PERCENT_OF_US, "%", 0,
+	    "one loop, one thread");
+	put(out, "keys remembered", l.records, "", 0,
+	    "till their expiry; a full table refuses");
+	put(out, "poll of a VM that does not watch", l.poll_s, "s", 0,
+	    "the period grows with the fleet");
+	text = strdup(out->str);
+	g_string_free(out, TRUE);
+	return text;
+}
--- /dev/null
+++ b/src/command.h
@@ -0,0 +1,28 @@
+#ifndef COMMAND_H
+#define COMMAND_H
+
+#include <jansson.h>
+
+/* What each subcommand of toucanreel is: its name, its job, its main. */
+struct command {
+	const char *name;
+	const char *summary;
+	int (*run)(int argc, char **argv);
+};
+
+#define EXIT_FOUND_FAULT 1
+#define EXIT_USAGE	 2
+
+int command_check(int argc, char **argv);
+int command_status(int argc, char **argv);
+int command_lookup(int argc, char **argv);
+int command_timeline(int argc, char **argv);
+int command_capacity(int argc, char **argv);
+
+int command_parse(int argc, char **argv, void **table, const char *name,
+		  int *code);
+
+/* timeline_svg.c */
+char *timeline_svg(json_t *events);
+
+#endif
--- a/src/config.c
+++ b/src/config.c
@@ -703,7 +703,7 @@
 	return config->board->fleet.count > 0;
 }
 
-const struct config_counts *config_counts(const struct config *config)
+const struct config_counts *config_count(const struct config *config)
 {
 	return &config->counts;
 }
--- a/src/config.h
+++ b/src/config.h
@@ -40,7 +40,7 @@
 json_t *config_status(struct config *config, const struct tr_service *svc);
 bool config_platform_up(const struct config *config);
 bool config_has_list(const struct config *config);
-const struct config_counts *config_counts(const struct config *config);
+const struct config_counts *config_count(const struct config *config);
 void config_on_change(struct config *config, void (*fn)(void *ctx), void *ctx);
 
 #endif
--- /dev/null
+++ b/src/gather.c
@@ -0,0 +1,98 @@
+#include "gather.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "cleanup.h"
+#include "client.h"
+#include "loop.h"
+
+#define GATHER_TIMEOUT TR_SEC(5)
+#define URL_SIZE       256
+
+struct gathering {
+	struct loop *loop;
+	json_t *answers;
+	unsigned waiting;
+};
+
+static void answered(void *ctx, const struct fetch_answer *answer)
+{
+	struct gathering *all = ctx;
+	json_t *root = NULL;
+
+	if (answer->status == 200)
+		root = json_loadb(answer->body, answer->len, 0, NULL);
+	if (root)
+		json_array_append_new(all->answers, root);
+	if (--all->waiting == 0)
+		loop_stop(all->loop);
+}
+
+/* Get all URLs at once; the answers that came, as a JSON list. */
+json_t *gather_json(struct loop *loop, struct client *client,
+		    const char *const *urls, unsigned count)
+{
+	struct gathering all = { loop, json_array(), 0 };
+
+	for (unsigned i = 0; i < count; i++)
+		if (client_fetch(client, urls[i], NULL, GATHER_TIMEOUT,
+				 answered, &all))
+			all.waiting++;
+	if (all.waiting)
+		loop_run(loop);
+	return all.answers;
+}
+
+/* The published list of VMs, as one VM's operator port knows it. */
+static json_t *list_of(struct loop *loop, struct client *client,
+		       const char *vm)
+{
+	char url[URL_SIZE];
+	const char *urls[1] = { url };
+	auto_json json_t *answers = NULL;
+	json_t *value;
+
+	snprintf(url, sizeof(url), "http://%s/peer/v1/vms", vm);
+	answers = gather_json(loop, client, urls, 1);
+	value = json_object_get(json_array_get(answers, 0), "vms");
+	if (!json_string_value(json_object_get(value, "text")))
+		return NULL;
+	return json_loads(json_string_value(json_object_get(value, "text")), 0,
+			  NULL);
+}
+
+/*
+ * Ask the operator port of every VM of the fleet for a path. One VM's operator
+ * address is enough to find them all. NULL when that one does not answer.
+ */
+json_t *gather_from_fleet(struct loop *loop, struct client *client,
+			  const char *vm, const char *path)
+{
+	auto_json json_t *vms = list_of(loop, client, vm);
+	size_t n = json_array_size(vms);
+	char *text = calloc(n + 1, URL_SIZE);
+	const char **urls = calloc(n + 1, sizeof(*urls));
+	json_t *answers = NULL;
+	size_t i;
+	json_t *row;
+
+	if (vms && text && urls) {
+		json_array_foreach(vms, i, row) {
+			char *url = text + i * URL_SIZE;
+
+			snprintf(url, URL_SIZE, "http://%s:%d%s",
+				 json_string_value(
+					 json_object_get(row, "address")),
+				 (int)json_integer_value(json_object_get(
+					 row, "operator_port")),
+				 path);
+			urls[i] = url;
+		}
+		answers = gather_json(loop, client, urls, (unsigned)n);
+	}
+	free(urls);
+	free(text);
+	return answers;
+}
--- a/src/metrics.c
+++ b/src/metrics.c
@@ -107,8 +107,8 @@
 
 static void control(GString *out, const struct operator_parts *parts)
 {
-	const struct peer_counts *link = peer_counts(parts->link);
-	const struct config_counts *config = config_counts(parts->config);
+	const struct peer_counts *link = peer_count(parts->link);
+	const struct config_counts *config = config_count(parts->config);
 	struct rusage use;
 
 	getrusage(RUSAGE_SELF, &use);
--- a/src/operator.c
+++ b/src/operator.c
@@ -131,7 +131,7 @@
 
 static json_t *link_json(const struct peer_link *link)
 {
-	const struct peer_counts *c = peer_counts(link);
+	const struct peer_counts *c = peer_count(link);
 
 	return json_pack(
 		"{s:I, s:I, s:I, s:I, s:I, s:I, s:I}", "sent",
@@ -157,7 +157,7 @@
 
 static json_t *platform_json(const struct config *config)
 {
-	const struct config_counts *c = config_counts(config);
+	const struct config_counts *c = config_count(config);
 
 	return json_pack("{s:b, s:I, s:I, s:I, s:I, s:I}", "up",
 			 (int)config_platform_up(config), "calls",
--- a/src/peer.c
+++ b/src/peer.c
@@ -186,7 +186,7 @@
 	}
 }
 
-const struct peer_counts *peer_counts(const struct peer_link *link)
+const struct peer_counts *peer_count(const struct peer_link *link)
 {
 	return &link->counts;
 }
--- a/src/standin.c
+++ b/src/standin.c
@@ -15,6 +15,7 @@
 {
 	struct standin *s = ctx;
 
+	s->stopped = true;
 	loop_stop(s->loop);
 }
 
@@ -24,6 +25,7 @@
 	if (sodium_init() < 0 || apr_initialize() != APR_SUCCESS ||
 	    curl_global_init(CURL_GLOBAL_DEFAULT))
 		return -1;
+	memset(s, 0, sizeof(*s));
 	apr_pool_create(&s->pool, NULL);
 	s->name = name;
 	s->loop = loop_new(s->pool);
--- a/src/standin.h
+++ b/src/standin.h
@@ -14,6 +14,7 @@
 	apr_pool_t *pool;
 	struct loop *loop;
 	const char *name;
+	bool stopped;
 };
 
 int standin_begin(struct standin *s, const char *name);
