Count only vantages that have tried a target since its trouble began

Cause: the whole cell avoided a dead target after its first three failures, so that only one data centre had enough against it and the other three went on sending trickles into it. Change: a vantage refutes only by a good outcome that is newer than the trouble; trickles of the cell's VMs no longer come in one clump. Conclusion: what an avoided target gets is one trickle in half the wished detection time.

--- a/lib/detector.c
+++ b/lib/detector.c
@@ -53,8 +53,8 @@
 	target->trickle_gap =
 		TR_MSEC(svc->document->ejection.detect_ms) / 2 * vms;
 	target->trickle_at =
-		now - tr_random_below(&board->random,
-				      (uint32_t)target->trickle_gap / 2);
+		now -
+		tr_random_below(&board->random, (uint32_t)target->trickle_gap);
 }
 
 static void cusum_outcome(struct tr_board *board, struct tr_service *svc,
--- a/lib/evidence.c
+++ b/lib/evidence.c
@@ -10,6 +10,7 @@
 #define RATE_PRIOR	4.0
 #define MOST_BASE	0.5
 #define STRICT_FALSE	1.0
+#define RISEN		0.5
 #define LEAST_SICK	6.0
 #define SECOND_OPINION	0.125
 #define AVOID_SHARE	0.45
@@ -78,6 +79,17 @@
 	return (double)FRESH_US / (double)gap;
 }
 
+/* When the sum began to rise, and from where good outcomes came since. */
+static void note_times(struct tr_evidence *ev, const struct tr_batch *batch,
+		       double fresh, apr_time_t now)
+{
+	if (batch->bad && ev->all < RISEN)
+		ev->risen_at = now;
+	if (batch->well && !batch->bad_run && fresh >= 1 &&
+	    batch->vantage >= 0 && batch->vantage < TR_MAX_VANTAGES)
+		ev->well_at[batch->vantage] = now;
+}
+
 /*
  * Add a batch of outcomes. base_rate is the share of bad outcomes that the
  * target's own peers show now: a fault that all share is no evidence against
@@ -93,6 +105,7 @@
 	double bad_now = batch->bad_run + before * fresh;
 	double bad = bad_now * steps.bad;
 
+	note_times(ev, batch, fresh, now);
 	ev->all = cusum(ev->all, well, bad);
 	if (batch->vantage >= 0 && batch->vantage < TR_MAX_VANTAGES)
 		ev->here[batch->vantage] =
@@ -217,7 +230,9 @@
 
 /*
  * From which vantages is the target sick? 0: from none. All of them when more
- * than half of those that use it speak against it.
+ * speak against it than have seen it do well since the trouble began. Those
+ * that have sent it nothing since do not count: a target that the whole cell
+ * avoids after the first few failures has few vantages to speak against it.
  *
  * One VM's word is never enough where another VM of the same vantage uses the
  * target too: what breaks the path of one VM fails many of its requests at
@@ -231,8 +246,8 @@
 	struct tally by_vantage[TR_MAX_VANTAGES] = { { 0, 0 } };
 	unsigned active = 0;
 	unsigned accusing = 0;
-	unsigned vantages = 0;
-	unsigned leaning = 0;
+	unsigned against = 0;
+	unsigned refuting = 0;
 	uint32_t sick_from = 0;
 
 	count_sources(ev, rules, now, by_vantage);
@@ -241,14 +256,14 @@
 
 		active += t->active;
 		accusing += t->accusing;
-		vantages += t->active > 0;
-		leaning += t->accusing > 0 && ev->here[v] >= rules->avoid;
+		against += t->accusing > 0;
+		refuting += !t->accusing && ev->well_at[v] > ev->risen_at;
 		if (ev->here[v] >= rules->sick &&
 		    (t->accusing >= 2 || t->active < 2))
 			sick_from |= 1U << v;
 	}
 	if (ev->all >= rules->sick && (accusing >= 2 || active < 2) &&
-	    leaning * 2 > vantages)
+	    against > refuting)
 		return TR_EVERY_VANTAGE;
 	return sick_from;
 }
--- a/lib/evidence.h
+++ b/lib/evidence.h
@@ -43,6 +43,8 @@
 	double latest_bad;
 	apr_time_t decayed_at;
 	apr_time_t bad_at;
+	apr_time_t risen_at;
+	apr_time_t well_at[TR_MAX_VANTAGES];
 };
 
 /* When evidence is enough; made from the team's document. */
--- a/src/capacity.c
+++ b/src/capacity.c
@@ -94,8 +94,8 @@
 	if (!text)
 		return NULL;
 	m = yamlfile_load(text, len, &schema, err);
-	if (m && (m->sizes.vms < 1 || m->sizes.services < 1 ||
-		  m->sizes.cell < 1)) {
+	if (m &&
+	    (m->sizes.vms < 1 || m->sizes.services < 1 || m->sizes.cell < 1)) {
 		tr_error_set(err, TR_OUT_OF_RANGE, "sizes", "",
 			     "expected at least one VM, service and member of "
 			     "a cell");
@@ -168,13 +168,13 @@
 {
 	const struct capacity_sizes *z = &m->sizes;
 	const struct capacity_slopes *s = &m->slopes;
-	double changes = z->changes_a_day * l->services / z->services /
-			 SECONDS_A_DAY;
+	double changes =
+		z->changes_a_day * l->services / z->services / SECONDS_A_DAY;
 	double list_changes = 2 * z->restarts_a_day / SECONDS_A_DAY;
 	struct costs c = { 0 };
 
-	c.gossip_bytes = l->messages * (s->message_bytes +
-					s->row_bytes * l->rows);
+	c.gossip_bytes =
+		l->messages * (s->message_bytes + s->row_bytes * l->rows);
 	c.document_bytes = changes * z->document_bytes;
 	c.list_bytes = list_changes * z->vms * z->list_row_bytes;
 	c.gossip_percent = 2 * l->messages *
@@ -187,15 +187,14 @@
 	c.list_percent = list_changes * l->services * s->cell_us_a_vm * z->vms /
 			 PERCENT_OF_US;
 	c.document_percent = changes * s->document_us / PERCENT_OF_US;
-	c.memory_mb = s->base_mb + l->services * s->service_kb / 1024 +
-		      z->routes / z->services * l->services * s->route_kb /
-			      1024 +
-		      l->records * s->record_bytes / 1048576 +
-		      z->vms * z->list_row_bytes * 2 / 1048576;
+	c.memory_mb =
+		s->base_mb + l->services * s->service_kb / 1024 +
+		z->routes / z->services * l->services * s->route_kb / 1024 +
+		l->records * s->record_bytes / 1048576 +
+		z->vms * z->list_row_bytes * 2 / 1048576;
 	c.calls = z->services * READERS / WATCH_S +
 		  z->services * z->cell / l->poll_s +
-		  LIST_READERS * z->data_centres *
-			  (1 / WATCH_S + list_changes);
+		  LIST_READERS * z->data_centres * (1 / WATCH_S + list_changes);
 	c.force_s = BUSY_TICK_S * ceil_log(z->cell, z->cell) + 1;
 	return c;
 }
@@ -259,8 +258,7 @@
 	    "one to each peer in 2 s, in 0.4 s while raised");
 	put(out, "gossip", c.gossip_bytes, "B/s", 0,
 	    "a third of the rows in turn, and those under suspicion");
-	put(out, "documents pulled", c.document_bytes, "B/s", 0,
-	    "by revision");
+	put(out, "documents pulled", c.document_bytes, "B/s", 0, "by revision");
 	put(out, "lists of VMs pulled", c.list_bytes, "B/s", 0,
 	    "whole; deltas are the change that would meet the budget");
 	put(out, "processor: messages", c.gossip_percent, "%", 0,
--- a/src/cmd_check.c
+++ b/src/cmd_check.c
@@ -60,8 +60,8 @@
 	else
 		say_text(path, doc, &err);
 	if (!doc)
-		code = err.code == TR_FILE_UNREADABLE ? EXIT_USAGE :
-							EXIT_FOUND_FAULT;
+		code = err.code == TR_FILE_UNREADABLE ? EXIT_USAGE
+						      : EXIT_FOUND_FAULT;
 	docfile_free(doc);
 	return code;
 }
@@ -70,8 +70,8 @@
 int command_check(int argc, char **argv)
 {
 	struct arg_lit *help = arg_lit0("h", "help", "say how to use it");
-	struct arg_str *format = arg_str0(NULL, "format", "text|json",
-					  "how to answer (text)");
+	struct arg_str *format =
+		arg_str0(NULL, "format", "text|json", "how to answer (text)");
 	struct arg_file *files = arg_filen(NULL, NULL, "DOCUMENT", 1, 512,
 					   "documents to validate");
 	struct arg_end *end = arg_end(8);
@@ -82,7 +82,8 @@
 		goto done;
 	if (format->count && strcmp(format->sval[0], "json") != 0 &&
 	    strcmp(format->sval[0], "text") != 0) {
-		fprintf(stderr, "check: --format: '%s': expected text or json\n",
+		fprintf(stderr,
+			"check: --format: '%s': expected text or json\n",
 			format->sval[0]);
 		code = EXIT_USAGE;
 		goto done;
--- a/src/cmd_lookup.c
+++ b/src/cmd_lookup.c
@@ -35,15 +35,14 @@
 	if (standin_begin(&s, "lookup"))
 		goto done;
 	client = client_new(s.loop, NULL);
-	snprintf(url, sizeof(url),
-		 "http://%s/v1/lookup?service=%s&keys=%d%s%s", entry->sval[0],
-		 service->sval[0], keys->count ? keys->ival[0] : 0,
+	snprintf(url, sizeof(url), "http://%s/v1/lookup?service=%s&keys=%d%s%s",
+		 entry->sval[0], service->sval[0],
+		 keys->count ? keys->ival[0] : 0,
 		 centre->count ? "&data_centre=" : "",
 		 centre->count ? centre->sval[0] : "");
 	answers = gather_json(s.loop, client, urls, 1);
 	if (json_array_size(answers)) {
-		json_dumpf(json_array_get(answers, 0), stdout,
-			   JSON_INDENT(1));
+		json_dumpf(json_array_get(answers, 0), stdout, JSON_INDENT(1));
 		printf("\n");
 		code = EXIT_SUCCESS;
 	} else {
--- a/src/cmd_status.c
+++ b/src/cmd_status.c
@@ -32,7 +32,8 @@
 	size_t i;
 	json_t *svc;
 
-	json_array_foreach(list, i, svc) {
+	json_array_foreach(list, i, svc)
+	{
 		if (!strcmp(text_of(svc, "name"), name))
 			return svc;
 	}
@@ -53,7 +54,8 @@
 	       number_of(proxy, "answered"), number_of(proxy, "not_run"),
 	       number_of(proxy, "unknown"), number_of(proxy, "in_flight"),
 	       json_is_true(json_object_get(platform, "up")) ? "up" : "DOWN");
-	json_array_foreach(list, i, svc) {
+	json_array_foreach(list, i, svc)
+	{
 		if (!json_is_true(json_object_get(svc, "in_cell")))
 			continue;
 		printf(" %s%s", text_of(svc, "name"),
@@ -72,8 +74,7 @@
 static void add_view(struct target_view *view, json_t *target)
 {
 	const char *state = text_of(target, "state");
-	double evidence =
-		json_real_value(json_object_get(target, "evidence"));
+	double evidence = json_real_value(json_object_get(target, "evidence"));
 
 	if (json_is_true(json_object_get(target, "honoured")))
 		view->ejected++;
@@ -94,7 +95,8 @@
 	size_t i;
 	json_t *target;
 
-	json_array_foreach(targets, i, target) {
+	json_array_foreach(targets, i, target)
+	{
 		if (!strcmp(text_of(target, "name"), name))
 			return target;
 	}
@@ -107,7 +109,8 @@
 	size_t i;
 	json_t *vm;
 
-	json_array_foreach(all, i, vm) {
+	json_array_foreach(all, i, vm)
+	{
 		json_t *svc = service_of(vm, service);
 		json_t *target = svc ? find_target(svc, name) : NULL;
 
@@ -131,13 +134,14 @@
 	size_t i;
 	json_t *row;
 
-	json_array_foreach(all, i, row) {
+	json_array_foreach(all, i, row)
+	{
 		json_t *theirs = service_of(row, name);
 		json_t *config = json_object_get(theirs, "config");
 		long revision = number_of(config, "document_revision");
 
-		if (!theirs || !json_is_true(json_object_get(theirs,
-							     "in_cell")))
+		if (!theirs ||
+		    !json_is_true(json_object_get(theirs, "in_cell")))
 			continue;
 		least = !least || revision < least ? revision : least;
 		most = revision > most ? revision : most;
@@ -166,11 +170,13 @@
 	size_t i;
 	json_t *vm;
 
-	json_array_foreach(all, i, vm) {
+	json_array_foreach(all, i, vm)
+	{
 		size_t j;
 		json_t *svc;
 
-		json_array_foreach(json_object_get(vm, "services"), j, svc) {
+		json_array_foreach(json_object_get(vm, "services"), j, svc)
+		{
 			const char *name = text_of(svc, "name");
 
 			if (json_object_get(done, name) ||
@@ -190,20 +196,20 @@
 	printf("%-20s %-8s %-22s %8s %8s %8s %8s %6s  %-4s  %s\n", "VM",
 	       "centre", "state", "requests", "answered", "not-run", "unknown",
 	       "now", "plat", "serves (* gives orders)");
-	json_array_foreach(all, i, vm)
-		print_vm(vm);
+	json_array_foreach(all, i, vm) print_vm(vm);
 	print_services(all);
 }
 
 static int show(struct standin *s, struct client *client, const char *vm,
 		bool json)
 {
-	auto_json json_t *all = gather_from_fleet(s->loop, client, vm,
-						  "/status");
+	auto_json json_t *all =
+		gather_from_fleet(s->loop, client, vm, "/status");
 
 	if (!all) {
-		fprintf(stderr, "status: %s: expected the operator address of "
-				"a VM that knows the fleet\n",
+		fprintf(stderr,
+			"status: %s: expected the operator address of "
+			"a VM that knows the fleet\n",
 			vm);
 		return EXIT_FOUND_FAULT;
 	}
@@ -225,8 +231,8 @@
 int command_status(int argc, char **argv)
 {
 	struct arg_lit *help = arg_lit0("h", "help", "say how to use it");
-	struct arg_str *vm = arg_str1(NULL, "vm", "IP:PORT",
-				      "operator address of any VM");
+	struct arg_str *vm =
+		arg_str1(NULL, "vm", "IP:PORT", "operator address of any VM");
 	struct arg_lit *watch = arg_lit0("w", "watch", "again each second");
 	struct arg_lit *json = arg_lit0(NULL, "json", "as JSON");
 	struct arg_end *end = arg_end(8);
--- a/src/cmd_timeline.c
+++ b/src/cmd_timeline.c
@@ -25,7 +25,8 @@
 	size_t i;
 	json_t *ev;
 
-	json_array_foreach(json_object_get(process, "events"), i, ev) {
+	json_array_foreach(json_object_get(process, "events"), i, ev)
+	{
 		const char *service =
 			json_string_value(json_object_get(ev, "service"));
 
@@ -79,7 +80,8 @@
 	size_t i;
 	json_t *ev;
 
-	json_array_foreach(events, i, ev) {
+	json_array_foreach(events, i, ev)
+	{
 		json_int_t wall =
 			json_integer_value(json_object_get(ev, "wall"));
 		time_t s = (time_t)(wall / 1000000);
@@ -98,12 +100,11 @@
 	}
 }
 
-static json_t *collect(struct standin *s, struct client *client,
-		       const char *vm, const struct arg_str *also,
-		       const struct filter *f)
+static json_t *collect(struct standin *s, struct client *client, const char *vm,
+		       const struct arg_str *also, const struct filter *f)
 {
-	auto_json json_t *fleet = gather_from_fleet(s->loop, client, vm,
-						    "/v1/events");
+	auto_json json_t *fleet =
+		gather_from_fleet(s->loop, client, vm, "/v1/events");
 	auto_json json_t *others = NULL;
 	auto_json json_t *all = json_array();
 	const char *urls[MOST_OTHERS];
@@ -120,10 +121,8 @@
 		urls[n] = text[n];
 	}
 	others = gather_json(s->loop, client, urls, (unsigned)n);
-	json_array_foreach(fleet, i, process)
-		add_events(all, process, f);
-	json_array_foreach(others, i, process)
-		add_events(all, process, f);
+	json_array_foreach(fleet, i, process) add_events(all, process, f);
+	json_array_foreach(others, i, process) add_events(all, process, f);
 	return sorted(all);
 }
 
@@ -140,8 +139,9 @@
 	} else if (!strcmp(format, "text")) {
 		print_text(events);
 	} else {
-		fprintf(stderr, "timeline: --format: '%s': expected text, "
-				"json or svg\n",
+		fprintf(stderr,
+			"timeline: --format: '%s': expected text, "
+			"json or svg\n",
 			format);
 		return EXIT_USAGE;
 	}
@@ -152,17 +152,16 @@
 int command_timeline(int argc, char **argv)
 {
 	struct arg_lit *help = arg_lit0("h", "help", "say how to use it");
-	struct arg_str *vm = arg_str1(NULL, "vm", "IP:PORT",
-				      "operator address of any VM");
-	struct arg_str *also = arg_strn(NULL, "also", "IP:PORT", 0,
-					MOST_OTHERS,
+	struct arg_str *vm =
+		arg_str1(NULL, "vm", "IP:PORT", "operator address of any VM");
+	struct arg_str *also = arg_strn(NULL, "also", "IP:PORT", 0, MOST_OTHERS,
 					"other processes with /v1/events");
 	struct arg_str *format = arg_str0(NULL, "format", "text|json|svg",
 					  "how to show it (text)");
-	struct arg_str *service = arg_str0(NULL, "service", "NAME",
-					   "only of this service");
-	struct arg_int *last = arg_int0(NULL, "last", "SECONDS",
-					"only the last seconds");
+	struct arg_str *service =
+		arg_str0(NULL, "service", "NAME", "only of this service");
+	struct arg_int *last =
+		arg_int0(NULL, "last", "SECONDS", "only the last seconds");
 	struct arg_end *end = arg_end(8);
 	void *table[] = { help, vm, also, format, service, last, end };
 	struct filter f = { 0 };
@@ -183,11 +182,12 @@
 			  (json_int_t)last->ival[0] * 1000000;
 	events = collect(&s, client, vm->sval[0], also, &f);
 	if (events) {
-		code = print_events(events, format->count ? format->sval[0] :
-							    "text");
+		code = print_events(events,
+				    format->count ? format->sval[0] : "text");
 	} else {
-		fprintf(stderr, "timeline: %s: expected the operator address "
-				"of a VM that knows the fleet\n",
+		fprintf(stderr,
+			"timeline: %s: expected the operator address "
+			"of a VM that knows the fleet\n",
 			vm->sval[0]);
 		code = EXIT_FOUND_FAULT;
 	}
--- a/src/gather.c
+++ b/src/gather.c
@@ -46,8 +46,7 @@
 }
 
 /* The published list of VMs, as one VM's operator port knows it. */
-static json_t *list_of(struct loop *loop, struct client *client,
-		       const char *vm)
+static json_t *list_of(struct loop *loop, struct client *client, const char *vm)
 {
 	char url[URL_SIZE];
 	const char *urls[1] = { url };
@@ -79,14 +78,15 @@
 	json_t *row;
 
 	if (vms && text && urls) {
-		json_array_foreach(vms, i, row) {
+		json_array_foreach(vms, i, row)
+		{
 			char *url = text + i * URL_SIZE;
 
 			snprintf(url, URL_SIZE, "http://%s:%d%s",
 				 json_string_value(
 					 json_object_get(row, "address")),
-				 (int)json_integer_value(json_object_get(
-					 row, "operator_port")),
+				 (int)json_integer_value(
+					 json_object_get(row, "operator_port")),
 				 path);
 			urls[i] = url;
 		}
--- a/src/timeline_svg.c
+++ b/src/timeline_svg.c
@@ -91,7 +91,8 @@
 	size_t i;
 	json_t *ev;
 
-	json_array_foreach(events, i, ev) {
+	json_array_foreach(events, i, ev)
+	{
 		json_int_t wall =
 			json_integer_value(json_object_get(ev, "wall"));
 
@@ -108,8 +109,7 @@
 
 static double x_of(const struct picture *p, json_int_t wall)
 {
-	return LEFT + (double)(wall - p->first) /
-			      (double)(p->last - p->first) *
+	return LEFT + (double)(wall - p->first) / (double)(p->last - p->first) *
 			      (WIDTH - LEFT - RIGHT);
 }
 
@@ -203,8 +203,7 @@
 	draw_lanes(&p);
 	draw_axis(&p, height);
 	draw_legend(&p);
-	json_array_foreach(events, i, ev)
-		draw_event(&p, ev);
+	json_array_foreach(events, i, ev) draw_event(&p, ev);
 	g_string_append(p.out, "</svg>\n");
 	text = strdup(p.out->str);
 	g_string_free(p.out, TRUE);
--- a/src/toucanreel.c
+++ b/src/toucanreel.c
@@ -63,8 +63,8 @@
 		printf("toucanreel %s\n", TOUCANREEL_VERSION);
 		return EXIT_SUCCESS;
 	}
-	if (argc >= 2 && (!strcmp(argv[1], "--help") ||
-			  !strcmp(argv[1], "-h"))) {
+	if (argc >= 2 &&
+	    (!strcmp(argv[1], "--help") || !strcmp(argv[1], "-h"))) {
 		usage(stdout);
 		return EXIT_SUCCESS;
 	}
--- a/src/toucanreel_relay.c
+++ b/src/toucanreel_relay.c
@@ -225,17 +225,14 @@
 	rule.mode = (enum mode)found;
 	snprintf(rule.from, sizeof(rule.from), "%s",
 		 standin_query(conn, "from", ""));
-	snprintf(rule.to, sizeof(rule.to), "%s",
-		 standin_query(conn, "to", ""));
+	snprintf(rule.to, sizeof(rule.to), "%s", standin_query(conn, "to", ""));
 	if (rule.mode == MODE_OK && !*rule.from && !*rule.to)
 		relay->rules_count = 0;
 	else if (relay->rules_count < MOST_RULES)
 		relay->rules[relay->rules_count++] = rule;
 	tr_event_put(&relay->events, loop_wall(NULL), TR_EVENT_FAULT, "",
-		     "relay", "%s from '%s' to '%s'", mode, rule.from,
-		     rule.to);
-	return server_answer_json(conn, 200,
-				  json_pack("{s:s}", "mode", mode));
+		     "relay", "%s from '%s' to '%s'", mode, rule.from, rule.to);
+	return server_answer_json(conn, 200, json_pack("{s:s}", "mode", mode));
 }
 
 static enum MHD_Result handler(void *ctx, struct MHD_Connection *conn,
@@ -277,8 +274,9 @@
 	char text[512];
 
 	if (standin_address(control, ip, &options.port)) {
-		fprintf(stderr, "toucanreel-relay: --control: '%s': expected "
-				"IP:PORT\n",
+		fprintf(stderr,
+			"toucanreel-relay: --control: '%s': expected "
+			"IP:PORT\n",
 			control);
 		return 2;
 	}
@@ -300,10 +298,10 @@
 int main(int argc, char **argv)
 {
 	struct arg_lit *help = arg_lit0("h", "help", "say how to use it");
-	struct arg_str *control = arg_str1("c", "control", "IP:PORT",
-					   "where rules are taken");
-	struct arg_file *routes = arg_file1("r", "routes", "FILE",
-					    "PORT IP:PORT, a line each");
+	struct arg_str *control =
+		arg_str1("c", "control", "IP:PORT", "where rules are taken");
+	struct arg_file *routes =
+		arg_file1("r", "routes", "FILE", "PORT IP:PORT, a line each");
 	struct arg_end *end = arg_end(8);
 	void *table[] = { help, control, routes, end };
 	int code = 2;
