--- a/lib/permit.c
+++ b/lib/permit.c
@@ -37,6 +37,23 @@
 	return best;
 }
 
+static void drop_grants(struct tr_service *svc)
+{
+	for (unsigned i = 0; i < svc->targets_count; i++) {
+		struct tr_grant *grant = &svc->targets[i].grant;
+
+		grant->kind = TR_ORDER_NONE;
+	}
+}
+
+static void lose_owner(struct tr_board *board, struct tr_service *svc)
+{
+	svc->vote.owner = false;
+	drop_grants(svc);
+	tr_board_event(board, TR_EVENT_OWNER_LOST, svc->name, board->vm_name,
+		       "%u of %zu votes", svc->vote.votes, svc->cell.count);
+}
+
 /*
  * Does this VM's vote go to for_vm now? A vote stands for TR_VOTE_TTL and is
  * not given to a second VM before that. A process that has just started may
@@ -57,6 +74,9 @@
 		return false;
 	if (for_vm != tr_permit_candidate(board, svc, now))
 		return false;
+	/* Who votes for another gives no more orders, from this very moment. */
+	if (vote->owner && for_vm != board->vm_id)
+		lose_owner(board, svc);
 	vote->for_vm = for_vm;
 	vote->until = now + TR_VOTE_TTL;
 	return true;
@@ -86,15 +106,6 @@
 	return (n * 3 + 3) / 4;
 }
 
-static void drop_grants(struct tr_service *svc)
-{
-	for (unsigned i = 0; i < svc->targets_count; i++) {
-		struct tr_grant *grant = &svc->targets[i].grant;
-
-		grant->kind = TR_ORDER_NONE;
-	}
-}
-
 static void update_owner(struct tr_board *board, struct tr_service *svc,
 			 apr_time_t now)
 {
@@ -113,12 +124,8 @@
 		tr_board_event(board, TR_EVENT_OWNER, svc->name, board->vm_name,
 			       "%u of %zu votes", vote->votes, svc->cell.count);
 	}
-	if (!vote->owner && was) {
-		drop_grants(svc);
-		tr_board_event(board, TR_EVENT_OWNER_LOST, svc->name,
-			       board->vm_name, "%u of %zu votes", vote->votes,
-			       svc->cell.count);
-	}
+	if (!vote->owner && was)
+		lose_owner(board, svc);
 }
 
 /* Is the target listed, not leaving, warm, and reached from here? */
