--- a/lib/board.h
+++ b/lib/board.h
@@ -21,7 +21,7 @@
 
 /* Times that all VMs of a fleet must agree on. */
 #define TR_TICK_CALM TR_MSEC(2000)
-#define TR_TICK_BUSY TR_MSEC(400)
+#define TR_TICK_BUSY TR_MSEC(500)
 #define TR_VOTE_TTL  TR_MSEC(6000)
 #define TR_ORDER_TTL TR_MSEC(6000)
 #define TR_PEER_TTL  TR_MSEC(6000)
--- a/lib/evidence.c
+++ b/lib/evidence.c
@@ -5,7 +5,7 @@
 
 #define HALF_LIFE_US	6000000.0
 #define LATEST_US	700000.0
-#define FRESH_US	600000
+#define FRESH_US	700000
 #define ACTIVE_US	10000000
 #define RATE_PRIOR	4.0
 #define MOST_BASE	0.5
--- a/src/capacity.c
+++ b/src/capacity.c
@@ -8,20 +8,21 @@
 #include "error.h"
 #include "yamlfile.h"
 
-#define SECONDS_A_DAY 86400.0
-#define CALM_TICK_S   2.0
-#define BUSY_TICK_S   0.4
-#define STEPS_A_S     20.0
-#define WATCH_S	      20.0
-#define READERS	      2.0
-#define LIST_READERS  3.0
-#define POLL_CALLS    1000.0
-#define POLL_LEAST_S  2.0
-#define PERCENT_OF_US 1e4
-#define SIZE	      struct capacity_sizes
-#define SLOPE	      struct capacity_slopes
-#define BUDGET	      struct capacity_budgets
-#define REQ	      CYAML_FLAG_DEFAULT
+#define SECONDS_A_DAY	 86400.0
+#define CALM_TICK_S	 2.0
+#define BUSY_TICK_S	 0.5
+#define STEPS_A_S	 20.0
+#define WATCH_S		 20.0
+#define READERS		 2.0
+#define LIST_READERS	 3.0
+#define POLL_CALLS	 1000.0
+#define POLL_LEAST_S	 2.0
+#define WATCH_AND_PULL_S 1.0
+#define PERCENT_OF_US	 1e4
+#define SIZE		 struct capacity_sizes
+#define SLOPE		 struct capacity_slopes
+#define BUDGET		 struct capacity_budgets
+#define REQ		 CYAML_FLAG_DEFAULT
 
 static const cyaml_schema_field_t size_fields[] = {
 	CYAML_FIELD_FLOAT("vms", REQ, SIZE, vms),
@@ -154,15 +155,6 @@
 	double force_s;
 };
 
-static double ceil_log(double n, double base)
-{
-	double steps = 0;
-
-	for (double reached = 1; reached < n; reached *= base)
-		steps++;
-	return steps;
-}
-
 static struct costs costs_of(const struct capacity_model *m,
 			     const struct load *l)
 {
@@ -177,8 +169,8 @@
 		l->messages * (s->message_bytes + s->row_bytes * l->rows);
 	c.document_bytes = changes * z->document_bytes;
 	c.list_bytes = list_changes * z->vms * z->list_row_bytes;
-	c.gossip_percent = 2 * l->messages *
-			   (s->message_us + s->row_us * l->rows) /
+	/* For each message that it sends a VM takes one in. */
+	c.gossip_percent = l->messages * (s->message_us + s->row_us * l->rows) /
 			   PERCENT_OF_US;
 	c.step_percent = s->idle_percent +
 			 l->services * STEPS_A_S *
@@ -195,7 +187,7 @@
 	c.calls = z->services * READERS / WATCH_S +
 		  z->services * z->cell / l->poll_s +
 		  LIST_READERS * z->data_centres * (1 / WATCH_S + list_changes);
-	c.force_s = BUSY_TICK_S * ceil_log(z->cell, z->cell) + 1;
+	c.force_s = BUSY_TICK_S + WATCH_AND_PULL_S;
 	return c;
 }
 
@@ -255,7 +247,7 @@
 	    "only those of its services");
 	put(out, "peers spoken to", l.links, "", 0, "cells");
 	put(out, "messages sent", l.messages, "1/s", 0,
-	    "one to each peer in 2 s, in 0.4 s while raised");
+	    "one to each peer in 2 s, in 0.5 s while raised");
 	put(out, "gossip", c.gossip_bytes, "B/s", 0,
 	    "a third of the rows in turn, and those under suspicion");
 	put(out, "documents pulled", c.document_bytes, "B/s", 0, "by revision");
--- a/src/timeline_svg.c
+++ b/src/timeline_svg.c
@@ -119,7 +119,8 @@
 
 	for (size_t i = 0; i < LOOKS; i++) {
 		double x = 12 + (double)(i % per_row) * LEGEND_STEP;
-		double y = 30 + (double)(i / per_row) * 16;
+		size_t row = i / per_row;
+		double y = 30 + (double)row * 16;
 
 		g_string_append_printf(
 			p->out,
