Try refusals until the deadline

Change: a refusal, which proves not-run, no longer counts like a failed attempt; up to 200, within the deadline. A test with twelve refusals failed before.

--- a/src/proxy.c
+++ b/src/proxy.c
@@ -13,6 +13,7 @@
 #include "server.h"
 
 #define MOST_ATTEMPTS 8
+#define MOST_REFUSALS 200
 #define IDLE_S	      30
 
 static apr_time_t now_of(const struct proxy *proxy)
@@ -363,7 +364,13 @@
 		how == TR_ATTEMPT_TARGET_REFUSED || how == TR_ATTEMPT_UNREACHED;
 
 	if (!r->conn || !attempt_may_replay(r) || r->forward_out ||
-	    r->attempts >= MOST_ATTEMPTS || !time_left(r))
+	    !time_left(r))
+		return false;
+	/* A full target costs little and refuses often when all are busy: what
+	 * must get through is tried until its deadline, not eight times. */
+	if (how == TR_ATTEMPT_TARGET_REFUSED)
+		return ++r->refusals < MOST_REFUSALS;
+	if (r->attempts - r->refusals >= MOST_ATTEMPTS)
 		return false;
 	if (not_run)
 		return true;
--- a/src/request.h
+++ b/src/request.h
@@ -100,6 +100,7 @@
 	bool forward_out;
 	struct tr_tried tried;
 	unsigned attempts;
+	unsigned refusals;
 	bool maybe_run;
 	enum tr_result unknown_code;
 	bool attempt_running;
--- a/tests/path_test.cc
+++ b/tests/path_test.cc
@@ -403,3 +403,27 @@
 	EXPECT_EQ(code(answer), TR_NOT_READY);
 	EXPECT_EQ(outcome(answer), "not-run");
 }
+
+/*
+ * Symptom: at full load one purchase in sixteen is refused though its deadline
+ * is seconds away.
+ * Sequence: targets shed; the request goes from one to the next, eight times.
+ * Cause: a refusal counts like a failure.
+ */
+TEST(Path, RefusalsAreTriedUntilTheDeadline)
+{
+	std::atomic<int> seen{ 0 };
+	RawTarget target([&](int fd, const std::string &) {
+		if (++seen <= 12)
+			RawTarget::say(fd, "HTTP/1.1 503 Busy\r\n"
+					   "X-Not-Run: shed\r\n"
+					   "Content-Length: 0\r\n\r\n");
+		else
+			RawTarget::ok(fd, "ran");
+	});
+	Stack vm({ target.address }, 20000);
+	std::string key = header_of(vm.post_once("", "x"), "Toucanreel-Key");
+
+	EXPECT_EQ(body_of(vm.post_once(key, "x")), "ran");
+	EXPECT_EQ(seen, 13);
+}
