--- a/lib/board.h
+++ b/lib/board.h
@@ -20,11 +20,12 @@
 #define TR_RETIRED	4
 
 /* Times that all VMs of a fleet must agree on. */
-#define TR_TICK_CALM TR_MSEC(2000)
-#define TR_TICK_BUSY TR_MSEC(500)
-#define TR_VOTE_TTL  TR_MSEC(6000)
-#define TR_ORDER_TTL TR_MSEC(6000)
-#define TR_PEER_TTL  TR_MSEC(6000)
+#define TR_TICK_CALM   TR_MSEC(2000)
+#define TR_TICK_BUSY   TR_MSEC(500)
+#define TR_TICK_URGENT TR_MSEC(100)
+#define TR_VOTE_TTL    TR_MSEC(6000)
+#define TR_ORDER_TTL   TR_MSEC(6000)
+#define TR_PEER_TTL    TR_MSEC(6000)
 
 enum tr_order_kind {
 	TR_ORDER_NONE,
@@ -168,6 +169,7 @@
 	apr_time_t outcomes_at;
 	struct tr_vote vote;
 	bool raised;
+	apr_time_t urgent_at;
 	struct tr_latency latency[TR_LATENCY_ROWS];
 	struct tr_retry_budget retries;
 	struct tr_queue queue;
--- a/lib/evidence.c
+++ b/lib/evidence.c
@@ -3,22 +3,23 @@
 #include <math.h>
 #include <string.h>
 
-#define HALF_LIFE_US	6000000.0
-#define FAILING_US	10000000
-#define LATEST_US	700000.0
-#define FRESH_US	700000
-#define ACTIVE_US	10000000
-#define RATE_PRIOR	4.0
-#define MOST_BASE	0.5
-#define STRICT_FALSE	1.0
-#define RISEN		0.5
-#define LEAST_SICK	6.0
-#define SECOND_OPINION	0.125
-#define AVOID_SHARE	0.45
-#define CAUTIOUS_BASE	0.02
-#define EAGER_BASE	0.01
-#define SECONDS_PER_DAY 86400.0
-#define LEAST_PER_DAY	86400.0
+#define HALF_LIFE_US	 6000000.0
+#define FAILING_LEAST_US 2000000
+#define FAILING_US	 10000000
+#define LATEST_US	 700000.0
+#define FRESH_US	 700000
+#define ACTIVE_US	 10000000
+#define RATE_PRIOR	 4.0
+#define MOST_BASE	 0.5
+#define STRICT_FALSE	 1.0
+#define RISEN		 0.5
+#define LEAST_SICK	 6.0
+#define SECOND_OPINION	 0.125
+#define AVOID_SHARE	 0.45
+#define CAUTIOUS_BASE	 0.02
+#define EAGER_BASE	 0.01
+#define SECONDS_PER_DAY	 86400.0
+#define LEAST_PER_DAY	 86400.0
 
 /*
  * Thresholds for a team's wish. A CUSUM with threshold h raises a false alarm
@@ -63,6 +64,23 @@
 	return (next > 0 ? next : 0) + bad_step;
 }
 
+/*
+ * Has all that the target was sent for some seconds failed? Its evidence then
+ * stays: an avoided target gets a request a second or less, and what these add
+ * would else fade as fast, so that a dead target is avoided for ever and never
+ * ejected. A stall that is over sooner fades as ever.
+ */
+static bool failing_still(const struct tr_evidence *ev, apr_time_t now)
+{
+	apr_time_t well_at = 0;
+
+	for (int i = 0; i < TR_MAX_VANTAGES; i++)
+		if (ev->well_at[i] > well_at)
+			well_at = ev->well_at[i];
+	return ev->bad_at && now - ev->bad_at < FAILING_US &&
+	       ev->bad_at - well_at > FAILING_LEAST_US;
+}
+
 /*
  * How much of a source's outcomes is news. In calm times they are told some
  * seconds late; the good ones of before a fault would else arrive after its
@@ -150,19 +168,6 @@
 	return batch->well || batch->bad;
 }
 
-/*
- * Has all that the target was sent lately failed? Its evidence then stays: an
- * avoided target gets a request a second or less, and what these add would else
- * fade as fast, so that a dead target is avoided for ever and never ejected.
- */
-static bool failing_still(const struct tr_evidence *ev, apr_time_t now)
-{
-	for (int i = 0; i < TR_MAX_VANTAGES; i++)
-		if (ev->well_at[i] > ev->bad_at)
-			return false;
-	return ev->bad_at && now - ev->bad_at < FAILING_US;
-}
-
 /*
  * Let evidence fade, so that nothing is out for ever on the strength of what
  * was seen long ago.
@@ -279,7 +284,7 @@
 			sick_from |= 1U << v;
 	}
 	if (ev->all >= rules->sick && (accusing >= 2 || active < 2) &&
-	    against > refuting)
+	    (against > refuting || failing_still(ev, now)))
 		return TR_EVERY_VANTAGE;
 	return sick_from;
 }
--- a/tests/evidence_test.cc
+++ b/tests/evidence_test.cc
@@ -311,3 +311,37 @@
 	tr_evidence_decay(&ev, now + TR_SEC(12));
 	EXPECT_LT(ev.all, before / 3) << "one good outcome lets it fade";
 }
+
+/*
+ * Symptom: a target that dies while it is avoided is never ejected.
+ * Sequence: a stall has the cell avoid a target, which then does some work
+ * well; it dies; from then on it gets one trickle a second, all of which fail.
+ * Cause: the good outcomes of after the stall count as newer than the trouble.
+ */
+TEST(Evidence, TargetThatDiesWhileItIsAvoidedIsAccused)
+{
+	tr_ejection_rules team = { 0.01, 2000, TR_DETECTOR_CUSUM };
+	tr_evidence_rules rules;
+	tr_evidence ev{};
+	apr_time_t now = TR_SEC(10);
+
+	tr_rules_make(&rules, &team, 864000);
+	for (unsigned s = 0; s < 8; s++) {
+		tr_batch bad = { s, (int)s / 2, 0, 2, 2 };
+
+		tr_evidence_add(&ev, &bad, 0.02, now);
+	}
+	for (unsigned s = 0; s < 8; s++) {
+		tr_batch well = { s, (int)s / 2, 1, 0, 0 };
+
+		tr_evidence_add(&ev, &well, 0.02, now + TR_MSEC(200));
+	}
+	for (unsigned s = 0; s < 4; s++) {
+		tr_batch bad = { s, (int)s / 2, 0, 1, 1 };
+
+		now += TR_SEC(1);
+		tr_evidence_decay(&ev, now);
+		tr_evidence_add(&ev, &bad, 0.02, now);
+	}
+	EXPECT_EQ(tr_evidence_accused(&ev, &rules, now), TR_EVERY_VANTAGE);
+}
