Mark trickles, and do not count them as work that a sick target keeps

A trickle is meant to reach a suspect, so the check was wrong, not too strict. Change: a trickle carries X-Trickle, targets can tell it from ordinary work, the ledger keeps it apart and the measure counts the rest.

--- a/scripts/measure/lib.sh
+++ b/scripts/measure/lib.sh
@@ -55,6 +55,7 @@
 		publish "services/${SERVICES[$1]}/document"
 }
 
+# Trickles, by which a target can prove itself, are not counted.
 # Milliseconds from a fault until the target got less than a tenth of its
 # share in a second, for good (if it never got that much, until its last
 # request of the first half second); -1 if it had no work before the fault.
@@ -62,7 +63,7 @@
 	curl -sf -m 5 "http://$TARGET_NET.$(($1 + 1)).$2:7100/_ledger" |
 		jq --argjson at "$3" --argjson until "$4" --argjson share "$5" '
 		([.ledger[] | select(.wall >= $at - 1000000 and .wall < $at)] | length) as $before |
-		[.ledger[] | select(.wall >= $at and .wall < $until) | ((.wall - $at) / 1000)] as $t |
+		[.ledger[] | select(.wall >= $at and .wall < $until and (.trickle | not)) | ((.wall - $at) / 1000)] as $t |
 		($share / 10) as $least |
 		[range(0; ($until - $at) / 1000; 100)] |
 		map(. as $from | select(([$t[] | select(. >= $from and . < $from + 1000)] | length) > $least)) |
--- a/src/attempt.c
+++ b/src/attempt.c
@@ -341,6 +341,9 @@
 	snprintf(line, sizeof(line), "Host: %s", r->service);
 	a->headers = curl_slist_append(a->headers, line);
 	a->headers = curl_slist_append(a->headers, "Expect:");
+	if (a->trickle)
+		a->headers =
+			curl_slist_append(a->headers, HEADER_TRICKLE ": 1");
 	snprintf(line, sizeof(line), "%s: %ld",
 		 a->forwarded ? HEADER_FORWARDED : HEADER_TARGET_DEADLINE,
 		 a->forwarded ? 1L : (long)(left / 1000));
@@ -410,6 +413,7 @@
 {
 	memset(&r->attempt, 0, sizeof(r->attempt));
 	r->attempt.target = target->id;
+	r->attempt.trickle = kind == TR_PICK_TRICKLE;
 	if (r->tried.count < sizeof(r->tried.ids) / sizeof(r->tried.ids[0]))
 		r->tried.ids[r->tried.count++] = target->id;
 	tr_attempt_begin(r->svc, target, kind, now_of(r));
--- a/src/headers.h
+++ b/src/headers.h
@@ -19,6 +19,7 @@
 #define HEADER_NOT_RUN	       "X-Not-Run"
 #define HEADER_LOAD	       "X-Load"
 #define HEADER_TARGET_STATE    "X-Target-State"
+#define HEADER_TRICKLE	       "X-Trickle"
 #define HEADER_TARGET_DEADLINE "X-Deadline-Ms"
 
 #endif
--- a/src/request.h
+++ b/src/request.h
@@ -38,6 +38,7 @@
 	size_t body_at;
 	unsigned issued;
 	bool counted;
+	bool trickle;
 	bool forwarded;
 	bool read_paused;
 	bool write_paused;
--- a/src/toucanreel_target.c
+++ b/src/toucanreel_target.c
@@ -55,6 +55,7 @@
 struct entry {
 	unsigned runs;
 	bool finished;
+	bool trickle;
 	uint64_t began_wall;
 };
 
@@ -190,6 +191,8 @@
 		g_hash_table_insert(t->ledger, g_strdup(job->id), e);
 	}
 	e->runs++;
+	e->trickle = MHD_lookup_connection_value(job->conn, MHD_HEADER_KIND,
+						 HEADER_TRICKLE) != NULL;
 	e->began_wall = t->last_work_wall;
 }
 
@@ -308,10 +311,11 @@
 {
 	const struct entry *e = value;
 
-	json_object_set_new(ctx, key,
-			    json_pack("{s:i, s:b, s:I}", "runs", (int)e->runs,
-				      "finished", (int)e->finished, "wall",
-				      (json_int_t)e->began_wall));
+	json_object_set_new(
+		ctx, key,
+		json_pack("{s:i, s:b, s:b, s:I}", "runs", (int)e->runs,
+			  "finished", (int)e->finished, "trickle",
+			  (int)e->trickle, "wall", (json_int_t)e->began_wall));
 }
 
 static enum MHD_Result answer_ledger(struct target *t,
