Tell of first failures at once, but once a second at most

Cause: a target that stays gray under work that may not repeat is avoided, fades and fails again, and each failure sent a message to all peers: 11.3 KB/s against a budget of 7. Change: urgent messages go out at most once a second and service.

--- a/lib/detector.c
+++ b/lib/detector.c
@@ -9,6 +9,7 @@
 #define RATE_WINDOW	   TR_SEC(5)
 #define RATE_KEEP	   0.5
 #define SECONDS_PER_DAY	   86400.0
+#define URGENT_GAP	   TR_SEC(1)
 #define URGENT_SHARE	   0.4
 #define AVOID_RELEASE	   0.5
 #define GAP_LEAST	   TR_MSEC(10)
@@ -90,7 +91,8 @@
 	tr_evidence_add(&target->evidence, &batch, svc->base_rate, now);
 	if (batch.bad && !target->avoided &&
 	    target->order.kind == TR_ORDER_NONE &&
-	    target->evidence.all > svc->rules.avoid * URGENT_SHARE)
+	    target->evidence.all > svc->rules.avoid * URGENT_SHARE &&
+	    now - svc->urgent_at >= URGENT_GAP)
 		svc->urgent_at = now;
 	svc->outcomes_window += 1;
 }
