--- /dev/null
+++ b/entry/caller.h
@@ -0,0 +1,68 @@
+#ifndef CALLER_H
+#define CALLER_H
+
+#include "message.h"
+#include "route.h"
+#include "stream.h"
+
+struct door;
+
+/*
+ * A connection that was accepted, with the one request that is being read or
+ * answered on it. work belongs to whoever handles the request.
+ */
+struct caller {
+	struct door *door;
+	struct caller *next;
+	struct caller *prev;
+	struct stream stream;
+	struct message in;
+	GByteArray *behind;
+	struct loop_timer *timer;
+	apr_time_t active_at;
+	apr_time_t began_at;
+	bool handling;
+	bool close_after;
+	bool said_continue;
+	bool feeding;
+	bool lingering;
+	bool dead;
+	void *work;
+};
+
+/* What is done with requests that come through a door. */
+struct door_calls {
+	void (*handle)(void *ctx, struct caller *caller);
+	void (*gone)(void *ctx, struct caller *caller);
+};
+
+/* A listening address and its connections. */
+struct door {
+	struct loop *loop;
+	int fd;
+	const struct door_calls *calls;
+	void *ctx;
+	struct tr_caller_limits limits;
+	struct caller *callers;
+	unsigned count;
+	bool closing;
+};
+
+struct caller_answer {
+	int status;
+	const char *headers;
+	const void *body;
+	size_t body_len;
+	bool no_body;
+	bool close;
+};
+
+int door_open(struct door *door, struct loop *loop, const char *address,
+	      const struct door_calls *calls, void *ctx);
+void door_refuse_new(struct door *door);
+void door_close_idle(struct door *door);
+void door_close(struct door *door);
+void caller_answer(struct caller *caller, const struct caller_answer *answer);
+const char *status_text(int status);
+
+#endif
--- /dev/null
+++ b/entry/desk.c
@@ -0,0 +1,161 @@
+/* What this VM says of the fleet and of itself: lookups, readiness, metrics. */
+#include "desk.h"
+
+#include <arpa/inet.h>
+#include <inttypes.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "cleanup.h"
+#include "entry_settings.h"
+#include "eventlog.h"
+
+#define ADDRESSES_MOST 64
+/* Callers are sent to VMs of their own data centre while it has so many: then
+ * the loss of one leaves others, and bodies cross no data centre twice. */
+#define OWN_CENTRE_LEAST 2
+
+static void answer_text(struct caller *caller, int status, const char *type,
+			const char *text)
+{
+	g_autofree char *headers =
+		g_strdup_printf("Content-Type: %s\r\n", type);
+	struct caller_answer answer = {
+		.status = status,
+		.headers = headers,
+		.body = text,
+		.body_len = strlen(text),
+	};
+
+	caller_answer(caller, &answer);
+}
+
+static bool path_is(const struct caller *caller, const char *path)
+{
+	const char *target = message_target(&caller->in);
+	size_t len = strcspn(target, "?");
+
+	return len == strlen(path) && !strncmp(target, path, len);
+}
+
+/* A value of the query, unescaped; NULL when it is not there. */
+static char *query(const struct caller *caller, const char *name)
+{
+	const char *at = strchr(message_target(&caller->in), '?');
+	size_t len = strlen(name);
+
+	while (at && *at) {
+		const char *end = at + 1 + strcspn(at + 1, "&");
+
+		if (!strncmp(at + 1, name, len) && at[1 + len] == '=')
+			return g_uri_unescape_segment(at + 2 + len, end, NULL);
+		at = end;
+	}
+	return NULL;
+}
+
+static unsigned list(struct entry *e, const char *centre, char **out,
+		     unsigned most)
+{
+	const struct tr_membership *m = &e->members;
+	const char *port = strrchr(e->settings->front, ':');
+	apr_time_t now = entry_now(e);
+	unsigned n = 0;
+
+	for (unsigned i = 0; i < m->count && n < most; i++) {
+		const struct tr_node *node = &m->nodes[i];
+		char ip[INET_ADDRSTRLEN];
+
+		if (!tr_node_takes_callers(m, node, now) ||
+		    (centre && strcmp(node->data_centre, centre) != 0))
+			continue;
+		inet_ntop(AF_INET, &node->ip, ip, sizeof(ip));
+		out[n++] = g_strdup_printf("%s%s", ip, port);
+	}
+	return n;
+}
+
+static void free_list(char **out, unsigned n)
+{
+	for (unsigned i = 0; i < n; i++)
+		g_free(out[i]);
+}
+
+static void lookup(void *ctx, struct caller *caller)
+{
+	struct entry *e = ctx;
+	char *out[ADDRESSES_MOST];
+	g_autofree char *centre = NULL;
+	auto_free char *text = NULL;
+	unsigned n;
+
+	if (!path_is(caller, e->dialect->lookup_path)) {
+		answer_text(caller, 404, "text/plain", "no such call\n");
+		return;
+	}
+	e->counts.lookups++;
+	centre = query(caller, e->dialect->lookup_data_centre);
+	n = list(e, centre, out, ADDRESSES_MOST);
+	if (n < OWN_CENTRE_LEAST) {
+		free_list(out, n);
+		n = list(e, NULL, out, ADDRESSES_MOST);
+	}
+	/* A VM that knows of nobody names itself, rather than nobody. */
+	if (!n)
+		out[n++] = g_strdup(e->settings->front);
+	text = e->dialect->lookup_answer(out, n, e->settings->keep_most_us);
+	free_list(out, n);
+	answer_text(caller, 200, "application/json", text);
+}
+
+static void readiness(void *ctx, struct caller *caller)
+{
+	struct entry *e = ctx;
+
+	if (!path_is(caller, e->dialect->ready_path))
+		answer_text(caller, 404, "text/plain", "no such call\n");
+	else if (e->ready && !e->leaving)
+		answer_text(caller, 200, "text/plain", "ready\n");
+	else
+		answer_text(caller, 503, "text/plain", "not ready\n");
+}
+
+static void metrics(void *ctx, struct caller *caller)
+{
+	const struct entry *e = ctx;
+	const struct entry_counts *c = &e->counts;
+	const struct {
+		const char *name;
+		uint64_t value;
+	} rows[] = {
+		{ "requests_total", c->requests },
+		{ "answered_total", c->answered },
+		{ "refused_total", c->refused },
+		{ "failed_total", c->failed },
+		{ "repeats_total", c->repeats },
+		{ "callers_gone_total", c->callers_gone },
+		{ "lookups_total", c->lookups },
+		{ "store_calls_total", c->store_calls },
+		{ "store_failures_total", c->store_failures },
+		{ "peer_messages_in_total", c->messages_in },
+		{ "peer_messages_out_total", c->messages_out },
+		{ "peer_pulls_total", c->pulls },
+		{ "in_hand", e->exchanges_count },
+		{ "view_age_ms", (uint64_t)entry_view_age(e) / 1000 },
+		{ "routes_version", e->routes ? e->routes->version : 0 },
+		{ "log_lines_left_out_total",
+		  eventlog_left_out(EVENT_REQUEST) },
+	};
+	GString *text = g_string_new(NULL);
+
+	for (size_t i = 0; i < G_N_ELEMENTS(rows); i++)
+		g_string_append_printf(text,
+				       "toucanreel_entry_%s %" PRIu64 "\n",
+				       rows[i].name, rows[i].value);
+	answer_text(caller, 200, "text/plain", text->str);
+	g_string_free(text, TRUE);
+}
+
+const struct door_calls desk_directory = { lookup, NULL };
+const struct door_calls desk_readiness = { readiness, NULL };
+const struct door_calls desk_metrics = { metrics, NULL };
--- /dev/null
+++ b/entry/entry.c
@@ -0,0 +1,106 @@
+/* What comes from the store or from another VM goes onto the blackboard. */
+#include "entry.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "error.h"
+#include "eventlog.h"
+
+/* How long ago the list of targets was last known to be current. */
+apr_time_t entry_view_age(const struct entry *e)
+{
+	return entry_now(e) - e->roster.current_at;
+}
+
+static void put_in_force(struct entry *e, struct tr_routes *routes,
+			 const char *from)
+{
+	for (unsigned i = 0; i < routes->services_count; i++)
+		routes->services[i].known_as =
+			tr_roster_service(&e->roster, routes->services[i].name);
+	eventlog(EVENT_BELIEF, "routes",
+		 "version=%" G_GUINT64_FORMAT " revision=%" G_GUINT64_FORMAT
+		 " routes=%u from=%s",
+		 (guint64)routes->version, (guint64)routes->revision,
+		 routes->routes_count, from);
+	tr_routes_drop(e->routes);
+	e->routes = routes;
+	e->members.nodes[0].config_revision = routes->revision;
+	e->front.limits = routes->limits;
+}
+
+/*
+ * A configuration, from wherever. Only a larger revision, of a larger version,
+ * comes into force: what an older reader still tells must not take it back.
+ */
+void entry_offer_routes(struct entry *e, const struct store_item *item,
+			const char *from)
+{
+	struct tr_error err = { 0 };
+	struct tr_routes *routes;
+
+	if ((e->routes && item->revision <= e->routes->revision) ||
+	    item->revision <= e->refused_revision)
+		return;
+	if (item->removed)
+		return;
+	routes = e->dialect->read_routes(item, &err);
+	if (!routes) {
+		e->refused_revision = item->revision;
+		eventlog(EVENT_FAILURE, "routes-refused",
+			 "key=%s revision=%" G_GUINT64_FORMAT
+			 " field=%s value=\"%s\" expected=\"%s\" from=%s",
+			 item->key, (guint64)item->revision, err.field,
+			 err.value, err.expected, from);
+		return;
+	}
+	put_in_force(e, routes, from);
+}
+
+/* One value of the store. */
+void entry_item(struct entry *e, const struct store_item *item,
+		const char *from)
+{
+	struct tr_target_record record;
+	struct tr_error err = { 0 };
+
+	if (e->dialect->is_routes(item->key)) {
+		entry_offer_routes(e, item, from);
+		return;
+	}
+	if (!e->dialect->is_target(item->key))
+		return;
+	if (e->dialect->read_target(item, &record, &err)) {
+		eventlog(EVENT_FAILURE, "target-refused",
+			 "key=%s revision=%" G_GUINT64_FORMAT
+			 " field=%s expected=\"%s\" from=%s",
+			 item->key, (guint64)item->revision, err.field,
+			 err.expected, from);
+		return;
+	}
+	if (tr_roster_apply(&e->roster, &record, entry_now(e)))
+		eventlog(EVENT_BELIEF, "target",
+			 "id=%s service=%s address=%s state=%s "
+			 "revision=%" G_GUINT64_FORMAT " from=%s",
+			 record.id, record.service, record.address,
+			 record.gone	  ? "gone"
+			 : record.leaving ? "leaving"
+					  : "ready",
+			 (guint64)record.revision, from);
+}
+
+/* The repeats of a service of the roster. */
+struct tr_allowance *entry_allowance(struct entry *e, uint32_t service)
+{
+	if (service >= e->allowances_count) {
+		unsigned n = e->roster.services_count;
+
+		e->allowances =
+			g_realloc_n(e->allowances, n, sizeof(*e->allowances));
+		memset(e->allowances + e->allowances_count, 0,
+		       (n - e->allowances_count) * sizeof(*e->allowances));
+		e->allowances_count = n;
+	}
+	return &e->allowances[service];
+}
--- /dev/null
+++ b/entry/entry.h
@@ -0,0 +1,78 @@
+#ifndef ENTRY_H
+#define ENTRY_H
+
+#include "allowance.h"
+#include "caller.h"
+#include "clock.h"
+#include "dialect.h"
+#include "fetch.h"
+#include "hash.h"
+#include "loop.h"
+#include "membership.h"
+#include "roster.h"
+#include "route.h"
+
+struct entry_settings;
+struct exchange;
+struct mesh;
+struct reader;
+
+struct entry_counts {
+	uint64_t requests;
+	uint64_t answered;
+	uint64_t refused;
+	uint64_t failed;
+	uint64_t repeats;
+	uint64_t callers_gone;
+	uint64_t lookups;
+	uint64_t store_calls;
+	uint64_t store_failures;
+	uint64_t messages_in;
+	uint64_t messages_out;
+	uint64_t pulls;
+};
+
+/*
+ * The blackboard of an entry VM. Writers: reader.c and mesh.c the roster's
+ * listing, the routes and the members; upstream.c the rows' work and evidence;
+ * exchange.c the allowances.
+ */
+struct entry {
+	struct loop *loop;
+	const struct entry_settings *settings;
+	const struct dialect *dialect;
+	struct tr_roster roster;
+	struct tr_membership members;
+	struct tr_routes *routes;
+	struct tr_random random;
+	struct tr_repeat_bound repeat_bound;
+	struct tr_allowance *allowances;
+	unsigned allowances_count;
+	uint64_t refused_revision;
+	double draw;
+	bool leaving;
+	bool ready;
+	struct mesh *mesh;
+	struct reader *reader;
+	struct door front;
+	struct door directory;
+	struct door readiness;
+	struct door metrics;
+	struct exchange *exchanges;
+	unsigned exchanges_count;
+	struct entry_counts counts;
+};
+
+static inline apr_time_t entry_now(const struct entry *e)
+{
+	return tr_clock_now(loop_clock(e->loop));
+}
+
+void entry_item(struct entry *e, const struct store_item *item,
+		const char *from);
+void entry_offer_routes(struct entry *e, const struct store_item *item,
+			const char *from);
+apr_time_t entry_view_age(const struct entry *e);
+struct tr_allowance *entry_allowance(struct entry *e, uint32_t service);
+
+#endif
--- /dev/null
+++ b/entry/entry_settings.c
@@ -0,0 +1,144 @@
+#include "entry_settings.h"
+
+#include <arpa/inet.h>
+#include <glib.h>
+#include <netinet/in.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "cleanup.h"
+#include "error.h"
+#include "stream.h"
+#include "yamlfile.h"
+
+#define TEXT_CHARS 256
+#define OPT	   CYAML_FLAG_OPTIONAL
+#define PTR	   CYAML_FLAG_POINTER
+#define SET	   struct entry_settings
+#define BOUNDS	   struct entry_bounds
+
+static const cyaml_schema_value_t word = {
+	CYAML_VALUE_STRING(PTR, char, 1, TEXT_CHARS),
+};
+
+static const cyaml_schema_field_t bounds_fields[] = {
+	CYAML_FIELD_FLOAT("repeat_ratio", CYAML_FLAG_DEFAULT, BOUNDS,
+			  repeat_ratio),
+	CYAML_FIELD_UINT("repeat_slack", CYAML_FLAG_DEFAULT, BOUNDS,
+			 repeat_slack),
+	CYAML_FIELD_STRING_PTR("repeat_window", PTR, BOUNDS, repeat_window, 1,
+			       TEXT_CHARS),
+	CYAML_FIELD_STRING_PTR("keep_most", PTR, BOUNDS, keep_most, 1,
+			       TEXT_CHARS),
+	CYAML_FIELD_STRING_PTR("grace", PTR, BOUNDS, grace, 1, TEXT_CHARS),
+	CYAML_FIELD_STRING_PTR("drain", PTR, BOUNDS, drain, 1, TEXT_CHARS),
+	CYAML_FIELD_END,
+};
+
+static const cyaml_schema_field_t fields[] = {
+	CYAML_FIELD_STRING_PTR("name", PTR, SET, name, 1, TEXT_CHARS),
+	CYAML_FIELD_STRING_PTR("ip", PTR, SET, ip, 1, TEXT_CHARS),
+	CYAML_FIELD_STRING_PTR("data_centre", PTR, SET, data_centre, 1,
+			       TEXT_CHARS),
+	CYAML_FIELD_STRING_PTR("region", PTR | OPT, SET, region, 1, TEXT_CHARS),
+	CYAML_FIELD_STRING_PTR("front", PTR, SET, front, 1, TEXT_CHARS),
+	CYAML_FIELD_STRING_PTR("ready", PTR, SET, ready, 1, TEXT_CHARS),
+	CYAML_FIELD_STRING_PTR("directory", PTR, SET, directory, 1, TEXT_CHARS),
+	CYAML_FIELD_STRING_PTR("store", PTR, SET, store, 1, TEXT_CHARS),
+	CYAML_FIELD_UINT("peer_port", CYAML_FLAG_DEFAULT, SET, peer_port),
+	CYAML_FIELD_UINT("metrics_port", OPT, SET, metrics_port),
+	CYAML_FIELD_SEQUENCE("seeds", PTR, SET, seeds, &word, 0, 64),
+	CYAML_FIELD_MAPPING("bounds", CYAML_FLAG_DEFAULT, SET, bounds,
+			    bounds_fields),
+	CYAML_FIELD_IGNORE("rest", OPT),
+	CYAML_FIELD_END,
+};
+
+static const cyaml_schema_value_t schema = {
+	CYAML_VALUE_MAPPING(CYAML_FLAG_POINTER, SET, fields),
+};
+
+static int check_address(const char *field, const char *value,
+			 struct tr_error *err)
+{
+	struct sockaddr_in addr;
+
+	if (!stream_parse_address(value, &addr))
+		return 0;
+	return tr_error_set(err, TR_OUT_OF_RANGE, field, value,
+			    "expected IP:PORT");
+}
+
+/* "250ms" or "2.5s" in us. */
+static int check_time(const char *field, const char *value, int64_t *us,
+		      struct tr_error *err)
+{
+	char *unit;
+	double n = g_ascii_strtod(value, &unit);
+
+	*us = (int64_t)(n * (!strcmp(unit, "s") ? 1e6 : 1e3));
+	if (unit != value && *us > 0 &&
+	    (!strcmp(unit, "s") || !strcmp(unit, "ms")))
+		return 0;
+	return tr_error_set(err, TR_OUT_OF_RANGE, field, value,
+			    "expected a time such as 250ms or 2.5s");
+}
+
+static int check(struct entry_settings *s, struct tr_error *err)
+{
+	struct in_addr ip;
+
+	if (inet_pton(AF_INET, s->ip, &ip) != 1)
+		return tr_error_set(err, TR_OUT_OF_RANGE, "ip", s->ip,
+				    "expected an IPv4 number");
+	if (check_address("front", s->front, err) ||
+	    check_address("ready", s->ready, err) ||
+	    check_address("directory", s->directory, err) ||
+	    check_address("store", s->store, err))
+		return -1;
+	if (!s->peer_port || s->peer_port > 65535 || s->metrics_port > 65535)
+		return tr_error_set(err, TR_OUT_OF_RANGE, "peer_port", "",
+				    "expected a port from 1 to 65535");
+	for (unsigned i = 0; i < s->seeds_count; i++)
+		if (check_address("seeds", s->seeds[i], err))
+			return -1;
+	if (s->bounds.repeat_ratio < 0 || s->bounds.repeat_ratio > 1)
+		return tr_error_set(err, TR_OUT_OF_RANGE, "bounds.repeat_ratio",
+				    "", "expected a share from 0 to 1");
+	return check_time("bounds.repeat_window", s->bounds.repeat_window,
+			  &s->repeat_window_us, err) ||
+			       check_time("bounds.keep_most",
+					  s->bounds.keep_most, &s->keep_most_us,
+					  err) ||
+			       check_time("bounds.grace", s->bounds.grace,
+					  &s->grace_us, err) ||
+			       check_time("bounds.drain", s->bounds.drain,
+					  &s->drain_us, err)
+		       ? -1
+		       : 0;
+}
+
+/* Read and check the settings. NULL and err when they are wrong. */
+struct entry_settings *entry_settings_load(const char *path,
+					   struct tr_error *err)
+{
+	struct entry_settings *s;
+	size_t len = 0;
+	auto_free char *text = yamlfile_read(path, &len, err);
+
+	if (!text)
+		return NULL;
+	s = yamlfile_load(text, len, &schema, err);
+	if (!s)
+		return NULL;
+	if (!check(s, err))
+		return s;
+	err->line = yamlfile_line(text, len, err->field);
+	entry_settings_free(s);
+	return NULL;
+}
+
+void entry_settings_free(struct entry_settings *settings)
+{
+	yamlfile_free(&schema, settings);
+}
--- /dev/null
+++ b/entry/entry_settings.h
@@ -0,0 +1,43 @@
+#ifndef ENTRY_SETTINGS_H
+#define ENTRY_SETTINGS_H
+
+#include <stdint.h>
+
+struct tr_error;
+
+/* Bounds that the operator of the platform sets for the whole fleet. */
+struct entry_bounds {
+	double repeat_ratio;
+	uint32_t repeat_slack;
+	char *repeat_window;
+	char *keep_most;
+	char *grace;
+	char *drain;
+};
+
+/* The settings of one entry VM. Addresses are IP:PORT. */
+struct entry_settings {
+	char *name;
+	char *ip;
+	char *data_centre;
+	char *region;
+	char *front;
+	char *ready;
+	char *directory;
+	char *store;
+	uint32_t peer_port;
+	uint32_t metrics_port;
+	char **seeds;
+	unsigned seeds_count;
+	struct entry_bounds bounds;
+	int64_t repeat_window_us;
+	int64_t keep_most_us;
+	int64_t grace_us;
+	int64_t drain_us;
+};
+
+struct entry_settings *entry_settings_load(const char *path,
+					   struct tr_error *err);
+void entry_settings_free(struct entry_settings *settings);
+
+#endif
--- /dev/null
+++ b/entry/exchange.h
@@ -0,0 +1,10 @@
+#ifndef EXCHANGE_H
+#define EXCHANGE_H
+
+#include "entry.h"
+
+extern const struct door_calls exchange_door;
+
+void exchange_end_all(struct entry *e);
+
+#endif
--- /dev/null
+++ b/entry/mesh.c
@@ -0,0 +1,556 @@
+/*
+ * What this VM and the others tell each other: that they live, what they saw
+ * of targets, how many requests they have there, which configuration they hold,
+ * and, from those that read the store, what has changed in the list. A message
+ * is the same for all, and is encoded once.
+ */
+#include "mesh.h"
+
+#include <arpa/inet.h>
+#include <errno.h>
+#include <rpc/rpc.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "entry_settings.h"
+#include "error.h"
+#include "eventlog.h"
+#include "mesh_xdr.h"
+#include "pull.h"
+
+/* One datagram, without fragments on an ordinary link. */
+#define DATAGRAM_MOST 1400
+#define SOCKET_BUFFER (512 * 1024)
+/* Shortest time between two messages that tell of outcomes, and what each VM
+ * adds to it, so that what arrives stays level as the fleet grows. */
+#define URGENT_GAP	TR_MSEC(100)
+#define URGENT_GAP_A_VM TR_MSEC(3)
+/* Rows told again though nothing is new, in case the last telling was lost. */
+#define ROWS_AGAIN     6
+#define BYTES_A_ROW    20
+#define BYTES_A_RECORD 150
+#define BYTES_HEAD     200
+/* A change of the list is told for so long, some three readings, in case a
+ * datagram is lost; a list that differs after that is pulled whole. */
+#define RECORD_TOLD	 TR_MSEC(1000)
+#define NODES_TOLD	 8
+#define MESH_READY	 1U
+#define MESH_LEAVING	 2U
+#define MESH_CANNOT_READ 4U
+#define MESH_LISTS	 8U
+#define MESH_ANSWER	 16U
+#define RECORD_LEAVING	 1U
+#define RECORD_GONE	 2U
+#define RPC_VERSION	 2
+
+struct mesh {
+	struct entry *e;
+	int fd;
+	uint32_t fleet;
+	uint64_t sequence;
+	bool soon;
+	bool lists;
+	apr_time_t told_at;
+	uint32_t row_again;
+	struct pull pull;
+};
+
+static void fill_call(struct rpc_msg *call)
+{
+	memset(call, 0, sizeof(*call));
+	call->rm_direction = CALL;
+	call->rm_call.cb_rpcvers = RPC_VERSION;
+	call->rm_call.cb_prog = MESH_PEER;
+	call->rm_call.cb_vers = MESH_VERSION;
+	call->rm_call.cb_proc = MESH_TELL;
+	call->rm_call.cb_cred = _null_auth;
+	call->rm_call.cb_verf = _null_auth;
+}
+
+static size_t encode(struct mesh_message *msg, char *buf, size_t size)
+{
+	struct rpc_msg call;
+	size_t len = 0;
+	XDR xdr;
+
+	fill_call(&call);
+	xdrmem_create(&xdr, buf, (u_int)size, XDR_ENCODE);
+	if (xdr_callmsg(&xdr, &call) && xdr_mesh_message(&xdr, msg))
+		len = xdr_getpos(&xdr);
+	xdr_destroy(&xdr);
+	return len;
+}
+
+static bool decode(char *buf, size_t len, struct mesh_message *msg)
+{
+	char cred[2][MAX_AUTH_BYTES];
+	struct rpc_msg call;
+	bool ok;
+	XDR xdr;
+
+	memset(&call, 0, sizeof(call));
+	memset(msg, 0, sizeof(*msg));
+	call.rm_call.cb_cred.oa_base = cred[0];
+	call.rm_call.cb_verf.oa_base = cred[1];
+	xdrmem_create(&xdr, buf, (u_int)len, XDR_DECODE);
+	ok = xdr_callmsg(&xdr, &call) && call.rm_call.cb_prog == MESH_PEER &&
+	     call.rm_call.cb_vers == MESH_VERSION &&
+	     call.rm_call.cb_proc == MESH_TELL && xdr_mesh_message(&xdr, msg);
+	xdr_destroy(&xdr);
+	return ok;
+}
+
+static void fill_row(struct mesh_row *out, const struct tr_instance *row)
+{
+	const uint16_t *n = row->own.count;
+
+	out->target = row->hash;
+	out->good_late =
+		(uint32_t)n[TR_SYMPTOM_GOOD] << 16 | n[TR_SYMPTOM_LATE];
+	out->overdue_failed =
+		(uint32_t)n[TR_SYMPTOM_OVERDUE] << 16 | n[TR_SYMPTOM_FAILED];
+	out->lategood_slow =
+		(uint32_t)n[TR_SYMPTOM_LATE_GOOD] << 16 | n[TR_SYMPTOM_SLOW];
+	out->in_flight = row->in_flight;
+}
+
+static void read_row(const struct mesh_row *in, struct tr_symptom_totals *t)
+{
+	t->count[TR_SYMPTOM_GOOD] = (uint16_t)(in->good_late >> 16);
+	t->count[TR_SYMPTOM_LATE] = (uint16_t)in->good_late;
+	t->count[TR_SYMPTOM_OVERDUE] = (uint16_t)(in->overdue_failed >> 16);
+	t->count[TR_SYMPTOM_FAILED] = (uint16_t)in->overdue_failed;
+	t->count[TR_SYMPTOM_LATE_GOOD] = (uint16_t)(in->lategood_slow >> 16);
+	t->count[TR_SYMPTOM_SLOW] = (uint16_t)in->lategood_slow;
+}
+
+static void add_rows(struct mesh *mesh, struct mesh_message *msg,
+		     struct mesh_row *rows, size_t room)
+{
+	struct tr_roster *roster = &mesh->e->roster;
+	unsigned most = (unsigned)(room / BYTES_A_ROW);
+
+	if (most > MESH_MAX_ROWS)
+		most = MESH_MAX_ROWS;
+	msg->rows.rows_val = rows;
+	for (unsigned i = 0; i < roster->count && msg->rows.rows_len < most;
+	     i++) {
+		struct tr_instance *row = &roster->rows[i];
+
+		if (!row->used || !row->dirty)
+			continue;
+		fill_row(&rows[msg->rows.rows_len++], row);
+		row->dirty = false;
+	}
+	for (unsigned n = 0;
+	     n < ROWS_AGAIN && n < roster->count && msg->rows.rows_len < most;
+	     n++) {
+		const struct tr_instance *row =
+			&roster->rows[mesh->row_again++ % roster->count];
+
+		if (row->used && row->own.count[TR_SYMPTOM_GOOD])
+			fill_row(&rows[msg->rows.rows_len++], row);
+	}
+}
+
+static void add_records(struct mesh *mesh, struct mesh_message *msg,
+			struct mesh_record *records,
+			struct tr_target_record *typed, apr_time_t now)
+{
+	const struct tr_roster *roster = &mesh->e->roster;
+
+	msg->records.records_val = records;
+	for (unsigned i = 0; i < roster->count; i++) {
+		const struct tr_instance *row = &roster->rows[i];
+		unsigned n = msg->records.records_len;
+		struct tr_target_record *t = &typed[n];
+
+		if (!row->used || !row->changed_at ||
+		    now - row->changed_at > RECORD_TOLD)
+			continue;
+		if (n == MESH_MAX_RECORDS)
+			return;
+		tr_roster_record(roster, row, t, now);
+		records[n] = (struct mesh_record){
+			.id = t->id,
+			.service = t->service,
+			.address = t->address,
+			.data_centre = t->data_centre,
+			.slots = t->slots,
+			.flags = (t->leaving ? RECORD_LEAVING : 0) |
+				 (t->gone ? RECORD_GONE : 0),
+			.cold_ms = (uint32_t)(t->cold_for / 1000),
+			.revision = t->revision,
+		};
+		msg->records.records_len++;
+	}
+}
+
+static void add_nodes(struct mesh *mesh, struct mesh_message *msg,
+		      uint32_t *nodes, unsigned most, apr_time_t now)
+{
+	const struct tr_membership *m = &mesh->e->members;
+	unsigned start = tr_random_below(&mesh->e->random, m->count);
+
+	msg->nodes.nodes_val = nodes;
+	for (unsigned i = 0; i < m->count && msg->nodes.nodes_len < most; i++) {
+		const struct tr_node *node = &m->nodes[(start + i) % m->count];
+
+		if (tr_node_alive(m, node, now))
+			nodes[msg->nodes.nodes_len++] = node->ip;
+	}
+}
+
+static uint32_t own_flags(const struct entry *e, const struct mesh *mesh)
+{
+	return (e->ready ? MESH_READY : 0) | (e->leaving ? MESH_LEAVING : 0) |
+	       (e->members.nodes[0].cannot_read ? MESH_CANNOT_READ : 0) |
+	       (mesh->lists ? MESH_LISTS : 0);
+}
+
+static void fill_head(struct mesh *mesh, struct mesh_message *msg)
+{
+	struct entry *e = mesh->e;
+
+	memset(msg, 0, sizeof(*msg));
+	msg->fleet = mesh->fleet;
+	msg->boot = e->members.nodes[0].boot;
+	msg->sequence = ++mesh->sequence;
+	msg->data_centre = e->members.nodes[0].data_centre;
+	msg->flags = own_flags(e, mesh);
+	msg->config_revision = e->routes ? e->routes->revision : 0;
+	msg->as_of = e->roster.as_of;
+	msg->age_ms = (uint32_t)(entry_view_age(e) / 1000);
+	msg->digest = tr_roster_digest(&e->roster);
+}
+
+static void send_to(struct mesh *mesh, uint32_t ip, const char *buf, size_t len)
+{
+	struct sockaddr_in to = {
+		.sin_family = AF_INET,
+		.sin_port = htons((uint16_t)mesh->e->settings->peer_port),
+		.sin_addr.s_addr = ip,
+	};
+
+	/* A datagram that can't be sent is one that is lost. */
+	if (sendto(mesh->fd, buf, len, 0, (struct sockaddr *)&to, sizeof(to)) >
+	    0)
+		mesh->e->counts.messages_out++;
+}
+
+static void call_one(struct mesh *mesh, uint32_t ip, bool answer)
+{
+	uint32_t nodes[MESH_MAX_NODES];
+	struct mesh_message msg;
+	char buf[DATAGRAM_MOST];
+	size_t len;
+
+	fill_head(mesh, &msg);
+	msg.flags |= answer ? MESH_ANSWER : 0;
+	add_nodes(mesh, &msg, nodes, MESH_MAX_NODES, entry_now(mesh->e));
+	len = encode(&msg, buf, sizeof(buf));
+	if (len)
+		send_to(mesh, ip, buf, len);
+}
+
+static void tell_all(struct mesh *mesh)
+{
+	struct mesh_record records[MESH_MAX_RECORDS];
+	struct tr_target_record typed[MESH_MAX_RECORDS];
+	struct mesh_row rows[MESH_MAX_ROWS];
+	struct tr_membership *m = &mesh->e->members;
+	uint32_t nodes[NODES_TOLD];
+	apr_time_t now = entry_now(mesh->e);
+	struct mesh_message msg;
+	char buf[DATAGRAM_MOST];
+	size_t used;
+	size_t len;
+
+	fill_head(mesh, &msg);
+	if (mesh->lists)
+		add_records(mesh, &msg, records, typed, now);
+	add_nodes(mesh, &msg, nodes, NODES_TOLD, now);
+	used = BYTES_HEAD + msg.records.records_len * BYTES_A_RECORD;
+	if (used < DATAGRAM_MOST)
+		add_rows(mesh, &msg, rows, DATAGRAM_MOST - used);
+	mesh->lists = false;
+	mesh->soon = false;
+	mesh->told_at = now;
+	len = encode(&msg, buf, sizeof(buf));
+	for (unsigned i = 1; len && i < m->count; i++)
+		if (tr_node_alive(m, &m->nodes[i], now))
+			send_to(mesh, m->nodes[i].ip, buf, len);
+}
+
+static void forget_told(struct mesh *mesh, struct tr_node *node)
+{
+	struct tr_roster *roster = &mesh->e->roster;
+
+	for (unsigned i = 0; i < node->told_count; i++)
+		if (i < roster->count &&
+		    roster->rows[i].hash == node->told[i].target)
+			roster->rows[i].others_in_flight -=
+				node->told[i].in_flight;
+	free(node->told);
+	node->told = NULL;
+	node->told_count = 0;
+}
+
+static struct tr_told *told_of(struct mesh *mesh, struct tr_node *node,
+			       unsigned at)
+{
+	unsigned n = mesh->e->roster.count;
+
+	if (at >= node->told_count) {
+		node->told = g_realloc_n(node->told, n, sizeof(*node->told));
+		memset(node->told + node->told_count, 0,
+		       (n - node->told_count) * sizeof(*node->told));
+		node->told_count = n;
+	}
+	return &node->told[at];
+}
+
+static void take_row(struct mesh *mesh, struct tr_node *node,
+		     const struct mesh_row *in, apr_time_t now)
+{
+	struct tr_roster *roster = &mesh->e->roster;
+	struct tr_instance *row = tr_roster_by_hash(roster, in->target);
+	struct tr_symptom_totals totals;
+	struct tr_told *told;
+	bool first;
+
+	if (!row)
+		return;
+	read_row(in, &totals);
+	told = told_of(mesh, node, (unsigned)(row - roster->rows));
+	first = told->target != row->hash;
+	if (first) {
+		memset(told, 0, sizeof(*told));
+		told->target = row->hash;
+	}
+	row->others_in_flight += in->in_flight - told->in_flight;
+	told->in_flight = (uint16_t)in->in_flight;
+	for (int s = 0; s < TR_SYMPTOMS; s++) {
+		uint16_t news = totals.count[s] - told->totals.count[s];
+
+		/* What it counted before this VM listened is old. */
+		if (news && !first)
+			tr_gray_add(&row->gray, (enum tr_symptom)s, news, now);
+	}
+	told->totals = totals;
+}
+
+static void take_record(struct mesh *mesh, const struct mesh_record *in,
+			apr_time_t now)
+{
+	struct tr_target_record r = {
+		.slots = in->slots,
+		.leaving = in->flags & RECORD_LEAVING,
+		.gone = in->flags & RECORD_GONE,
+		.cold_for = TR_MSEC(in->cold_ms),
+		.revision = in->revision,
+	};
+
+	strncpy(r.id, in->id, TR_ID_MAX);
+	strncpy(r.service, in->service, TR_ID_MAX);
+	strncpy(r.address, in->address, TR_ADDRESS_MAX);
+	strncpy(r.data_centre, in->data_centre, TR_ID_MAX);
+	if (tr_roster_apply(&mesh->e->roster, &r, now))
+		eventlog(EVENT_BELIEF, "target",
+			 "id=%s service=%s address=%s state=%s "
+			 "revision=%" G_GUINT64_FORMAT " from=peer",
+			 r.id, r.service, r.address,
+			 r.gone	     ? "gone"
+			 : r.leaving ? "leaving"
+				     : "ready",
+			 (guint64)r.revision);
+}
+
+/* Is the sender's list newer, or equal and so a proof that ours is current? */
+static void take_list(struct mesh *mesh, const struct tr_node *node,
+		      const struct mesh_message *msg, apr_time_t now)
+{
+	struct tr_roster *roster = &mesh->e->roster;
+	apr_time_t age = TR_MSEC(msg->age_ms);
+
+	if (!msg->as_of)
+		return;
+	if (msg->digest == tr_roster_digest(roster)) {
+		tr_roster_current(roster, msg->as_of, age, now);
+		return;
+	}
+	if (msg->as_of >= roster->as_of && now - age > roster->current_at)
+		pull_targets(&mesh->pull, node->ip);
+}
+
+static void take(struct mesh *mesh, const struct mesh_message *msg, uint32_t ip)
+{
+	struct entry *e = mesh->e;
+	struct tr_node_news news = {
+		.ip = ip,
+		.boot = msg->boot,
+		.sequence = msg->sequence,
+		.data_centre = msg->data_centre,
+		.ready = msg->flags & MESH_READY,
+		.leaving = msg->flags & MESH_LEAVING,
+		.cannot_read = msg->flags & MESH_CANNOT_READ,
+		.config_revision = msg->config_revision,
+	};
+	apr_time_t now = entry_now(e);
+	struct tr_node *node;
+	bool restarted;
+
+	e->counts.messages_in++;
+	node = tr_membership_heard(&e->members, &news, now, &restarted);
+	if (!node)
+		return;
+	if (restarted) {
+		forget_told(mesh, node);
+		if (!(msg->flags & MESH_ANSWER))
+			call_one(mesh, ip, true);
+	}
+	for (u_int i = 0; i < msg->records.records_len; i++)
+		take_record(mesh, &msg->records.records_val[i], now);
+	for (u_int i = 0; i < msg->rows.rows_len; i++)
+		take_row(mesh, node, &msg->rows.rows_val[i], now);
+	take_list(mesh, node, msg, now);
+	if (msg->config_revision > (e->routes ? e->routes->revision : 0) &&
+	    msg->config_revision > e->refused_revision)
+		pull_routes(&mesh->pull, ip);
+	for (u_int i = 0; i < msg->nodes.nodes_len; i++)
+		tr_membership_learn(&e->members, msg->nodes.nodes_val[i]);
+}
+
+static void readable(void *ctx, int fd, int events)
+{
+	struct mesh *mesh = ctx;
+	struct mesh_message msg;
+	struct sockaddr_in from;
+	char buf[2048];
+
+	(void)events;
+	for (int i = 0; i < 64; i++) {
+		socklen_t from_len = sizeof(from);
+		ssize_t n = recvfrom(fd, buf, sizeof(buf), MSG_DONTWAIT,
+				     (struct sockaddr *)&from, &from_len);
+
+		if (n < 0)
+			return;
+		if (decode(buf, (size_t)n, &msg) && msg.fleet == mesh->fleet)
+			take(mesh, &msg, from.sin_addr.s_addr);
+		xdr_free((xdrproc_t)xdr_mesh_message, (char *)&msg);
+	}
+}
+
+/* Something that others should know soon has changed. */
+void mesh_tell_soon(struct mesh *mesh)
+{
+	mesh->soon = true;
+}
+
+/* The list was just read from the store: pass on what changed, and its age. */
+void mesh_tell_list(struct mesh *mesh)
+{
+	mesh->lists = true;
+	tell_all(mesh);
+}
+
+/* Tell at once that this VM is leaving. */
+void mesh_leaving(struct mesh *mesh)
+{
+	tell_all(mesh);
+}
+
+static void call_lost(struct mesh *mesh, apr_time_t now)
+{
+	struct tr_node *lost = tr_membership_lost(&mesh->e->members, now);
+
+	if (!lost)
+		return;
+	lost->called_at = now;
+	if (lost->told_count)
+		forget_told(mesh, lost);
+	call_one(mesh, lost->ip, false);
+}
+
+/* Send what is due; call every 50 ms or so. */
+void mesh_step(struct mesh *mesh)
+{
+	struct tr_membership *m = &mesh->e->members;
+	apr_time_t now = entry_now(mesh->e);
+	apr_time_t since = now - mesh->told_at;
+	apr_time_t gap = URGENT_GAP;
+
+	if ((apr_time_t)m->count * URGENT_GAP_A_VM > gap)
+		gap = (apr_time_t)m->count * URGENT_GAP_A_VM;
+	call_lost(mesh, now);
+	if ((mesh->soon && since >= gap) ||
+	    since >= tr_membership_period(m, now))
+		tell_all(mesh);
+}
+
+static int open_socket(const struct entry_settings *s)
+{
+	struct sockaddr_in addr = {
+		.sin_family = AF_INET,
+		.sin_port = htons((uint16_t)s->peer_port),
+	};
+	int size = SOCKET_BUFFER;
+	int fd = socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+
+	if (fd < 0)
+		return -1;
+	inet_pton(AF_INET, s->ip, &addr.sin_addr);
+	setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &size, sizeof(size));
+	if (!bind(fd, (struct sockaddr *)&addr, sizeof(addr)))
+		return fd;
+	close(fd);
+	return -1;
+}
+
+/* Begin to listen and to call the seeds. NULL and err without the port. */
+struct mesh *mesh_open(struct entry *e, struct tr_error *err)
+{
+	struct mesh *mesh = calloc(1, sizeof(*mesh));
+	const struct entry_settings *s = e->settings;
+	struct sockaddr_in seed;
+	char address[64];
+
+	mesh->e = e;
+	mesh->fd = open_socket(s);
+	if (mesh->fd < 0) {
+		free(mesh);
+		tr_error_set(err, TR_PORT_IN_USE, "peer_port", s->ip,
+			     "expected a free UDP port %u: %s", s->peer_port,
+			     strerror(errno));
+		return NULL;
+	}
+	snprintf(address, sizeof(address), "%s:%u", s->ip, s->peer_port);
+	if (pull_open(&mesh->pull, e, address)) {
+		tr_error_set(err, TR_PORT_IN_USE, "peer_port", address,
+			     "expected a free TCP port: %s", strerror(errno));
+		close(mesh->fd);
+		free(mesh);
+		return NULL;
+	}
+	/* Keeps datagrams of another fleet out; it is no secret. */
+	mesh->fleet = (uint32_t)tr_hash_string(s->store) ^ s->peer_port;
+	for (unsigned i = 0; i < s->seeds_count; i++)
+		if (!stream_parse_address(s->seeds[i], &seed))
+			tr_membership_learn(&e->members, seed.sin_addr.s_addr);
+	loop_watch(e->loop, mesh->fd, LOOP_READ, readable, mesh);
+	return mesh;
+}
+
+void mesh_close(struct mesh *mesh)
+{
+	if (!mesh)
+		return;
+	loop_unwatch(mesh->e->loop, mesh->fd);
+	close(mesh->fd);
+	pull_release(&mesh->pull);
+	free(mesh);
+}
--- /dev/null
+++ b/entry/mesh.x
@@ -0,0 +1,48 @@
+/* What entry VMs tell each other: one-way ONC RPC calls over UDP. */
+
+const MESH_MAX_ID = 63;
+const MESH_MAX_ADDRESS = 23;
+const MESH_MAX_ROWS = 48;
+const MESH_MAX_RECORDS = 8;
+const MESH_MAX_NODES = 160;
+
+/* Running totals of the sender's outcomes at a target, two a word. */
+struct mesh_row {
+	unsigned int target;
+	unsigned int good_late;
+	unsigned int overdue_failed;
+	unsigned int lategood_slow;
+	unsigned int in_flight;
+};
+
+struct mesh_record {
+	string id<MESH_MAX_ID>;
+	string service<MESH_MAX_ID>;
+	string address<MESH_MAX_ADDRESS>;
+	string data_centre<MESH_MAX_ID>;
+	unsigned int slots;
+	unsigned int flags;
+	unsigned int cold_ms;
+	unsigned hyper revision;
+};
+
+struct mesh_message {
+	unsigned int fleet;
+	unsigned hyper boot;
+	unsigned hyper sequence;
+	string data_centre<MESH_MAX_ID>;
+	unsigned int flags;
+	unsigned hyper config_revision;
+	unsigned hyper as_of;
+	unsigned int age_ms;
+	unsigned hyper digest;
+	unsigned int nodes<MESH_MAX_NODES>;
+	mesh_row rows<MESH_MAX_ROWS>;
+	mesh_record records<MESH_MAX_RECORDS>;
+};
+
+program MESH_PEER {
+	version MESH_VERSION {
+		void MESH_TELL(mesh_message) = 1;
+	} = 1;
+} = 0x20544353;
--- /dev/null
+++ b/entry/reader.c
@@ -0,0 +1,257 @@
+/*
+ * Reads the platform's store. Two VMs watch it for all; any other reads only
+ * when what it hears has grown old, the sooner the higher it stands in the
+ * order of readers, so that one or two step in for a reader that is lost and
+ * not the whole fleet at once.
+ */
+#include "reader.h"
+
+#include <inttypes.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "entry_settings.h"
+#include "error.h"
+#include "eventlog.h"
+#include "mesh.h"
+
+/* Between two readings by one reader. Targets are written to every second or
+ * so, so a watch returns at once: this is what bounds the calls, to some six a
+ * second from two readers. A third of the shortest bound that news has (two
+ * seconds) goes on here at most. */
+#define PACE TR_MSEC(330)
+/* The list is old when nobody has told of it for two paces. */
+#define OLD TR_MSEC(700)
+/* What each VM before this one in the order adds to that, and the most. */
+#define OLD_A_RANK TR_MSEC(120)
+#define OLD_MOST   TR_MSEC(2500)
+/* How long a watch may wait for a change before it is answered without. */
+#define WATCH_WAIT TR_MSEC(1000)
+/* Answers take milliseconds, and in bad times some 60 times as long. */
+#define TIMEOUT TR_MSEC(1500)
+/* After a failure; doubled up to the most, so that a store that is down is not
+ * called by the whole fleet several times a second. */
+#define RETRY_FIRST TR_MSEC(250)
+#define RETRY_MOST  TR_MSEC(1500)
+/* Failures in a row after which another VM should read. */
+#define FAILURES_SAID 2
+
+struct reader {
+	struct entry *e;
+	struct fetcher fetch;
+	struct sockaddr_in store;
+	bool listing;
+	bool must_list;
+	uint64_t list_as_of;
+	GArray *records;
+	char *list_after;
+	apr_time_t next_at;
+	apr_time_t asked_at;
+	apr_time_t retry;
+	unsigned failures;
+};
+
+static struct tr_node *self(const struct reader *r)
+{
+	return &r->e->members.nodes[0];
+}
+
+static void failed(struct reader *r, const char *why, int status)
+{
+	r->e->counts.store_failures++;
+	r->listing = false;
+	r->retry = r->retry ? r->retry * 2 : RETRY_FIRST;
+	if (r->retry > RETRY_MOST)
+		r->retry = RETRY_MOST;
+	r->next_at = entry_now(r->e) + r->retry / 2 +
+		     tr_random_below(&r->e->random, (uint32_t)r->retry);
+	if (++r->failures == FAILURES_SAID) {
+		self(r)->cannot_read = true;
+		eventlog(EVENT_BELIEF, "store-lost", "why=%s status=%d", why,
+			 status);
+	}
+}
+
+static void succeeded(struct reader *r, uint64_t as_of)
+{
+	struct entry *e = r->e;
+	apr_time_t now = entry_now(e);
+
+	if (self(r)->cannot_read)
+		eventlog(EVENT_BELIEF, "store-regained",
+			 "as_of=%" PRIu64 " failures=%u", as_of, r->failures);
+	self(r)->cannot_read = false;
+	r->failures = 0;
+	r->retry = 0;
+	r->next_at = now + PACE;
+	/* The store's answer was true at some time after it was asked. */
+	tr_roster_current(&e->roster, as_of, now - r->asked_at, now);
+	mesh_tell_list(e->mesh);
+}
+
+static void take_items(struct reader *r, const struct store_page *page)
+{
+	for (guint i = 0; i < page->items->len; i++) {
+		struct store_item *item =
+			&g_array_index(page->items, struct store_item, i);
+
+		entry_item(r->e, item, "store");
+		if (!r->listing || !r->e->dialect->is_target(item->key))
+			continue;
+		struct tr_target_record record;
+		struct tr_error err;
+
+		if (!r->e->dialect->read_target(item, &record, &err))
+			g_array_append_val(r->records, record);
+	}
+}
+
+static void ask(struct reader *r);
+
+static void took_list_page(struct reader *r, const struct store_page *page)
+{
+	struct entry *e = r->e;
+	guint n = page->items->len;
+
+	/* Pages are read one after the other, so the whole holds as of the
+	 * first; the watch goes on from there. */
+	if (!r->list_as_of)
+		r->list_as_of = page->as_of;
+	take_items(r, page);
+	if (page->more && n) {
+		g_free(r->list_after);
+		r->list_after = g_strdup(
+			g_array_index(page->items, struct store_item, n - 1)
+				.key);
+		ask(r);
+		return;
+	}
+	tr_roster_drop_unlisted(
+		&e->roster, (struct tr_target_record *)(void *)r->records->data,
+		r->records->len, r->list_as_of, entry_now(e));
+	r->listing = false;
+	r->must_list = false;
+	eventlog(EVENT_BELIEF, "list",
+		 "targets=%u as_of=%" PRIu64 " from=store", r->records->len,
+		 r->list_as_of);
+	succeeded(r, r->list_as_of);
+}
+
+static void answered(void *ctx, const struct message *answer)
+{
+	struct reader *r = ctx;
+	struct entry *e = r->e;
+	struct tr_error err = { 0 };
+	struct store_page page;
+	int status = answer ? answer->parser.status_code : 0;
+
+	if (answer && status == e->dialect->history_lost_status) {
+		eventlog(EVENT_BELIEF, "history-lost", "as_of=%" PRIu64,
+			 e->roster.as_of);
+		r->must_list = true;
+		r->next_at = entry_now(e);
+		return;
+	}
+	if (status != 200) {
+		failed(r, answer ? "status" : "no-answer", status);
+		return;
+	}
+	store_page_init(&page);
+	if (e->dialect->read_page((const char *)answer->body->data,
+				  answer->body->len, &page, &err)) {
+		eventlog(EVENT_FAILURE, "store-nonsense",
+			 "field=%s value=\"%s\" expected=\"%s\"", err.field,
+			 err.value, err.expected);
+		failed(r, "nonsense", status);
+	} else if (r->listing) {
+		took_list_page(r, &page);
+	} else {
+		take_items(r, &page);
+		succeeded(r, page.as_of);
+	}
+	store_page_clear(&page);
+}
+
+/* Call for what is wanted next: a page of the list, or what has changed. */
+static void ask(struct reader *r)
+{
+	struct entry *e = r->e;
+	const struct dialect *d = e->dialect;
+	g_autofree char *path =
+		r->listing ? d->list_path(d->everything, r->list_after)
+			   : d->watch_path(d->everything, e->roster.as_of,
+					   WATCH_WAIT);
+
+	e->counts.store_calls++;
+	r->asked_at = entry_now(e);
+	if (fetcher_get(&r->fetch, &r->store, path,
+			TIMEOUT + (r->listing ? 0 : WATCH_WAIT), answered, r))
+		failed(r, "unreached", 0);
+}
+
+static void begin_list(struct reader *r)
+{
+	r->listing = true;
+	r->list_as_of = 0;
+	g_free(r->list_after);
+	r->list_after = NULL;
+	g_array_set_size(r->records, 0);
+	ask(r);
+}
+
+static bool wanted(const struct reader *r, apr_time_t now)
+{
+	const struct entry *e = r->e;
+	apr_time_t old = OLD;
+
+	if (!e->roster.current_at || !e->routes)
+		return true;
+	if (tr_membership_reads(&e->members, now))
+		return true;
+	old += tr_membership_rank(&e->members, now) * OLD_A_RANK;
+	return entry_view_age(e) > (old < OLD_MOST ? old : OLD_MOST);
+}
+
+/* Read when it is due; call every 50 ms or so. */
+void reader_step(struct reader *r)
+{
+	const struct entry *e = r->e;
+	apr_time_t now = entry_now(e);
+
+	if (r->fetch.busy || now < r->next_at || e->leaving || !wanted(r, now))
+		return;
+	/* Changes can be followed only from a list that was whole. */
+	if (!e->roster.as_of || !e->routes || r->must_list)
+		begin_list(r);
+	else
+		ask(r);
+}
+
+/* This process stood still: whatever was asked before is void. */
+void reader_woke(struct reader *r)
+{
+	fetcher_cancel(&r->fetch);
+	r->listing = false;
+	r->next_at = 0;
+}
+
+struct reader *reader_new(struct entry *e)
+{
+	struct reader *r = calloc(1, sizeof(*r));
+
+	r->e = e;
+	r->records = g_array_new(FALSE, FALSE, sizeof(struct tr_target_record));
+	stream_parse_address(e->settings->store, &r->store);
+	fetcher_init(&r->fetch, e->loop, e->settings->ip);
+	return r;
+}
+
+void reader_free(struct reader *r)
+{
+	if (!r)
+		return;
+	fetcher_release(&r->fetch);
+	g_array_free(r->records, TRUE);
+	g_free(r->list_after);
+	free(r);
+}
--- /dev/null
+++ b/entry/reader.h
@@ -0,0 +1,11 @@
+#ifndef READER_H
+#define READER_H
+
+#include "entry.h"
+
+struct reader *reader_new(struct entry *e);
+void reader_step(struct reader *reader);
+void reader_woke(struct reader *reader);
+void reader_free(struct reader *reader);
+
+#endif
--- /dev/null
+++ b/entry/toucanreel_entry.c
@@ -0,0 +1,260 @@
+/* The daemon of an entry VM on a platform with a store. */
+#include <apr_general.h>
+#include <argtable2.h>
+#include <arpa/inet.h>
+#include <errno.h>
+#include <fcntl.h>
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/random.h>
+#include <unistd.h>
+
+#include "desk.h"
+#include "entry_settings.h"
+#include "error.h"
+#include "eventlog.h"
+#include "exchange.h"
+#include "mesh.h"
+#include "platform.h"
+#include "reader.h"
+#include "version.h"
+
+#define EXIT_USAGE 2
+/* How often what is due is looked at: a third of the shortest period. */
+#define STEP TR_MSEC(50)
+/* Of the time between the signal to stop and the kill: when idle connections
+ * are closed, when new ones are refused, and when the process ends anyway. */
+#define STOP_IDLE_SHARE	  0.2
+#define STOP_REFUSE_SHARE 0.45
+#define STOP_END_SHARE	  0.92
+
+struct daemon {
+	struct entry e;
+	struct entry_settings *settings;
+	const char *path;
+	apr_time_t stop_since;
+	apr_time_t stepped_at;
+};
+
+static void step_stop(struct daemon *d, apr_time_t now)
+{
+	struct entry *e = &d->e;
+	double gone =
+		(double)(now - d->stop_since) / (double)d->settings->grace_us;
+
+	if (gone > STOP_IDLE_SHARE)
+		door_close_idle(&e->front);
+	if (gone > STOP_REFUSE_SHARE)
+		door_refuse_new(&e->front);
+	if (gone > STOP_END_SHARE || (gone > STOP_REFUSE_SHARE &&
+				      !e->exchanges_count && !e->front.count))
+		loop_stop(e->loop);
+}
+
+static void step(void *ctx)
+{
+	struct daemon *d = ctx;
+	struct entry *e = &d->e;
+	apr_time_t now = entry_now(e);
+
+	d->stepped_at = now;
+	tr_roster_step(&e->roster, now);
+	reader_step(e->reader);
+	mesh_step(e->mesh);
+	if (!e->ready && e->routes && e->roster.current_at) {
+		e->ready = true;
+		e->members.nodes[0].ready = true;
+		eventlog(EVENT_LIFE, "ready", "version=%" PRIu64,
+			 e->routes->version);
+		mesh_tell_soon(e->mesh);
+	}
+	if (d->stop_since)
+		step_stop(d, now);
+	loop_after(e->loop, STEP, step, d);
+}
+
+static void before_poll(void *ctx)
+{
+	(void)ctx;
+	eventlog_flush();
+}
+
+static void on_signal(void *ctx)
+{
+	struct daemon *d = ctx;
+	struct entry *e = &d->e;
+
+	if (d->stop_since)
+		return;
+	d->stop_since = entry_now(e);
+	e->leaving = true;
+	e->members.nodes[0].leaving = true;
+	e->front.closing = true;
+	eventlog(EVENT_LIFE, "stop", "in_hand=%u", e->exchanges_count);
+	mesh_leaving(e->mesh);
+}
+
+static int open_door(struct daemon *d, struct door *door, const char *field,
+		     const char *address, const struct door_calls *calls,
+		     struct tr_error *err)
+{
+	if (!door_open(door, d->e.loop, address, calls, &d->e))
+		return 0;
+	return tr_error_set(err, TR_PORT_IN_USE, field, address,
+			    "expected an address that can be bound: %s",
+			    strerror(errno));
+}
+
+static int open_all(struct daemon *d, struct tr_error *err)
+{
+	struct entry_settings *s = d->settings;
+	struct entry *e = &d->e;
+	char address[64];
+
+	e->mesh = mesh_open(e, err);
+	if (!e->mesh)
+		return -1;
+	e->reader = reader_new(e);
+	if (open_door(d, &e->front, "front", s->front, &exchange_door, err) ||
+	    open_door(d, &e->directory, "directory", s->directory,
+		      &desk_directory, err) ||
+	    open_door(d, &e->readiness, "ready", s->ready, &desk_readiness,
+		      err))
+		return -1;
+	if (!s->metrics_port)
+		return 0;
+	snprintf(address, sizeof(address), "%s:%u", s->ip, s->metrics_port);
+	return open_door(d, &e->metrics, "metrics_port", address, &desk_metrics,
+			 err);
+}
+
+static int prepare(struct daemon *d, apr_pool_t *pool)
+{
+	struct entry_settings *s = d->settings;
+	struct entry *e = &d->e;
+	struct in_addr ip;
+	uint64_t seeds[2];
+
+	if (getrandom(seeds, sizeof(seeds), 0) != sizeof(seeds))
+		return -1;
+	e->loop = loop_new(pool);
+	e->settings = s;
+	e->dialect = &platform_dialect;
+	e->random.state = seeds[0];
+	e->draw = tr_random_unit(&e->random);
+	e->repeat_bound = (struct tr_repeat_bound){
+		.ratio = s->bounds.repeat_ratio,
+		.slack = s->bounds.repeat_slack,
+		.window = s->repeat_window_us,
+	};
+	e->front.fd = e->directory.fd = -1;
+	e->readiness.fd = e->metrics.fd = -1;
+	inet_pton(AF_INET, s->ip, &ip);
+	return tr_membership_init(&e->members, ip.s_addr, seeds[1] | 1,
+				  s->data_centre);
+}
+
+static void close_all(struct daemon *d)
+{
+	struct entry *e = &d->e;
+
+	door_close(&e->front);
+	exchange_end_all(e);
+	door_close(&e->directory);
+	door_close(&e->readiness);
+	door_close(&e->metrics);
+	reader_free(e->reader);
+	mesh_close(e->mesh);
+	tr_membership_release(&e->members);
+	tr_roster_release(&e->roster);
+	tr_routes_drop(e->routes);
+	g_free(e->allowances);
+	loop_destroy(e->loop);
+}
+
+static int say(const struct tr_error *err)
+{
+	char text[512];
+
+	tr_error_format(err, text, sizeof(text));
+	fprintf(stderr, "toucanreel-entry: %s\n", text);
+	return EXIT_USAGE;
+}
+
+static int serve(const char *path, bool check_only, apr_pool_t *pool)
+{
+	struct daemon d = { .path = path };
+	struct tr_error err = { 0 };
+	int code = EXIT_SUCCESS;
+
+	snprintf(err.file, sizeof(err.file), "%s", path);
+	d.settings = entry_settings_load(path, &err);
+	if (!d.settings)
+		return say(&err);
+	if (check_only) {
+		entry_settings_free(d.settings);
+		return EXIT_SUCCESS;
+	}
+	eventlog_setup(d.settings->name);
+	if (prepare(&d, pool)) {
+		fprintf(stderr, "toucanreel-entry: out of memory\n");
+		return EXIT_FAILURE;
+	}
+	loop_on_signals(d.e.loop, on_signal, &d);
+	if (open_all(&d, &err)) {
+		code = say(&err);
+	} else {
+		eventlog(EVENT_LIFE, "start",
+			 "version=%s front=%s data_centre=%s seeds=%u",
+			 TOUCANREEL_VERSION, d.settings->front,
+			 d.settings->data_centre, d.settings->seeds_count);
+		loop_before_poll(d.e.loop, before_poll, &d);
+		step(&d);
+		loop_run(d.e.loop);
+		eventlog(EVENT_LIFE, "end", "in_hand=%u", d.e.exchanges_count);
+		eventlog_flush();
+	}
+	close_all(&d);
+	entry_settings_free(d.settings);
+	return code;
+}
+
+int main(int argc, char **argv)
+{
+	struct arg_lit *help = arg_lit0("h", "help", "say how to use it");
+	struct arg_lit *version = arg_lit0(NULL, "version", "say which");
+	struct arg_lit *check =
+		arg_lit0(NULL, "check", "check the settings and end");
+	struct arg_file *file = arg_file0("s", "settings", "FILE",
+					  "settings of this VM, in YAML");
+	struct arg_end *end = arg_end(8);
+	void *table[] = { help, version, check, file, end };
+	int errors = arg_parse(argc, argv, table);
+	const char *path =
+		file->count ? file->filename[0] : getenv("TOUCANREEL_CONFIG");
+	apr_pool_t *pool;
+	int code = EXIT_USAGE;
+
+	if (help->count) {
+		printf("Usage: toucanreel-entry");
+		arg_print_syntax(stdout, table, "\n");
+		arg_print_glossary(stdout, table, "  %-24s %s\n");
+		code = EXIT_SUCCESS;
+	} else if (version->count) {
+		printf("toucanreel-entry %s\n", TOUCANREEL_VERSION);
+		code = EXIT_SUCCESS;
+	} else if (errors || !path) {
+		arg_print_errors(stderr, end, "toucanreel-entry");
+		fprintf(stderr, "toucanreel-entry: expected --settings FILE or "
+				"TOUCANREEL_CONFIG\n");
+	} else if (apr_initialize() == APR_SUCCESS) {
+		apr_pool_create(&pool, NULL);
+		code = serve(path, check->count > 0, pool);
+		apr_pool_destroy(pool);
+		apr_terminate();
+	}
+	arg_freetable(table, sizeof(table) / sizeof(table[0]));
+	return code;
+}
--- /dev/null
+++ b/entry/upstream.c
@@ -0,0 +1,283 @@
+#include "upstream.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "entry_settings.h"
+#include "mesh.h"
+
+#define ANSWER_HEAD_MAX 32768
+#define ANSWER_BODY_MAX (16 * 1024 * 1024)
+/* A connection takes a round trip and a millisecond; the opening packet of one
+ * whose packet was lost is sent again after a second, when another target is
+ * the better choice. */
+#define CONNECT_TIMEOUT TR_MSEC(300)
+/* How long a target that could not be reached from here gets nothing from this
+ * VM, and one whose address another has. */
+#define UNREACHABLE_FOR TR_MSEC(1000)
+#define REUSED_FOR	TR_SEC(3)
+
+static const char *const words[] = {
+	"answered", "failed",	 "refused",   "unreached",
+	"broken",   "timed-out", "abandoned",
+};
+
+const char *upstream_end_word(enum upstream_end how)
+{
+	return words[how];
+}
+
+static struct tr_instance *row_of(const struct upstream *u)
+{
+	struct tr_instance *row = &u->e->roster.rows[u->row];
+
+	return row->used && row->hash == u->hash ? row : NULL;
+}
+
+static void say(struct upstream *u, struct tr_instance *row,
+		enum tr_symptom symptom)
+{
+	apr_time_t now = entry_now(u->e);
+
+	row->own.count[symptom]++;
+	row->dirty = true;
+	tr_gray_add(&row->gray, symptom, 1, now);
+	tr_gray_add(&row->own_path, symptom, 1, now);
+	mesh_tell_soon(u->e->mesh);
+}
+
+static void say_answered(struct upstream *u, struct tr_instance *row)
+{
+	apr_time_t took = entry_now(u->e) - u->sent_at;
+	apr_time_t most = tr_gray_overdue_after(u->expected);
+
+	if (u->overdue)
+		say(u, row, TR_SYMPTOM_SLOW);
+	else
+		say(u, row, u->late ? TR_SYMPTOM_LATE_GOOD : TR_SYMPTOM_GOOD);
+	if (row->cold_until < entry_now(u->e))
+		tr_service_took(&u->e->roster, row->service,
+				took < most ? took : most);
+}
+
+/*
+ * A refusal by a target that should have a slot free, by what the fleet knows,
+ * is a symptom; by a full one it only says to stay away a little.
+ */
+static void say_refused(struct upstream *u, struct tr_instance *row)
+{
+	apr_time_t now = entry_now(u->e);
+	apr_time_t away = u->expected / row->slots;
+
+	if (u->refused_421) {
+		row->unreachable_until = now + REUSED_FOR;
+		return;
+	}
+	row->full_until =
+		now + away / 2 + tr_random_below(&u->e->random, (uint32_t)away);
+	if (row->in_flight + row->others_in_flight < row->slots)
+		say(u, row, TR_SYMPTOM_LATE);
+}
+
+static void say_ended(struct upstream *u, struct tr_instance *row,
+		      enum upstream_end how)
+{
+	switch (how) {
+	case UPSTREAM_ANSWERED:
+		say_answered(u, row);
+		break;
+	case UPSTREAM_REFUSED:
+		say_refused(u, row);
+		break;
+	case UPSTREAM_UNREACHED:
+		row->unreachable_until = entry_now(u->e) + UNREACHABLE_FOR;
+		say(u, row, TR_SYMPTOM_FAILED);
+		break;
+	case UPSTREAM_FAILED:
+	case UPSTREAM_BROKEN:
+	case UPSTREAM_TIMED_OUT:
+		/* What was said while it ran is not said again. */
+		if (!u->overdue)
+			say(u, row, TR_SYMPTOM_FAILED);
+		break;
+	case UPSTREAM_ABANDONED:
+		break;
+	}
+}
+
+/* End it; done is not called. */
+void upstream_stop(struct upstream *u, enum upstream_end how)
+{
+	struct tr_instance *row;
+
+	if (!u->active)
+		return;
+	u->active = false;
+	stream_close(&u->stream);
+	if (u->head)
+		g_string_free(u->head, TRUE);
+	u->head = NULL;
+	u->e->roster.rows[u->row].in_flight--;
+	row = row_of(u);
+	if (!row)
+		return;
+	row->dirty = true;
+	mesh_tell_soon(u->e->mesh);
+	say_ended(u, row, how);
+}
+
+static void over(struct upstream *u, enum upstream_end how)
+{
+	upstream_stop(u, how);
+	u->done(u->ctx, u, how);
+}
+
+static enum upstream_end judge(struct upstream *u)
+{
+	const struct dialect *d = u->e->dialect;
+	int status = u->answer.parser.status_code;
+	bool stamped = message_header(&u->answer, d->stamp) != NULL;
+
+	u->refused_421 = status == 421;
+	if (message_header(&u->answer, d->not_run) || status == 421)
+		return UPSTREAM_REFUSED;
+	if (!stamped)
+		return UPSTREAM_BROKEN;
+	return status >= 500 ? UPSTREAM_FAILED : UPSTREAM_ANSWERED;
+}
+
+/* An answer to another request may stand before this one's: its id tells. */
+static bool is_ours(const struct upstream *u)
+{
+	const char *id = message_header(&u->answer, u->e->dialect->request_id);
+
+	return !id || !strcmp(id, u->request_id);
+}
+
+static void received(void *ctx, const char *data, size_t len)
+{
+	struct upstream *u = ctx;
+
+	while (len) {
+		ssize_t used = message_feed(&u->answer, data, len);
+
+		if (used < 0) {
+			over(u, UPSTREAM_BROKEN);
+			return;
+		}
+		if (!u->answer.complete)
+			return;
+		if (u->answer.parser.status_code >= 200 && is_ours(u)) {
+			over(u, judge(u));
+			return;
+		}
+		message_reset(&u->answer);
+		data += used;
+		len -= (size_t)used;
+	}
+}
+
+static void ended(void *ctx, enum stream_end why)
+{
+	struct upstream *u = ctx;
+
+	if (!u->connected) {
+		over(u, UPSTREAM_UNREACHED);
+		return;
+	}
+	if (why == STREAM_CLOSED && u->answer.head_done && !u->answer.framed &&
+	    message_end_of_stream(&u->answer) && is_ours(u))
+		over(u, judge(u));
+	else
+		over(u, UPSTREAM_BROKEN);
+}
+
+static void connected(void *ctx)
+{
+	struct upstream *u = ctx;
+
+	u->connected = true;
+	u->sent_at = entry_now(u->e);
+	stream_write(&u->stream, u->head->str, u->head->len);
+	if (u->body->len)
+		stream_write(&u->stream, u->body->data, u->body->len);
+}
+
+static const struct stream_calls calls = {
+	.connected = connected,
+	.received = received,
+	.ended = ended,
+};
+
+/* Send the request to the target. 0; or -1 when it could not be begun. */
+int upstream_start(struct upstream *u, struct entry *e, uint32_t at,
+		   const struct upstream_request *request,
+		   upstream_done_fn done, void *ctx)
+{
+	struct tr_instance *row = &e->roster.rows[at];
+	struct sockaddr_in to;
+
+	upstream_release(u);
+	u->e = e;
+	u->row = at;
+	u->hash = row->hash;
+	u->connected = u->late = u->overdue = false;
+	u->began = entry_now(e);
+	u->sent_at = u->began;
+	u->expected = request->expected;
+	u->request_id = request->request_id;
+	u->head = request->head;
+	u->body = request->body;
+	u->done = done;
+	u->ctx = ctx;
+	message_init(&u->answer, HTTP_RESPONSE, ANSWER_HEAD_MAX,
+		     ANSWER_BODY_MAX);
+	u->answer.head_only = request->head_only;
+	row->in_flight++;
+	row->dirty = true;
+	mesh_tell_soon(e->mesh);
+	u->active = true;
+	if (!stream_parse_address(row->address, &to) &&
+	    !stream_connect(&u->stream, e->loop, &to, e->settings->ip, &calls,
+			    u))
+		return 0;
+	upstream_stop(u, UPSTREAM_UNREACHED);
+	return -1;
+}
+
+/*
+ * Look at a running attempt: say what its age tells of the target. When to
+ * look again; an attempt that could not connect in time is over.
+ */
+apr_time_t upstream_look(struct upstream *u, apr_time_t now)
+{
+	apr_time_t late = u->sent_at + tr_gray_late_after(u->expected);
+	apr_time_t overdue = u->sent_at + tr_gray_overdue_after(u->expected);
+	struct tr_instance *row = row_of(u);
+
+	if (!u->connected && now >= u->began + CONNECT_TIMEOUT) {
+		over(u, UPSTREAM_UNREACHED);
+		return now;
+	}
+	if (!u->connected)
+		return u->began + CONNECT_TIMEOUT;
+	if (now >= late && !u->late) {
+		u->late = true;
+		if (row)
+			say(u, row, TR_SYMPTOM_LATE);
+	}
+	if (now >= overdue && !u->overdue) {
+		u->overdue = true;
+		if (row)
+			say(u, row, TR_SYMPTOM_OVERDUE);
+	}
+	if (!u->late)
+		return late;
+	return u->overdue ? now + TR_SEC(60) : overdue;
+}
+
+void upstream_release(struct upstream *u)
+{
+	upstream_stop(u, UPSTREAM_ABANDONED);
+	message_free(&u->answer);
+}
--- /dev/null
+++ b/entry/upstream.h
@@ -0,0 +1,61 @@
+#ifndef UPSTREAM_H
+#define UPSTREAM_H
+
+#include "entry.h"
+
+/* How one attempt at a target ended. */
+enum upstream_end {
+	UPSTREAM_ANSWERED,
+	UPSTREAM_FAILED,
+	UPSTREAM_REFUSED,
+	UPSTREAM_UNREACHED,
+	UPSTREAM_BROKEN,
+	UPSTREAM_TIMED_OUT,
+	UPSTREAM_ABANDONED,
+};
+
+struct upstream;
+
+typedef void (*upstream_done_fn)(void *ctx, struct upstream *u,
+				 enum upstream_end how);
+
+/* One attempt at one target, on a connection of its own. */
+struct upstream {
+	struct entry *e;
+	bool active;
+	bool connected;
+	bool late;
+	bool overdue;
+	bool refused_421;
+	uint32_t row;
+	uint32_t hash;
+	struct stream stream;
+	struct message answer;
+	apr_time_t began;
+	apr_time_t sent_at;
+	apr_time_t expected;
+	const char *request_id;
+	upstream_done_fn done;
+	void *ctx;
+	GString *head;
+	const GByteArray *body;
+};
+
+/* What is sent: the head is given up to the attempt, the body stays. */
+struct upstream_request {
+	const char *request_id;
+	GString *head;
+	const GByteArray *body;
+	bool head_only;
+	apr_time_t expected;
+};
+
+int upstream_start(struct upstream *u, struct entry *e, uint32_t row,
+		   const struct upstream_request *request,
+		   upstream_done_fn done, void *ctx);
+apr_time_t upstream_look(struct upstream *u, apr_time_t now);
+void upstream_stop(struct upstream *u, enum upstream_end how);
+void upstream_release(struct upstream *u);
+const char *upstream_end_word(enum upstream_end how);
+
+#endif
--- /dev/null
+++ b/lib/place.c
@@ -0,0 +1,165 @@
+/*
+ * Choosing a target: the least expected loss, from what the whole fleet says
+ * of each. The answer to a slot that is busy is a short wait at the target,
+ * whose own queue keeps slots busy without a gap, where a queue here would
+ * learn of a free slot a message later.
+ */
+#include "place.h"
+
+#include <math.h>
+#include <string.h>
+
+#include "clock.h"
+
+/* A request that is lost at a gray target costs its whole credit; three of
+ * four are. What must run once cannot be moved from it. */
+#define LOSS_ONCE 0.75
+/* One that may repeat is sent again at another target, so it is mostly late. */
+#define LOSS_REPEAT 0.45
+/* Expected time beyond the aim costs this share of the credit an aim. */
+#define LATE_COST 0.8
+/* A small cost of crossing data centres: decides only between targets that are
+ * otherwise alike. */
+#define AWAY_COST 0.02
+/* The same for a body of so many bytes, which is dearer to move. */
+#define AWAY_COST_BODY 0.08
+#define LARGE_BODY     16384
+/* Targets whose cost differs by less are alike: drawn among, so that VMs with
+ * the same view do not all choose the same one. */
+#define ALIKE 0.015
+/* A target that has just started works at about half its speed. */
+#define COLD_FACTOR 1.0
+/* From here on what this VM alone has seen outweighs the fleet's view. */
+#define OWN_SAYS 0.5
+/* A wait that ends with less than this part of the usual time left for the
+ * work is hopeless. */
+#define LEAST_WORK 0.5
+
+static bool was_tried(const struct tr_wish *wish, uint32_t row)
+{
+	for (unsigned i = 0; i < wish->tried_count; i++)
+		if (wish->tried[i] == row)
+			return true;
+	return false;
+}
+
+/* How long until a slot is free, as far as the fleet's numbers tell. */
+static apr_time_t expected_wait(const struct tr_instance *row, apr_time_t usual)
+{
+	uint32_t there = row->in_flight + row->others_in_flight;
+
+	if (there < row->slots)
+		return 0;
+	return (apr_time_t)((there - row->slots + 1) * (double)usual /
+			    row->slots);
+}
+
+static double risk_of(const struct tr_instance *row, apr_time_t now)
+{
+	double fleet = tr_gray_probability(&row->gray, now);
+	double own = tr_gray_probability(&row->own_path, now);
+
+	/* A path of this VM alone may be broken while all others see the
+	 * target well. */
+	return own > OWN_SAYS && own > fleet ? own : fleet;
+}
+
+static double cost_of(const struct tr_instance *row, const struct tr_wish *wish,
+		      apr_time_t now, struct tr_placing *p)
+{
+	double aim = wish->aim_left > 1000 ? (double)wish->aim_left : 1000;
+	double loss = wish->kind == TR_KIND_SAFE ? LOSS_REPEAT : LOSS_ONCE;
+	double takes = (double)wish->usual;
+	double away =
+		wish->body_bytes > LARGE_BODY ? AWAY_COST_BODY : AWAY_COST;
+	double share;
+
+	p->wait = expected_wait(row, wish->usual);
+	p->risk = risk_of(row, now);
+	if (row->cold_until > now)
+		takes *= 1 + COLD_FACTOR;
+	/* Work that is under way shares the target's speed to some extent; an
+	 * idle one comes first. */
+	share = (double)(row->in_flight + row->others_in_flight) / row->slots;
+	takes += (double)p->wait;
+	return p->risk * loss + takes / aim * LATE_COST + share * 0.05 +
+	       (strcmp(row->data_centre, wish->data_centre) != 0) * away;
+}
+
+/*
+ * Choose a target for the request. TR_PLACE_TOO_LATE: there are targets, but
+ * work sent now would not end in time at any of them.
+ */
+enum tr_place_result tr_place(const struct tr_roster *roster,
+			      const struct tr_wish *wish,
+			      struct tr_random *random, apr_time_t now,
+			      struct tr_placing *placing)
+{
+	unsigned known = 0;
+	unsigned untried = 0;
+	unsigned fitting = 0;
+	unsigned alike = 0;
+
+	placing->row = TR_NO_ROW;
+	placing->cost = INFINITY;
+	for (uint32_t i = 0; i < roster->count; i++) {
+		const struct tr_instance *row = &roster->rows[i];
+		struct tr_placing p = { .row = i };
+
+		if (!row->used || row->service != wish->service ||
+		    !tr_instance_usable(row, now))
+			continue;
+		known++;
+		if (was_tried(wish, i))
+			continue;
+		untried++;
+		if (row->full_until > now)
+			continue;
+		p.cost = cost_of(row, wish, now, &p);
+		if ((double)p.wait + (double)wish->usual * LEAST_WORK >
+		    (double)wish->time_left)
+			continue;
+		fitting++;
+		if (p.cost < placing->cost - ALIKE) {
+			*placing = p;
+			alike = 1;
+		} else if (p.cost < placing->cost + ALIKE &&
+			   !tr_random_below(random, ++alike)) {
+			*placing = p;
+		}
+	}
+	if (fitting)
+		return TR_PLACE_FOUND;
+	if (!known)
+		return TR_PLACE_NONE_KNOWN;
+	return untried ? TR_PLACE_TOO_LATE : TR_PLACE_ALL_TRIED;
+}
+
+/*
+ * When a refused caller should come back: when the work that is there now
+ * should be over, spread over as much again so that they do not all return at
+ * once.
+ */
+apr_time_t tr_place_return_after(const struct tr_roster *roster,
+				 uint32_t service, apr_time_t usual,
+				 struct tr_random *random, apr_time_t now)
+{
+	double there = 0;
+	double slots = 0;
+	double after;
+
+	for (uint32_t i = 0; i < roster->count; i++) {
+		const struct tr_instance *row = &roster->rows[i];
+
+		if (!row->used || row->service != service ||
+		    !tr_instance_usable(row, now))
+			continue;
+		there += row->in_flight + row->others_in_flight;
+		slots += row->slots;
+	}
+	if (slots <= 0)
+		return TR_MSEC(300) +
+		       (apr_time_t)(tr_random_unit(random) * 300000);
+	after = (double)usual * fmax(0.25, there / slots - 1);
+	return (apr_time_t)(after * (1 + tr_random_unit(random)));
+}
--- /dev/null
+++ b/lib/roster.c
@@ -0,0 +1,282 @@
+#include "roster.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "clock.h"
+#include "hash.h"
+
+/* The list counts as interrupted when it was not current for so long; readers
+ * pace themselves at a third of a second, so that is three that failed. */
+#define INTERRUPTED TR_MSEC(1000)
+/* Entries that expired during an interruption are registered again within
+ * about two seconds of its end (the platform's promise); an entry that is
+ * missing then is gone. A little less, so that the last request is through. */
+#define LAPSE_GRACE TR_MSEC(1700)
+/* Rows of targets that are gone keep older news from bringing them back. */
+#define TOMBSTONE_KEEP TR_SEC(60)
+/* Before the first answers the usual time is taken as this share of the aim. */
+#define FIRST_GUESS 4
+/* Weight of the newest time in the mean once it has settled: 1 in 40. */
+#define MEAN_SPAN 40.0
+
+void tr_roster_release(struct tr_roster *roster)
+{
+	free(roster->rows);
+	free(roster->services);
+	memset(roster, 0, sizeof(*roster));
+}
+
+/* The service's place, made when the name is new. */
+uint32_t tr_roster_service(struct tr_roster *roster, const char *name)
+{
+	struct tr_worked_service *grown;
+
+	for (unsigned i = 0; i < roster->services_count; i++)
+		if (!strcmp(roster->services[i].name, name))
+			return i;
+	grown = realloc(roster->services,
+			(roster->services_count + 1) * sizeof(*grown));
+	if (!grown)
+		abort();
+	roster->services = grown;
+	grown += roster->services_count;
+	memset(grown, 0, sizeof(*grown));
+	strncpy(grown->name, name, TR_ID_MAX);
+	return roster->services_count++;
+}
+
+static struct tr_instance *find(struct tr_roster *roster, const char *id)
+{
+	for (unsigned i = 0; i < roster->count; i++)
+		if (roster->rows[i].used && !strcmp(roster->rows[i].id, id))
+			return &roster->rows[i];
+	return NULL;
+}
+
+static struct tr_instance *new_row(struct tr_roster *roster)
+{
+	struct tr_instance *grown;
+
+	for (unsigned i = 0; i < roster->count; i++)
+		if (!roster->rows[i].used && !roster->rows[i].in_flight)
+			return memset(&roster->rows[i], 0, sizeof(*grown));
+	if (roster->count == roster->room) {
+		unsigned room = roster->room ? roster->room * 2 : 32;
+
+		grown = realloc(roster->rows, room * sizeof(*grown));
+		if (!grown)
+			abort();
+		roster->rows = grown;
+		roster->room = room;
+	}
+	return memset(&roster->rows[roster->count++], 0, sizeof(*grown));
+}
+
+/* After an interruption, entries may be missing of targets that live. */
+static bool may_have_lapsed(const struct tr_roster *roster, apr_time_t now)
+{
+	return roster->returned_at && now - roster->returned_at < LAPSE_GRACE;
+}
+
+static void set_gone(struct tr_roster *roster, struct tr_instance *row,
+		     apr_time_t now)
+{
+	if (row->gone || row->lapsed_at)
+		return;
+	if (may_have_lapsed(roster, now) && !row->leaving) {
+		row->lapsed_at = roster->returned_at;
+		row->changed_at = now;
+		return;
+	}
+	row->gone = true;
+	row->gone_at = now;
+	row->changed_at = now;
+}
+
+static void fill(struct tr_roster *roster, struct tr_instance *row,
+		 const struct tr_target_record *record, apr_time_t now)
+{
+	row->gone = false;
+	row->lapsed_at = 0;
+	row->service = tr_roster_service(roster, record->service);
+	row->slots = record->slots ? record->slots : 1;
+	memcpy(row->address, record->address, sizeof(row->address));
+	memcpy(row->data_centre, record->data_centre, sizeof(row->data_centre));
+	if (record->leaving && !row->leaving)
+		row->leaving_since = now;
+	row->leaving = record->leaving;
+	row->cold_until = record->cold_for ? now + record->cold_for : 0;
+}
+
+/*
+ * Take in what is said of one target; of two sayings the larger revision
+ * holds, whoever tells it and in whatever order. True when it changes what
+ * this VM does.
+ */
+bool tr_roster_apply(struct tr_roster *roster,
+		     const struct tr_target_record *record, apr_time_t now)
+{
+	struct tr_instance *row = find(roster, record->id);
+	bool changed;
+
+	if (row && record->revision <= row->revision)
+		return false;
+	if (!row) {
+		row = new_row(roster);
+		row->used = true;
+		row->known_since = now;
+		memcpy(row->id, record->id, sizeof(row->id));
+		row->hash = (uint32_t)tr_hash_string(record->id);
+		row->revision = record->revision;
+		if (record->gone) {
+			row->gone = true;
+			row->gone_at = now;
+			return false;
+		}
+		fill(roster, row, record, now);
+		row->changed_at = now;
+		return true;
+	}
+	row->revision = record->revision;
+	if (record->gone) {
+		changed = !row->gone && !row->lapsed_at;
+		set_gone(roster, row, now);
+		return changed;
+	}
+	changed = row->gone || row->lapsed_at ||
+		  row->leaving != record->leaving ||
+		  row->slots != record->slots ||
+		  strcmp(row->address, record->address) != 0;
+	fill(roster, row, record, now);
+	if (changed)
+		row->changed_at = now;
+	return changed;
+}
+
+/* A whole list as of a revision: what is not on it, and not newer, is gone. */
+void tr_roster_drop_unlisted(struct tr_roster *roster,
+			     const struct tr_target_record *records,
+			     unsigned count, uint64_t as_of, apr_time_t now)
+{
+	for (unsigned i = 0; i < roster->count; i++) {
+		struct tr_instance *row = &roster->rows[i];
+		bool listed = false;
+
+		if (!row->used || row->gone || row->revision > as_of)
+			continue;
+		for (unsigned k = 0; k < count && !listed; k++)
+			listed = !strcmp(records[k].id, row->id);
+		if (!listed)
+			set_gone(roster, row, now);
+	}
+}
+
+/* The list was whole and current, as of a revision, so long ago. */
+void tr_roster_current(struct tr_roster *roster, uint64_t as_of, apr_time_t age,
+		       apr_time_t now)
+{
+	apr_time_t at = now - age;
+
+	if (at <= roster->current_at)
+		return;
+	if (roster->current_at && at - roster->current_at > INTERRUPTED)
+		roster->returned_at = now;
+	roster->current_at = at;
+	if (as_of > roster->as_of)
+		roster->as_of = as_of;
+}
+
+/* Let lapsed targets go when their time is over, and forget old ones. */
+void tr_roster_step(struct tr_roster *roster, apr_time_t now)
+{
+	for (unsigned i = 0; i < roster->count; i++) {
+		struct tr_instance *row = &roster->rows[i];
+
+		if (!row->used)
+			continue;
+		if (row->lapsed_at && now - row->lapsed_at >= LAPSE_GRACE) {
+			row->lapsed_at = 0;
+			row->gone = true;
+			row->gone_at = now;
+		}
+		if (row->gone && now - row->gone_at > TOMBSTONE_KEEP &&
+		    !row->in_flight)
+			row->used = false;
+	}
+}
+
+/* Equal on VMs that hold the same list, whatever the order it came in. */
+uint64_t tr_roster_digest(const struct tr_roster *roster)
+{
+	uint64_t sum = 0;
+
+	for (unsigned i = 0; i < roster->count; i++) {
+		const struct tr_instance *row = &roster->rows[i];
+		uint64_t h;
+
+		if (!row->used || row->gone || row->lapsed_at)
+			continue;
+		h = tr_hash_string(row->id);
+		h = tr_hash_pair(h, tr_hash_string(row->address));
+		sum += tr_hash_pair(h, row->slots * 2 + row->leaving);
+	}
+	return sum;
+}
+
+struct tr_instance *tr_roster_by_hash(struct tr_roster *roster, uint32_t hash)
+{
+	for (unsigned i = 0; i < roster->count; i++)
+		if (roster->rows[i].used && roster->rows[i].hash == hash)
+			return &roster->rows[i];
+	return NULL;
+}
+
+/* What this VM would tell another of the target. */
+void tr_roster_record(const struct tr_roster *roster,
+		      const struct tr_instance *row,
+		      struct tr_target_record *record, apr_time_t now)
+{
+	memset(record, 0, sizeof(*record));
+	memcpy(record->id, row->id, sizeof(record->id));
+	memcpy(record->address, row->address, sizeof(record->address));
+	memcpy(record->data_centre, row->data_centre,
+	       sizeof(record->data_centre));
+	if (roster->services_count)
+		memcpy(record->service, roster->services[row->service].name,
+		       sizeof(record->service));
+	record->slots = row->slots;
+	record->leaving = row->leaving;
+	record->gone = row->gone || row->lapsed_at;
+	record->cold_for = row->cold_until > now ? row->cold_until - now : 0;
+	record->revision = row->revision;
+}
+
+/* May the target be given new work? */
+bool tr_instance_usable(const struct tr_instance *row, apr_time_t now)
+{
+	return row->used && !row->gone && !row->leaving &&
+	       row->unreachable_until <= now;
+}
+
+void tr_service_took(struct tr_roster *roster, uint32_t service,
+		     apr_time_t took)
+{
+	struct tr_worked_service *s = &roster->services[service];
+
+	if (s->weight < MEAN_SPAN)
+		s->weight += 1;
+	s->usual_us += ((double)took - s->usual_us) / s->weight;
+}
+
+/* How long work of the service usually takes, in us. */
+apr_time_t tr_service_takes(const struct tr_roster *roster, uint32_t service,
+			    apr_time_t latency_aim)
+{
+	const struct tr_worked_service *s = &roster->services[service];
+	double guess = (double)latency_aim / FIRST_GUESS;
+	/* The guess weighs as much as three answers. */
+	double n = s->weight + 3;
+
+	return (apr_time_t)((s->usual_us * s->weight + guess * 3) / n);
+}
--- /dev/null
+++ b/lib/roster.h
@@ -0,0 +1,100 @@
+#ifndef TR_ROSTER_H
+#define TR_ROSTER_H
+
+#include <apr_time.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "gray.h"
+
+#define TR_ID_MAX      63
+#define TR_ADDRESS_MAX 23
+#define TR_NO_ROW      UINT32_MAX
+
+/* What the platform says of one target, as it is passed between VMs. */
+struct tr_target_record {
+	char id[TR_ID_MAX + 1];
+	char service[TR_ID_MAX + 1];
+	char address[TR_ADDRESS_MAX + 1];
+	char data_centre[TR_ID_MAX + 1];
+	uint32_t slots;
+	bool leaving;
+	bool gone;
+	apr_time_t cold_for;
+	uint64_t revision;
+};
+
+/* One start of a target: a row of the roster, found by its place. */
+struct tr_instance {
+	bool used;
+	bool gone;
+	bool leaving;
+	apr_time_t gone_at;
+	apr_time_t leaving_since;
+	apr_time_t lapsed_at;
+	apr_time_t cold_until;
+	apr_time_t known_since;
+	apr_time_t changed_at;
+	char id[TR_ID_MAX + 1];
+	uint32_t hash;
+	uint32_t service;
+	char address[TR_ADDRESS_MAX + 1];
+	char data_centre[TR_ID_MAX + 1];
+	uint32_t slots;
+	uint64_t revision;
+	struct tr_gray gray;
+	struct tr_gray own_path;
+	apr_time_t full_until;
+	apr_time_t unreachable_until;
+	uint32_t in_flight;
+	uint32_t others_in_flight;
+	struct tr_symptom_totals own;
+	bool dirty;
+};
+
+/* A service by name, with how long its work usually takes. */
+struct tr_worked_service {
+	char name[TR_ID_MAX + 1];
+	double usual_us;
+	double weight;
+};
+
+/*
+ * All targets that the platform lists. complete_at is when the list was last
+ * known to be whole and current, by the steady clock.
+ */
+struct tr_roster {
+	struct tr_instance *rows;
+	unsigned count;
+	unsigned room;
+	struct tr_worked_service *services;
+	unsigned services_count;
+	uint64_t as_of;
+	apr_time_t current_at;
+	apr_time_t returned_at;
+};
+
+void tr_roster_release(struct tr_roster *roster);
+uint32_t tr_roster_service(struct tr_roster *roster, const char *name);
+bool tr_roster_apply(struct tr_roster *roster,
+		     const struct tr_target_record *record, apr_time_t now);
+void tr_roster_drop_unlisted(struct tr_roster *roster,
+			     const struct tr_target_record *records,
+			     unsigned count, uint64_t as_of, apr_time_t now);
+void tr_roster_current(struct tr_roster *roster, uint64_t as_of, apr_time_t age,
+		       apr_time_t now);
+void tr_roster_step(struct tr_roster *roster, apr_time_t now);
+uint64_t tr_roster_digest(const struct tr_roster *roster);
+struct tr_instance *tr_roster_by_hash(struct tr_roster *roster, uint32_t hash);
+void tr_roster_record(const struct tr_roster *roster,
+		      const struct tr_instance *row,
+		      struct tr_target_record *record, apr_time_t now);
+bool tr_instance_usable(const struct tr_instance *row, apr_time_t now);
+
+/* Learn how long work of a service takes; a mean over the last few dozen. */
+void tr_service_took(struct tr_roster *roster, uint32_t service,
+		     apr_time_t took);
+apr_time_t tr_service_takes(const struct tr_roster *roster, uint32_t service,
+			    apr_time_t latency_aim);
+
+#endif
--- /dev/null
+++ b/lib/route.c
@@ -0,0 +1,179 @@
+#include "route.h"
+
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+
+#include "error.h"
+
+/* Room for so many routes and services, in use once; NULL without memory. */
+struct tr_routes *tr_routes_new(unsigned routes, unsigned services)
+{
+	struct tr_routes *r = calloc(1, sizeof(*r));
+
+	if (!r)
+		return NULL;
+	r->users = 1;
+	r->routes = calloc(routes + 1, sizeof(*r->routes));
+	r->services = calloc(services + 1, sizeof(*r->services));
+	r->routes_count = routes;
+	r->services_count = services;
+	if (r->routes && r->services)
+		return r;
+	tr_routes_drop(r);
+	return NULL;
+}
+
+struct tr_routes *tr_routes_hold(struct tr_routes *routes)
+{
+	routes->users++;
+	return routes;
+}
+
+/* Give up one use; the last one frees it. */
+void tr_routes_drop(struct tr_routes *r)
+{
+	if (!r || --r->users)
+		return;
+	for (unsigned i = 0; r->routes && i < r->routes_count; i++) {
+		free(r->routes[i].name);
+		free(r->routes[i].host);
+		free(r->routes[i].prefix);
+		free(r->routes[i].split);
+	}
+	for (unsigned i = 0; r->services && i < r->services_count; i++) {
+		free(r->services[i].name);
+		free(r->services[i].health_path);
+	}
+	free(r->routes);
+	free(r->services);
+	free(r->text);
+	free(r);
+}
+
+/* The service's place in the snapshot, or -1. */
+int tr_routes_service(const struct tr_routes *routes, const char *name)
+{
+	for (unsigned i = 0; i < routes->services_count; i++)
+		if (!strcmp(routes->services[i].name, name))
+			return (int)i;
+	return -1;
+}
+
+static int compare(const void *a, const void *b)
+{
+	const struct tr_path_route *x = a;
+	const struct tr_path_route *y = b;
+	int by_host = strcasecmp(x->host, y->host);
+
+	return by_host ? by_host : strcmp(x->prefix, y->prefix);
+}
+
+static int check_route(const struct tr_path_route *route, struct tr_error *err)
+{
+	size_t len = strlen(route->prefix);
+	double sum = 0;
+
+	if (!len || route->prefix[0] != '/' || route->prefix[len - 1] != '/')
+		return tr_error_set(err, TR_OUT_OF_RANGE, "prefix",
+				    route->prefix,
+				    "expected a path that begins and ends "
+				    "with a slash");
+	if (!route->attempts)
+		return tr_error_set(err, TR_OUT_OF_RANGE, "attempts", "0",
+				    "route %s: expected at least 1",
+				    route->name);
+	if (route->timeout <= 0)
+		return tr_error_set(err, TR_OUT_OF_RANGE, "timeout", "",
+				    "route %s: expected more than 0",
+				    route->name);
+	for (unsigned i = 0; i < route->split_count; i++)
+		sum += route->split[i].weight;
+	if (!route->split_count || sum <= 0)
+		return tr_error_set(err, TR_MISSING_FIELD, "service", "",
+				    "route %s: expected a service, or a split "
+				    "with a weight above 0",
+				    route->name);
+	return 0;
+}
+
+/* Check a filled snapshot and put it in the order that matching needs. */
+int tr_routes_seal(struct tr_routes *r, struct tr_error *err)
+{
+	for (unsigned i = 0; i < r->routes_count; i++)
+		if (check_route(&r->routes[i], err))
+			return -1;
+	qsort(r->routes, r->routes_count, sizeof(*r->routes), compare);
+	for (unsigned i = 1; i < r->routes_count; i++)
+		if (!compare(&r->routes[i - 1], &r->routes[i]))
+			return tr_error_set(err, TR_DUPLICATE, "prefix",
+					    r->routes[i].prefix,
+					    "expected one route of host %s",
+					    r->routes[i].host);
+	return 0;
+}
+
+struct place {
+	const char *host;
+	size_t host_len;
+	const char *path;
+	size_t path_len;
+};
+
+static int compare_text(const char *a, size_t a_len, const char *b,
+			int (*cmp)(const char *, const char *, size_t))
+{
+	int c = cmp(a, b, a_len);
+
+	return c ? c : -(int)(b[a_len] != 0);
+}
+
+static int find(const void *key, const void *member)
+{
+	const struct place *p = key;
+	const struct tr_path_route *route = member;
+	int c = compare_text(p->host, p->host_len, route->host, strncasecmp);
+
+	return c ? c
+		 : compare_text(p->path, p->path_len, route->prefix, strncmp);
+}
+
+/*
+ * The route of the host with the longest prefix of the path, or NULL. Prefixes
+ * end with a slash, so only the path's slashes are tried, the last one first.
+ */
+const struct tr_path_route *tr_routes_match(const struct tr_routes *r,
+					    const char *host, size_t host_len,
+					    const char *path)
+{
+	size_t len = strcspn(path, "?#");
+
+	for (; len; len--) {
+		struct place p = { host, host_len, path, len };
+		const struct tr_path_route *route;
+
+		if (path[len - 1] != '/')
+			continue;
+		route = bsearch(&p, r->routes, r->routes_count,
+				sizeof(*r->routes), find);
+		if (route)
+			return route;
+	}
+	return NULL;
+}
+
+/* The part of the split that a point from 0 up to 1 falls on. */
+unsigned tr_split_draw(const struct tr_path_route *route, double point)
+{
+	double sum = 0;
+	double upto = 0;
+
+	for (unsigned i = 0; i < route->split_count; i++)
+		sum += route->split[i].weight;
+	for (unsigned i = 0; i < route->split_count; i++) {
+		upto += route->split[i].weight;
+		if (point * sum < upto)
+			return i;
+	}
+	return route->split_count - 1;
+}
