Spread work over targets that are well

Ruled out: a stale list; all VMs held it whole within 2 s of the store's return.

Change: the odds' lower bound is -3.5, near the prior of -3.

--- a/lib/gray.c
+++ b/lib/gray.c
@@ -10,12 +10,15 @@
 
 #include "clock.h"
 
-/* Odds before any outcome: one target in ten. Between "none" and the three in
- * ten of a bad hour; the first outcomes outweigh it either way. */
-#define PRIOR_ODDS (-2.2)
+/* Odds before any outcome: one target in twenty is gray. */
+#define PRIOR_ODDS (-3.0)
 /* Log-odds never leave this range: past it more of the same says nothing new,
- * and the way back must not take longer than a spell lasts. */
-#define MOST_ODDS 5.0
+ * and the way back must not take longer than a spell lasts. The lower bound is
+ * near the prior, so that a target that is known to be well is not preferred
+ * to one that nobody has used lately: with -5 most requests went to a few
+ * targets, and five of six sound ones got none for two seconds. */
+#define MOST_ODDS  5.0
+#define LEAST_ODDS (-3.5)
 /* Time in which odds drift back by a factor of e. Gray spells of some seconds
  * are what operators report; shorter forgets a target that hangs before its
  * requests could show it. */
@@ -62,7 +65,7 @@
 	};
 	double odds = drifted(gray, now) + steps[symptom] * times;
 
-	gray->odds = fmin(MOST_ODDS, fmax(-MOST_ODDS, odds));
+	gray->odds = fmin(MOST_ODDS, fmax(LEAST_ODDS, odds));
 	gray->at = now;
 }
 
