Hand peers' messages on inside a data centre

Ruled out: uploads, 10 MB of 33.

Change: a message goes to the VMs of its own data centre and to one of each other, drawn anew each time, which hands it on there. As many messages arrive as before; a drawn VM that is dead costs one message of many, and totals are running ones.

--- a/entry/mesh.c
+++ b/entry/mesh.c
@@ -24,6 +24,8 @@
 /* One datagram, without fragments on an ordinary link. */
 #define DATAGRAM_MOST 1400
 #define SOCKET_BUFFER (512 * 1024)
+/* Datagrams read at one wake-up, so that callers get their turn. */
+#define DATAGRAMS_A_TURN 64
 /* Shortest time between two messages that tell of outcomes, and what each VM
  * adds to it, so that what arrives stays level as the fleet grows. */
 #define URGENT_GAP	TR_MSEC(100)
@@ -45,6 +47,7 @@
 #define RECORD_LEAVING	 1U
 #define RECORD_GONE	 2U
 #define RPC_VERSION	 2
+#define CENTRES_MOST	 64
 
 struct mesh {
 	struct entry *e;
@@ -58,25 +61,26 @@
 	struct pull pull;
 };
 
-static void fill_call(struct rpc_msg *call)
+static void fill_call(struct rpc_msg *call, rpcproc_t procedure)
 {
 	memset(call, 0, sizeof(*call));
 	call->rm_direction = CALL;
 	call->rm_call.cb_rpcvers = RPC_VERSION;
 	call->rm_call.cb_prog = MESH_PEER;
 	call->rm_call.cb_vers = MESH_VERSION;
-	call->rm_call.cb_proc = MESH_TELL;
+	call->rm_call.cb_proc = procedure;
 	call->rm_call.cb_cred = _null_auth;
 	call->rm_call.cb_verf = _null_auth;
 }
 
-static size_t encode(struct mesh_message *msg, char *buf, size_t size)
+static size_t encode(struct mesh_message *msg, rpcproc_t procedure, char *buf,
+		     size_t size)
 {
 	struct rpc_msg call;
 	size_t len = 0;
 	XDR xdr;
 
-	fill_call(&call);
+	fill_call(&call, procedure);
 	xdrmem_create(&xdr, buf, (u_int)size, XDR_ENCODE);
 	if (xdr_callmsg(&xdr, &call) && xdr_mesh_message(&xdr, msg))
 		len = xdr_getpos(&xdr);
@@ -84,7 +88,8 @@
 	return len;
 }
 
-static bool decode(char *buf, size_t len, struct mesh_message *msg)
+static bool decode(char *buf, size_t len, struct mesh_message *msg,
+		   rpcproc_t *procedure)
 {
 	char cred[2][MAX_AUTH_BYTES];
 	struct rpc_msg call;
@@ -98,7 +103,8 @@
 	xdrmem_create(&xdr, buf, (u_int)len, XDR_DECODE);
 	ok = xdr_callmsg(&xdr, &call) && call.rm_call.cb_prog == MESH_PEER &&
 	     call.rm_call.cb_vers == MESH_VERSION &&
-	     call.rm_call.cb_proc == MESH_TELL && xdr_mesh_message(&xdr, msg);
+	     xdr_mesh_message(&xdr, msg);
+	*procedure = call.rm_call.cb_proc;
 	xdr_destroy(&xdr);
 	return ok;
 }
@@ -217,6 +223,7 @@
 
 	memset(msg, 0, sizeof(*msg));
 	msg->fleet = mesh->fleet;
+	msg->sender = e->members.nodes[0].ip;
 	msg->boot = e->members.nodes[0].boot;
 	msg->sequence = ++mesh->sequence;
 	msg->data_centre = e->members.nodes[0].data_centre;
@@ -251,17 +258,63 @@
 	fill_head(mesh, &msg);
 	msg.flags |= answer ? MESH_ANSWER : 0;
 	add_nodes(mesh, &msg, nodes, MESH_MAX_NODES, entry_now(mesh->e));
-	len = encode(&msg, buf, sizeof(buf));
+	len = encode(&msg, MESH_TELL, buf, sizeof(buf));
 	if (len)
 		send_to(mesh, ip, buf, len);
 }
 
+/* To all other VMs of this data centre. */
+static void tell_centre(struct mesh *mesh, const char *buf, size_t len,
+			apr_time_t now)
+{
+	const struct tr_membership *m = &mesh->e->members;
+
+	for (unsigned i = 1; i < m->count; i++)
+		if (tr_node_alive(m, &m->nodes[i], now) &&
+		    !strcmp(m->nodes[i].data_centre, m->nodes[0].data_centre))
+			send_to(mesh, m->nodes[i].ip, buf, len);
+}
+
+/*
+ * To one VM of each other data centre, which hands it on there: bytes between
+ * data centres are dear, and fall by the number of VMs in one. Which VM is
+ * drawn anew each time, so that one that is dead or frozen costs a message of
+ * many, and totals make up for it.
+ */
+static void tell_other_centres(struct mesh *mesh, const char *buf, size_t len,
+			       apr_time_t now)
+{
+	const struct tr_membership *m = &mesh->e->members;
+	const struct tr_node *drawn[CENTRES_MOST];
+	unsigned seen[CENTRES_MOST];
+	unsigned n = 0;
+
+	for (unsigned i = 1; i < m->count; i++) {
+		const struct tr_node *node = &m->nodes[i];
+		unsigned c = 0;
+
+		if (!tr_node_alive(m, node, now) ||
+		    !strcmp(node->data_centre, m->nodes[0].data_centre))
+			continue;
+		while (c < n &&
+		       strcmp(drawn[c]->data_centre, node->data_centre) != 0)
+			c++;
+		if (c == CENTRES_MOST)
+			continue;
+		if (c == n)
+			seen[n++] = 0;
+		if (!tr_random_below(&mesh->e->random, ++seen[c]))
+			drawn[c] = node;
+	}
+	for (unsigned c = 0; c < n; c++)
+		send_to(mesh, drawn[c]->ip, buf, len);
+}
+
 static void tell_all(struct mesh *mesh)
 {
 	struct mesh_record records[MESH_MAX_RECORDS];
 	struct tr_target_record typed[MESH_MAX_RECORDS];
 	struct mesh_row rows[MESH_MAX_ROWS];
-	struct tr_membership *m = &mesh->e->members;
 	uint32_t nodes[NODES_TOLD];
 	apr_time_t now = entry_now(mesh->e);
 	struct mesh_message msg;
@@ -279,10 +332,12 @@
 	mesh->lists = false;
 	mesh->soon = false;
 	mesh->told_at = now;
-	len = encode(&msg, buf, sizeof(buf));
-	for (unsigned i = 1; len && i < m->count; i++)
-		if (tr_node_alive(m, &m->nodes[i], now))
-			send_to(mesh, m->nodes[i].ip, buf, len);
+	len = encode(&msg, MESH_TELL, buf, sizeof(buf));
+	if (!len)
+		return;
+	tell_centre(mesh, buf, len, now);
+	len = encode(&msg, MESH_HAND_ON, buf, sizeof(buf));
+	tell_other_centres(mesh, buf, len, now);
 }
 
 static void forget_told(struct mesh *mesh, struct tr_node *node)
@@ -424,23 +479,37 @@
 		tr_membership_learn(&e->members, msg->nodes.nodes_val[i]);
 }
 
+/* Where the procedure's number stands in an encoded call (RFC 5531). */
+#define PROCEDURE_AT 20
+
+/* A message to be handed on, as it came but for the procedure. */
+static void hand_on(struct mesh *mesh, char *buf, size_t len)
+{
+	uint32_t procedure = htonl(MESH_TELL);
+
+	memcpy(buf + PROCEDURE_AT, &procedure, sizeof(procedure));
+	tell_centre(mesh, buf, len, entry_now(mesh->e));
+}
+
 static void readable(void *ctx, int fd, int events)
 {
 	struct mesh *mesh = ctx;
 	struct mesh_message msg;
-	struct sockaddr_in from;
+	rpcproc_t procedure;
 	char buf[2048];
 
 	(void)events;
-	for (int i = 0; i < 64; i++) {
-		socklen_t from_len = sizeof(from);
-		ssize_t n = recvfrom(fd, buf, sizeof(buf), MSG_DONTWAIT,
-				     (struct sockaddr *)&from, &from_len);
+	for (int i = 0; i < DATAGRAMS_A_TURN; i++) {
+		ssize_t n = recv(fd, buf, sizeof(buf), MSG_DONTWAIT);
 
 		if (n < 0)
 			return;
-		if (decode(buf, (size_t)n, &msg) && msg.fleet == mesh->fleet)
-			take(mesh, &msg, from.sin_addr.s_addr);
+		if (decode(buf, (size_t)n, &msg, &procedure) &&
+		    msg.fleet == mesh->fleet) {
+			if (procedure == MESH_HAND_ON)
+				hand_on(mesh, buf, (size_t)n);
+			take(mesh, &msg, msg.sender);
+		}
 		xdr_free((xdrproc_t)xdr_mesh_message, (char *)&msg);
 	}
 }
--- a/entry/mesh.x
+++ b/entry/mesh.x
@@ -28,6 +28,7 @@
 
 struct mesh_message {
 	unsigned int fleet;
+	unsigned int sender;
 	unsigned hyper boot;
 	unsigned hyper sequence;
 	string data_centre<MESH_MAX_ID>;
@@ -44,5 +45,7 @@
 program MESH_PEER {
 	version MESH_VERSION {
 		void MESH_TELL(mesh_message) = 1;
+		/* The same, to be handed on in the receiver's data centre. */
+		void MESH_HAND_ON(mesh_message) = 2;
 	} = 1;
 } = 0x20544353;
--- a/entry/mesh_xdr.c
+++ b/entry/mesh_xdr.c
@@ -154,6 +154,8 @@
 
 	 if (!xdr_u_int (xdrs, &objp->fleet))
 		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->sender))
+		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->boot))
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->sequence))
--- a/entry/mesh_xdr.h
+++ b/entry/mesh_xdr.h
@@ -42,6 +42,7 @@
 
 struct mesh_message {
 	u_int fleet;
+	u_int sender;
 	u_quad_t boot;
 	u_quad_t sequence;
 	char *data_centre;
@@ -72,12 +73,18 @@
 #define MESH_TELL 1
 extern  void * mesh_tell_1(mesh_message *, CLIENT *);
 extern  void * mesh_tell_1_svc(mesh_message *, struct svc_req *);
+#define MESH_HAND_ON 2
+extern  void * mesh_hand_on_1(mesh_message *, CLIENT *);
+extern  void * mesh_hand_on_1_svc(mesh_message *, struct svc_req *);
 extern int mesh_peer_1_freeresult (SVCXPRT *, xdrproc_t, caddr_t);
 
 #else /* K&R C */
 #define MESH_TELL 1
 extern  void * mesh_tell_1();
 extern  void * mesh_tell_1_svc();
+#define MESH_HAND_ON 2
+extern  void * mesh_hand_on_1();
+extern  void * mesh_hand_on_1_svc();
 extern int mesh_peer_1_freeresult ();
 #endif /* K&R C */
 
