Remember targets that relapse; blur the choice; weigh bodies by size

Change: costs are blurred (softmax); a quarter of what speaks against a target stays for half a minute as a higher prior; requests are said to run long at 1.2 times the usual; a body's cost between data centres goes by its size; the log names the targets tried with their risk.

--- a/entry/exchange.c
+++ b/entry/exchange.c
@@ -6,6 +6,7 @@
 
 #include <inttypes.h>
 #include <math.h>
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 #include <strings.h>
@@ -44,6 +45,8 @@
 	apr_time_t ends_at;
 	struct upstream tries[TRIES];
 	uint32_t tried[TRIED_MOST];
+	double risk[TRIED_MOST];
+	uint32_t there[TRIED_MOST];
 	unsigned tried_count;
 	unsigned runs;
 	bool maybe_ran;
@@ -101,19 +104,36 @@
 	x->timer = loop_after(x->e->loop, 0, freed_later, x);
 }
 
+/* The targets that were tried, in their order, with the chance that each was
+ * gray when it was chosen. */
+static const char *tried_text(const struct exchange *x, char *buf, size_t size)
+{
+	const struct tr_roster *roster = &x->e->roster;
+	size_t len = 0;
+
+	buf[0] = 0;
+	for (unsigned i = 0; i < x->tried_count && len < size; i++)
+		len += (size_t)snprintf(
+			buf + len, size - len, "%s%s:%.2f:%u", i ? "," : "",
+			roster->rows[x->tried[i]].id, x->risk[i], x->there[i]);
+	return buf;
+}
+
 static void log_end(const struct exchange *x, int status, const char *why)
 {
 	const struct entry *e = x->e;
 	apr_time_t now = entry_now(e);
+	char tried[256];
 
 	eventlog(status >= 500 ? EVENT_FAILURE : EVENT_REQUEST, "request",
 		 "id=%s route=%s service=%s status=%d why=%s took_ms=%ld "
-		 "left_ms=%ld runs=%u tried=%u version=%" PRIu64
+		 "left_ms=%ld runs=%u tried=%s version=%" PRIu64
 		 " view_age_ms=%ld",
 		 x->id, x->route->name, e->roster.services[x->service].name,
 		 status, why, (long)((now - x->arrived) / 1000),
-		 (long)((x->ends_at - now) / 1000), x->runs, x->tried_count,
-		 x->routes->version, (long)(entry_view_age(e) / 1000));
+		 (long)((x->ends_at - now) / 1000), x->runs,
+		 tried_text(x, tried, sizeof(tried)), x->routes->version,
+		 (long)(entry_view_age(e) / 1000));
 }
 
 static void answer_own(struct exchange *x, int status, const char *why)
@@ -262,6 +282,8 @@
 
 	if (row->cold_until > entry_now(e))
 		request.expected += usual_of(x);
+	x->risk[x->tried_count] = p->risk;
+	x->there[x->tried_count] = row->in_flight + row->others_in_flight;
 	x->tried[x->tried_count++] = p->row;
 	x->runs++;
 	return upstream_start(free_try(x), e, p->row, &request, upstream_done,
@@ -342,7 +364,7 @@
 		if (!u->active)
 			continue;
 		upstream_look(u, now);
-		if (!x->done && u->active && u->late)
+		if (!x->done && u->active && u->stage >= TR_STAGE_LATE)
 			second(x, u);
 	}
 	if (!x->done)
--- a/entry/mesh.c
+++ b/entry/mesh.c
@@ -32,7 +32,7 @@
 #define URGENT_GAP_A_VM TR_MSEC(3)
 /* Rows told again though nothing is new, in case the last telling was lost. */
 #define ROWS_AGAIN     6
-#define BYTES_A_ROW    20
+#define BYTES_A_ROW    24
 #define BYTES_A_RECORD 150
 #define BYTES_HEAD     200
 /* A change of the list is told for so long, some three readings, in case a
@@ -114,23 +114,17 @@
 	const uint16_t *n = row->own.count;
 
 	out->target = row->hash;
-	out->good_late =
-		(uint32_t)n[TR_SYMPTOM_GOOD] << 16 | n[TR_SYMPTOM_LATE];
-	out->overdue_failed =
-		(uint32_t)n[TR_SYMPTOM_OVERDUE] << 16 | n[TR_SYMPTOM_FAILED];
-	out->lategood_slow =
-		(uint32_t)n[TR_SYMPTOM_LATE_GOOD] << 16 | n[TR_SYMPTOM_SLOW];
+	for (int i = 0; i < TR_SYMPTOMS / 2; i++)
+		out->totals[i] = (uint32_t)n[2 * i] << 16 | n[2 * i + 1];
 	out->in_flight = row->in_flight;
 }
 
 static void read_row(const struct mesh_row *in, struct tr_symptom_totals *t)
 {
-	t->count[TR_SYMPTOM_GOOD] = (uint16_t)(in->good_late >> 16);
-	t->count[TR_SYMPTOM_LATE] = (uint16_t)in->good_late;
-	t->count[TR_SYMPTOM_OVERDUE] = (uint16_t)(in->overdue_failed >> 16);
-	t->count[TR_SYMPTOM_FAILED] = (uint16_t)in->overdue_failed;
-	t->count[TR_SYMPTOM_LATE_GOOD] = (uint16_t)(in->lategood_slow >> 16);
-	t->count[TR_SYMPTOM_SLOW] = (uint16_t)in->lategood_slow;
+	for (int i = 0; i < TR_SYMPTOMS / 2; i++) {
+		t->count[2 * i] = (uint16_t)(in->totals[i] >> 16);
+		t->count[2 * i + 1] = (uint16_t)in->totals[i];
+	}
 }
 
 static void add_rows(struct mesh *mesh, struct mesh_message *msg,
--- a/entry/mesh.x
+++ b/entry/mesh.x
@@ -9,9 +9,7 @@
 /* Running totals of the sender's outcomes at a target, two a word. */
 struct mesh_row {
 	unsigned int target;
-	unsigned int good_late;
-	unsigned int overdue_failed;
-	unsigned int lategood_slow;
+	unsigned int totals[4];
 	unsigned int in_flight;
 };
 
--- a/entry/mesh_xdr.c
+++ b/entry/mesh_xdr.c
@@ -10,46 +10,51 @@
 {
 	register int32_t *buf;
 
+	int i;
 
 	if (xdrs->x_op == XDR_ENCODE) {
-		buf = XDR_INLINE (xdrs, 5 * BYTES_PER_XDR_UNIT);
+		buf = XDR_INLINE (xdrs, (2 +  4 )* BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
 			 if (!xdr_u_int (xdrs, &objp->target))
 				 return FALSE;
-			 if (!xdr_u_int (xdrs, &objp->good_late))
-				 return FALSE;
-			 if (!xdr_u_int (xdrs, &objp->overdue_failed))
-				 return FALSE;
-			 if (!xdr_u_int (xdrs, &objp->lategood_slow))
+			 if (!xdr_vector (xdrs, (char *)objp->totals, 4,
+				sizeof (u_int), (xdrproc_t) xdr_u_int))
 				 return FALSE;
 			 if (!xdr_u_int (xdrs, &objp->in_flight))
 				 return FALSE;
 		} else {
 			IXDR_PUT_U_LONG(buf, objp->target);
-			IXDR_PUT_U_LONG(buf, objp->good_late);
-			IXDR_PUT_U_LONG(buf, objp->overdue_failed);
-			IXDR_PUT_U_LONG(buf, objp->lategood_slow);
+			{
+				register u_int *genp;
+
+				for (i = 0, genp = objp->totals;
+					i < 4; ++i) {
+					IXDR_PUT_U_LONG(buf, *genp++);
+				}
+			}
 			IXDR_PUT_U_LONG(buf, objp->in_flight);
 		}
 		return TRUE;
 	} else if (xdrs->x_op == XDR_DECODE) {
-		buf = XDR_INLINE (xdrs, 5 * BYTES_PER_XDR_UNIT);
+		buf = XDR_INLINE (xdrs, (2 +  4 )* BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
 			 if (!xdr_u_int (xdrs, &objp->target))
 				 return FALSE;
-			 if (!xdr_u_int (xdrs, &objp->good_late))
-				 return FALSE;
-			 if (!xdr_u_int (xdrs, &objp->overdue_failed))
-				 return FALSE;
-			 if (!xdr_u_int (xdrs, &objp->lategood_slow))
+			 if (!xdr_vector (xdrs, (char *)objp->totals, 4,
+				sizeof (u_int), (xdrproc_t) xdr_u_int))
 				 return FALSE;
 			 if (!xdr_u_int (xdrs, &objp->in_flight))
 				 return FALSE;
 		} else {
 			objp->target = IXDR_GET_U_LONG(buf);
-			objp->good_late = IXDR_GET_U_LONG(buf);
-			objp->overdue_failed = IXDR_GET_U_LONG(buf);
-			objp->lategood_slow = IXDR_GET_U_LONG(buf);
+			{
+				register u_int *genp;
+
+				for (i = 0, genp = objp->totals;
+					i < 4; ++i) {
+					*genp++ = IXDR_GET_U_LONG(buf);
+				}
+			}
 			objp->in_flight = IXDR_GET_U_LONG(buf);
 		}
 	 return TRUE;
@@ -57,11 +62,8 @@
 
 	 if (!xdr_u_int (xdrs, &objp->target))
 		 return FALSE;
-	 if (!xdr_u_int (xdrs, &objp->good_late))
-		 return FALSE;
-	 if (!xdr_u_int (xdrs, &objp->overdue_failed))
-		 return FALSE;
-	 if (!xdr_u_int (xdrs, &objp->lategood_slow))
+	 if (!xdr_vector (xdrs, (char *)objp->totals, 4,
+		sizeof (u_int), (xdrproc_t) xdr_u_int))
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->in_flight))
 		 return FALSE;
--- a/entry/mesh_xdr.h
+++ b/entry/mesh_xdr.h
@@ -21,9 +21,7 @@
 
 struct mesh_row {
 	u_int target;
-	u_int good_late;
-	u_int overdue_failed;
-	u_int lategood_slow;
+	u_int totals[4];
 	u_int in_flight;
 };
 typedef struct mesh_row mesh_row;
--- a/entry/upstream.c
+++ b/entry/upstream.c
@@ -49,12 +49,9 @@
 static void say_answered(struct upstream *u, struct tr_instance *row)
 {
 	apr_time_t took = entry_now(u->e) - u->sent_at;
-	apr_time_t most = tr_gray_overdue_after(u->expected);
+	apr_time_t most = tr_gray_stage_after(TR_STAGE_OVERDUE, u->expected);
 
-	if (u->overdue)
-		say(u, row, TR_SYMPTOM_SLOW);
-	else
-		say(u, row, u->late ? TR_SYMPTOM_LATE_GOOD : TR_SYMPTOM_GOOD);
+	say(u, row, tr_gray_answer_symptom(u->stage));
 	if (row->cold_until < entry_now(u->e))
 		tr_service_took(&u->e->roster, row->service,
 				took < most ? took : most);
@@ -97,7 +94,7 @@
 	case UPSTREAM_BROKEN:
 	case UPSTREAM_TIMED_OUT:
 		/* What was said while it ran is not said again. */
-		if (!u->overdue)
+		if (u->stage != TR_STAGE_OVERDUE)
 			say(u, row, TR_SYMPTOM_FAILED);
 		break;
 	case UPSTREAM_ABANDONED:
@@ -221,7 +218,8 @@
 	u->e = e;
 	u->row = at;
 	u->hash = row->hash;
-	u->connected = u->late = u->overdue = false;
+	u->connected = false;
+	u->stage = TR_STAGE_USUAL;
 	u->began = entry_now(e);
 	u->sent_at = u->began;
 	u->expected = request->expected;
@@ -251,8 +249,6 @@
  */
 apr_time_t upstream_look(struct upstream *u, apr_time_t now)
 {
-	apr_time_t late = u->sent_at + tr_gray_late_after(u->expected);
-	apr_time_t overdue = u->sent_at + tr_gray_overdue_after(u->expected);
 	struct tr_instance *row = row_of(u);
 
 	if (!u->connected && now >= u->began + CONNECT_TIMEOUT) {
@@ -261,19 +257,18 @@
 	}
 	if (!u->connected)
 		return u->began + CONNECT_TIMEOUT;
-	if (now >= late && !u->late) {
-		u->late = true;
-		if (row)
-			say(u, row, TR_SYMPTOM_LATE);
-	}
-	if (now >= overdue && !u->overdue) {
-		u->overdue = true;
+	while (u->stage < TR_STAGE_OVERDUE) {
+		enum tr_stage next = (enum tr_stage)(u->stage + 1);
+		apr_time_t at =
+			u->sent_at + tr_gray_stage_after(next, u->expected);
+
+		if (now < at)
+			return at;
+		u->stage = next;
 		if (row)
-			say(u, row, TR_SYMPTOM_OVERDUE);
+			say(u, row, tr_gray_stage_symptom(next));
 	}
-	if (!u->late)
-		return late;
-	return u->overdue ? now + TR_SEC(60) : overdue;
+	return APR_INT64_MAX;
 }
 
 void upstream_release(struct upstream *u)
--- a/entry/upstream.h
+++ b/entry/upstream.h
@@ -24,8 +24,7 @@
 	struct entry *e;
 	bool active;
 	bool connected;
-	bool late;
-	bool overdue;
+	enum tr_stage stage;
 	bool refused_421;
 	uint32_t row;
 	uint32_t hash;
--- a/lib/gray.c
+++ b/lib/gray.c
@@ -28,27 +28,50 @@
  * requests failing at a gray target and one in fifty at a well one. */
 #define GOOD_STEP (-1.37)
 #define FAIL_STEP 3.2
-/* Still running after 2 and after 4 times the usual time: a well target's work
- * is then over with chances of 0.86 and 0.98 (exponential tail). */
-#define LATE_FACTOR    2
-#define OVERDUE_FACTOR 4
-#define LATE_STEP      1.7
-#define OVERDUE_STEP   1.9
-/* An answer that comes after it was called late takes back that and most of
- * what a prompt one says; one that comes after it was called overdue leaves
- * more, since a target that has turned slow answers just so. */
-#define LATE_GOOD_STEP (-LATE_STEP - 0.9)
+/* Still running after 1.2, 2 and 4 times the usual time. Work whose times have
+ * an exponential tail is then over with chances of 0.70, 0.86 and 0.98; the
+ * steps add up to what a failure says. */
+#define LONG_STEP    1.0
+#define LATE_STEP    0.8
+#define OVERDUE_STEP 1.8
+/* An answer takes back what was said while it ran, and adds a little less than
+ * a prompt one; one that was overdue leaves more, since a target that has
+ * turned slow answers just so. */
+#define LONG_GOOD_STEP (-LONG_STEP - 1.2)
+#define LATE_GOOD_STEP (-LONG_STEP - LATE_STEP - 0.9)
 #define SLOW_STEP      (-1.2)
 
+static const double stage_factors[] = {
+	[TR_STAGE_USUAL] = 0,
+	[TR_STAGE_LONG] = 1.2,
+	[TR_STAGE_LATE] = 2,
+	[TR_STAGE_OVERDUE] = 4,
+};
+
+/* A target that failed before is the likelier to fail again: this part of what
+ * speaks against it stays for longer, and good outcomes take it back slowly.
+ * Without it a target that goes on failing is tried every seven seconds. */
+#define RELAPSE_PART	  0.25
+#define RELAPSE_GOOD_PART 0.08
+#define RELAPSE_MOST	  2.5
+#define RELAPSE_DRIFT_S	  30.0
+
+static double relapse_at(const struct tr_gray *gray, double s)
+{
+	return gray->relapse * exp(-s / RELAPSE_DRIFT_S);
+}
+
 static double drifted(const struct tr_gray *gray, apr_time_t now)
 {
 	double s = (double)(now - gray->at) / 1e6;
+	double prior;
 
 	if (!gray->at)
 		return PRIOR_ODDS;
 	if (s <= 0)
 		return gray->odds;
-	return PRIOR_ODDS + (gray->odds - PRIOR_ODDS) * exp(-s / DRIFT_S);
+	prior = PRIOR_ODDS + relapse_at(gray, s);
+	return prior + (gray->odds - prior) * exp(-s / DRIFT_S);
 }
 
 /* Take in an outcome that was seen so many times. */
@@ -57,14 +80,21 @@
 {
 	static const double steps[TR_SYMPTOMS] = {
 		[TR_SYMPTOM_GOOD] = GOOD_STEP,
+		[TR_SYMPTOM_LONG] = LONG_STEP,
 		[TR_SYMPTOM_LATE] = LATE_STEP,
 		[TR_SYMPTOM_OVERDUE] = OVERDUE_STEP,
 		[TR_SYMPTOM_FAILED] = FAIL_STEP,
+		[TR_SYMPTOM_LONG_GOOD] = LONG_GOOD_STEP,
 		[TR_SYMPTOM_LATE_GOOD] = LATE_GOOD_STEP,
 		[TR_SYMPTOM_SLOW] = SLOW_STEP,
 	};
-	double odds = drifted(gray, now) + steps[symptom] * times;
+	double step = steps[symptom] * times;
+	double odds = drifted(gray, now) + step;
+	double s = gray->at ? (double)(now - gray->at) / 1e6 : 0;
+	double part = step > 0 ? RELAPSE_PART : RELAPSE_GOOD_PART;
 
+	gray->relapse = relapse_at(gray, s > 0 ? s : 0) + step * part;
+	gray->relapse = fmin(RELAPSE_MOST, fmax(0, gray->relapse));
 	gray->odds = fmin(MOST_ODDS, fmax(LEAST_ODDS, odds));
 	gray->at = now;
 }
@@ -75,13 +105,34 @@
 	return 1 / (1 + exp(-drifted(gray, now)));
 }
 
-/* How long a request may run before that speaks against its target. */
-apr_time_t tr_gray_late_after(apr_time_t usual)
+/* How long a request runs until it comes to a stage, in us. */
+apr_time_t tr_gray_stage_after(enum tr_stage stage, apr_time_t usual)
+{
+	return (apr_time_t)(stage_factors[stage] * (double)usual);
+}
+
+/* What is said of a request that has come to the stage and still runs. */
+enum tr_symptom tr_gray_stage_symptom(enum tr_stage stage)
 {
-	return usual * LATE_FACTOR;
+	static const enum tr_symptom symptoms[] = {
+		TR_SYMPTOM_GOOD,
+		TR_SYMPTOM_LONG,
+		TR_SYMPTOM_LATE,
+		TR_SYMPTOM_OVERDUE,
+	};
+
+	return symptoms[stage];
 }
 
-apr_time_t tr_gray_overdue_after(apr_time_t usual)
+/* What is said of one that is answered at the stage. */
+enum tr_symptom tr_gray_answer_symptom(enum tr_stage stage)
 {
-	return usual * OVERDUE_FACTOR;
+	static const enum tr_symptom symptoms[] = {
+		TR_SYMPTOM_GOOD,
+		TR_SYMPTOM_LONG_GOOD,
+		TR_SYMPTOM_LATE_GOOD,
+		TR_SYMPTOM_SLOW,
+	};
+
+	return symptoms[stage];
 }
--- a/lib/gray.h
+++ b/lib/gray.h
@@ -6,34 +6,50 @@
 #include <stdint.h>
 
 /*
- * How one request at a target goes on, as evidence. LATE and OVERDUE are said
- * while it still runs; LATE_GOOD and SLOW are answers after that.
+ * How one request at a target goes on, as evidence. LONG, LATE and OVERDUE are
+ * said while it still runs, one after the other; an answer after that is
+ * LONG_GOOD, LATE_GOOD or SLOW.
  */
 enum tr_symptom {
 	TR_SYMPTOM_GOOD,
+	TR_SYMPTOM_LONG,
 	TR_SYMPTOM_LATE,
 	TR_SYMPTOM_OVERDUE,
 	TR_SYMPTOM_FAILED,
+	TR_SYMPTOM_LONG_GOOD,
 	TR_SYMPTOM_LATE_GOOD,
 	TR_SYMPTOM_SLOW,
 	TR_SYMPTOMS,
 };
 
+/* How far a running request has come. */
+enum tr_stage {
+	TR_STAGE_USUAL,
+	TR_STAGE_LONG,
+	TR_STAGE_LATE,
+	TR_STAGE_OVERDUE,
+};
+
 /* Running totals of one VM's outcomes at one target; they wrap around. */
 struct tr_symptom_totals {
 	uint16_t count[TR_SYMPTOMS];
 };
 
-/* Log-odds that a target is gray now, and the time they hold for. */
+/*
+ * Log-odds that a target is gray now, how much more likely than others it is to
+ * become so again, and the time they hold for.
+ */
 struct tr_gray {
 	double odds;
+	double relapse;
 	apr_time_t at;
 };
 
 void tr_gray_add(struct tr_gray *gray, enum tr_symptom symptom, unsigned times,
 		 apr_time_t now);
 double tr_gray_probability(const struct tr_gray *gray, apr_time_t now);
-apr_time_t tr_gray_late_after(apr_time_t usual);
-apr_time_t tr_gray_overdue_after(apr_time_t usual);
+apr_time_t tr_gray_stage_after(enum tr_stage stage, apr_time_t usual);
+enum tr_symptom tr_gray_stage_symptom(enum tr_stage stage);
+enum tr_symptom tr_gray_answer_symptom(enum tr_stage stage);
 
 #endif
--- a/lib/place.c
+++ b/lib/place.c
@@ -19,14 +19,16 @@
 /* Expected time beyond the aim costs this share of the credit an aim. */
 #define LATE_COST 0.8
 /* A small cost of crossing data centres: decides only between targets that are
- * otherwise alike. */
-#define AWAY_COST 0.02
-/* The same for a body of so many bytes, which is dearer to move. */
-#define AWAY_COST_BODY 0.08
-#define LARGE_BODY     16384
-/* Targets whose cost differs by less are alike: drawn among, so that VMs with
- * the same view do not all choose the same one. */
-#define ALIKE 0.015
+ * otherwise alike. A body that is moved adds to it, for what the operators pay:
+ * a body of 600 kB is worth as much as a request. */
+#define AWAY_COST      0.02
+#define AWAY_BODY      600000.0
+#define AWAY_COST_MOST 0.4
+/* Costs are blurred by so much (the scale of a Gumbel variable, which makes the
+ * choice a softmax): what other VMs have sent in the last tenth of a second is
+ * not known yet, and if all took the one cheapest target it would get six
+ * requests at once, all of which a sudden hang takes with it. */
+#define BLUR 0.02
 /* A target that has just started works at about half its speed. */
 #define COLD_FACTOR 1.0
 /* From here on what this VM alone has seen outweighs the fleet's view. */
@@ -35,6 +37,13 @@
  * work is hopeless. */
 #define LEAST_WORK 0.5
 
+static double gumbel(struct tr_random *random)
+{
+	double u = tr_random_unit(random);
+
+	return -log(-log(u > 1e-12 && u < 1 ? u : 0.5));
+}
+
 static bool was_tried(const struct tr_wish *wish, uint32_t row)
 {
 	for (unsigned i = 0; i < wish->tried_count; i++)
@@ -70,8 +79,7 @@
 	double aim = wish->aim_left > 1000 ? (double)wish->aim_left : 1000;
 	double loss = wish->kind == TR_KIND_SAFE ? LOSS_REPEAT : LOSS_ONCE;
 	double takes = (double)wish->usual;
-	double away =
-		wish->body_bytes > LARGE_BODY ? AWAY_COST_BODY : AWAY_COST;
+	double away = AWAY_COST + (double)wish->body_bytes / AWAY_BODY;
 	double share;
 
 	p->wait = expected_wait(row, wish->usual);
@@ -83,7 +91,8 @@
 	share = (double)(row->in_flight + row->others_in_flight) / row->slots;
 	takes += (double)p->wait;
 	return p->risk * loss + takes / aim * LATE_COST + share * 0.05 +
-	       (strcmp(row->data_centre, wish->data_centre) != 0) * away;
+	       (strcmp(row->data_centre, wish->data_centre) != 0) *
+		       fmin(away, AWAY_COST_MOST);
 }
 
 /*
@@ -98,7 +107,6 @@
 	unsigned known = 0;
 	unsigned untried = 0;
 	unsigned fitting = 0;
-	unsigned alike = 0;
 
 	placing->row = TR_NO_ROW;
 	placing->cost = INFINITY;
@@ -120,13 +128,9 @@
 		    (double)wish->time_left)
 			continue;
 		fitting++;
-		if (p.cost < placing->cost - ALIKE) {
-			*placing = p;
-			alike = 1;
-		} else if (p.cost < placing->cost + ALIKE &&
-			   !tr_random_below(random, ++alike)) {
+		p.cost -= BLUR * gumbel(random);
+		if (p.cost < placing->cost)
 			*placing = p;
-		}
 	}
 	if (fitting)
 		return TR_PLACE_FOUND;
--- /dev/null
+++ b/scripts/rpcgen.sh
@@ -0,0 +1,7 @@
+#!/usr/bin/env bash
+# Make entry/mesh_xdr.[ch] anew from entry/mesh.x.
+set -euo pipefail
+cd "$(dirname "$0")/../entry"
+rm -f mesh_xdr.h
+rpcgen -h -o mesh_xdr.h mesh.x
+rpcgen -c mesh.x | sed 's/#include "mesh.h"/#include "mesh_xdr.h"/' >mesh_xdr.c
