--- a/entry/entry_settings.c
+++ b/entry/entry_settings.c
@@ -26,6 +26,8 @@
 			  repeat_ratio),
 	CYAML_FIELD_UINT("repeat_slack", CYAML_FLAG_DEFAULT, BOUNDS,
 			 repeat_slack),
+	CYAML_FIELD_FLOAT("floor_share", CYAML_FLAG_DEFAULT, BOUNDS,
+			  floor_share),
 	CYAML_FIELD_STRING_PTR("repeat_window", PTR, BOUNDS, repeat_window, 1,
 			       TEXT_CHARS),
 	CYAML_FIELD_STRING_PTR("keep_most", PTR, BOUNDS, keep_most, 1,
@@ -105,6 +107,9 @@
 	if (s->bounds.repeat_ratio < 0 || s->bounds.repeat_ratio > 1)
 		return tr_error_set(err, TR_OUT_OF_RANGE, "bounds.repeat_ratio",
 				    "", "expected a share from 0 to 1");
+	if (s->bounds.floor_share < 0 || s->bounds.floor_share > 1)
+		return tr_error_set(err, TR_OUT_OF_RANGE, "bounds.floor_share",
+				    "", "expected a share from 0 to 1");
 	return check_time("bounds.repeat_window", s->bounds.repeat_window,
 			  &s->repeat_window_us, err) ||
 			       check_time("bounds.keep_most",
--- a/entry/entry_settings.h
+++ b/entry/entry_settings.h
@@ -9,6 +9,7 @@
 struct entry_bounds {
 	double repeat_ratio;
 	uint32_t repeat_slack;
+	double floor_share;
 	char *repeat_window;
 	char *keep_most;
 	char *grace;
--- a/entry/exchange.c
+++ b/entry/exchange.c
@@ -11,6 +11,7 @@
 #include <string.h>
 #include <strings.h>
 
+#include "entry_settings.h"
 #include "eventlog.h"
 #include "place.h"
 #include "upstream.h"
@@ -263,6 +264,7 @@
 		.tried = x->tried,
 		.tried_count = x->tried_count,
 		.body_bytes = x->body->len,
+		.floor_share = e->settings->bounds.floor_share,
 	};
 
 	return tr_place(&e->roster, &wish, &x->e->random, now, p);
--- a/entry/mesh.c
+++ b/entry/mesh.c
@@ -28,8 +28,8 @@
 #define DATAGRAMS_A_TURN 64
 /* Shortest time between two messages that tell of outcomes, and what each VM
  * adds to it, so that what arrives stays level as the fleet grows. */
-#define URGENT_GAP	TR_MSEC(100)
-#define URGENT_GAP_A_VM TR_MSEC(3)
+#define URGENT_GAP	TR_MSEC(40)
+#define URGENT_GAP_A_VM TR_MSEC(1)
 /* Rows told again though nothing is new, in case the last telling was lost. */
 #define ROWS_AGAIN     6
 #define BYTES_A_ROW    24
@@ -382,12 +382,18 @@
 	}
 	row->others_in_flight += in->in_flight - told->in_flight;
 	told->in_flight = (uint16_t)in->in_flight;
+	if (in->in_flight)
+		row->used_at = now;
 	for (int s = 0; s < TR_SYMPTOMS; s++) {
 		uint16_t news = totals.count[s] - told->totals.count[s];
 
 		/* What it counted before this VM listened is old. */
-		if (news && !first)
-			tr_gray_add(&row->gray, (enum tr_symptom)s, news, now);
+		if (!news || first)
+			continue;
+		tr_gray_add(&row->gray, (enum tr_symptom)s, news, now);
+		tr_service_outcomes(roster, row->service, (enum tr_symptom)s,
+				    news, now);
+		row->used_at = now;
 	}
 	told->totals = totals;
 }
--- a/entry/toucanreel_entry.c
+++ b/entry/toucanreel_entry.c
@@ -23,7 +23,7 @@
 
 #define EXIT_USAGE 2
 /* How often what is due is looked at: a third of the shortest period. */
-#define STEP TR_MSEC(50)
+#define STEP TR_MSEC(25)
 /* Of the time between the signal to stop and the kill: when idle connections
  * are closed, when new ones are refused, and when the process ends anyway. */
 #define STOP_IDLE_SHARE	  0.2
--- a/entry/upstream.c
+++ b/entry/upstream.c
@@ -43,6 +43,7 @@
 	row->dirty = true;
 	tr_gray_add(&row->gray, symptom, 1, now);
 	tr_gray_add(&row->own_path, symptom, 1, now);
+	tr_service_outcomes(&u->e->roster, row->service, symptom, 1, now);
 	mesh_tell_soon(u->e->mesh);
 }
 
@@ -232,6 +233,7 @@
 		     ANSWER_BODY_MAX);
 	u->answer.head_only = request->head_only;
 	row->in_flight++;
+	row->used_at = u->began;
 	row->dirty = true;
 	mesh_tell_soon(e->mesh);
 	u->active = true;
--- a/lib/place.c
+++ b/lib/place.c
@@ -33,6 +33,18 @@
 #define COLD_FACTOR 1.0
 /* From here on what this VM alone has seen outweighs the fleet's view. */
 #define OWN_SAYS 0.5
+/* A target that nobody has used for so long is due for a request: so that one
+ * a second comes about in spite of the messages' delay. */
+#define DUE_AFTER TR_MSEC(1200)
+/* Share of a service's requests that must fail before unused targets are due:
+ * below it leaving some out harms nobody, and trying them costs requests (1.9%
+ * of all on quiet days). Operators look from a tenth on. */
+#define DUE_FAILING 0.085
+/* Chance with which a VM takes that on itself, since others see it as well. */
+#define DUE_CHANCE 0.25
+/* Above the share that the operators demand, since this VM's view of which
+ * targets are sound is not theirs. */
+#define FLOOR_MARGIN 0.04
 /* A wait that ends with less than this part of the usual time left for the
  * work is hopeless. */
 #define LEAST_WORK 0.5
@@ -52,6 +64,49 @@
 	return false;
 }
 
+static double risk_of(const struct tr_instance *row, apr_time_t now)
+{
+	double fleet = tr_gray_probability(&row->gray, now);
+	double own = tr_gray_probability(&row->own_path, now);
+
+	/* A path of this VM alone may be broken while all others see the
+	 * target well. */
+	return own > OWN_SAYS && own > fleet ? own : fleet;
+}
+
+/*
+ * Has the whole fleet left the target out for a while, though it belongs to the
+ * share of its service that must keep working? Suspicion alone could else empty
+ * a service: gray spells end by themselves, and with a third of the targets
+ * under suspicion the others get all the work. One would notice by sound
+ * targets without a request for seconds.
+ */
+static bool is_due(const struct tr_roster *roster, const struct tr_wish *wish,
+		   const struct tr_instance *row, struct tr_random *random,
+		   apr_time_t now)
+{
+	double risk = risk_of(row, now);
+	unsigned all = 0;
+	unsigned safer = 0;
+
+	if (tr_service_failing(roster, wish->service) < DUE_FAILING ||
+	    now - row->used_at < DUE_AFTER ||
+	    now - row->known_since < DUE_AFTER ||
+	    row->in_flight + row->others_in_flight ||
+	    tr_random_unit(random) > DUE_CHANCE)
+		return false;
+	for (uint32_t i = 0; i < roster->count; i++) {
+		const struct tr_instance *other = &roster->rows[i];
+
+		if (!other->used || other->service != wish->service ||
+		    !tr_instance_usable(other, now))
+			continue;
+		all++;
+		safer += other != row && risk_of(other, now) < risk;
+	}
+	return safer < (wish->floor_share + FLOOR_MARGIN) * all;
+}
+
 /* How long until a slot is free, as far as the fleet's numbers tell. */
 static apr_time_t expected_wait(const struct tr_instance *row, apr_time_t usual)
 {
@@ -63,16 +118,6 @@
 			    row->slots);
 }
 
-static double risk_of(const struct tr_instance *row, apr_time_t now)
-{
-	double fleet = tr_gray_probability(&row->gray, now);
-	double own = tr_gray_probability(&row->own_path, now);
-
-	/* A path of this VM alone may be broken while all others see the
-	 * target well. */
-	return own > OWN_SAYS && own > fleet ? own : fleet;
-}
-
 static double cost_of(const struct tr_instance *row, const struct tr_wish *wish,
 		      apr_time_t now, struct tr_placing *p)
 {
@@ -129,6 +174,8 @@
 			continue;
 		fitting++;
 		p.cost -= BLUR * gumbel(random);
+		p.due = is_due(roster, wish, row, random, now);
+		p.cost -= p.due;
 		if (p.cost < placing->cost)
 			*placing = p;
 	}
--- a/lib/place.h
+++ b/lib/place.h
@@ -16,11 +16,13 @@
 	const uint32_t *tried;
 	unsigned tried_count;
 	uint64_t body_bytes;
+	double floor_share;
 };
 
 struct tr_placing {
 	uint32_t row;
 	double cost;
+	bool due;
 	double risk;
 	apr_time_t wait;
 };
--- a/lib/roster.c
+++ b/lib/roster.c
@@ -1,5 +1,6 @@
 #include "roster.h"
 
+#include <math.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -17,6 +18,11 @@
 #define TOMBSTONE_KEEP TR_SEC(60)
 /* Before the first answers the usual time is taken as this share of the aim. */
 #define FIRST_GUESS 4
+/* Span of the recent outcomes: that of the windows in which operators look at
+ * how much of a service works. */
+#define LATELY_S 2.0
+/* Good outcomes that are taken as given, while few are known. */
+#define LATELY_PRIOR 5.0
 /* Weight of the newest time in the mean once it has settled: 1 in 40. */
 #define MEAN_SPAN 40.0
 
@@ -259,6 +265,30 @@
 	       row->unreachable_until <= now;
 }
 
+void tr_service_outcomes(struct tr_roster *roster, uint32_t service,
+			 enum tr_symptom symptom, unsigned times,
+			 apr_time_t now)
+{
+	struct tr_worked_service *s = &roster->services[service];
+	double keep = exp(-(double)(now - s->lately_at) / 1e6 / LATELY_S);
+
+	s->lately_good *= keep;
+	s->lately_bad *= keep;
+	s->lately_at = now;
+	if (symptom == TR_SYMPTOM_OVERDUE || symptom == TR_SYMPTOM_FAILED)
+		s->lately_bad += times;
+	else if (symptom != TR_SYMPTOM_LONG && symptom != TR_SYMPTOM_LATE)
+		s->lately_good += times;
+}
+
+/* The share of the service's requests that failed lately. */
+double tr_service_failing(const struct tr_roster *roster, uint32_t service)
+{
+	const struct tr_worked_service *s = &roster->services[service];
+
+	return s->lately_bad / (s->lately_bad + s->lately_good + LATELY_PRIOR);
+}
+
 void tr_service_took(struct tr_roster *roster, uint32_t service,
 		     apr_time_t took)
 {
--- a/lib/roster.h
+++ b/lib/roster.h
@@ -48,6 +48,7 @@
 	apr_time_t unreachable_until;
 	uint32_t in_flight;
 	uint32_t others_in_flight;
+	apr_time_t used_at;
 	struct tr_symptom_totals own;
 	bool dirty;
 };
@@ -57,6 +58,9 @@
 	char name[TR_ID_MAX + 1];
 	double usual_us;
 	double weight;
+	double lately_good;
+	double lately_bad;
+	apr_time_t lately_at;
 };
 
 /*
@@ -91,6 +95,12 @@
 		      struct tr_target_record *record, apr_time_t now);
 bool tr_instance_usable(const struct tr_instance *row, apr_time_t now);
 
+/* Outcomes of the whole fleet's requests, as far as they are told. */
+void tr_service_outcomes(struct tr_roster *roster, uint32_t service,
+			 enum tr_symptom symptom, unsigned times,
+			 apr_time_t now);
+double tr_service_failing(const struct tr_roster *roster, uint32_t service);
+
 /* Learn how long work of a service takes; a mean over the last few dozen. */
 void tr_service_took(struct tr_roster *roster, uint32_t service,
 		     apr_time_t took);
