Floor always; watches of half a second; reload and pauses

An avoided target counts as sound again two seconds after its last failure.

Ruled out: a stale list (view_age below 600 ms in the log); a floor only while requests fail, which the closing fault passes by.

Change: the floor holds always, for services with enough requests; due after 1.4 s, taken on with a chance of 0.1. Watches wait 0.5 s instead of 1 s and a pace, since beats change nothing in the store and answers come at once only with news. SIGHUP and a changed file reload; requests after a pause wait for a current list.

--- a/entry/entry.c
+++ b/entry/entry.c
@@ -4,9 +4,22 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "entry_settings.h"
 #include "error.h"
 #include "eventlog.h"
 
+/* Take over the bounds of the settings. */
+void entry_set_bounds(struct entry *e)
+{
+	const struct entry_settings *s = e->settings;
+
+	e->repeat_bound = (struct tr_repeat_bound){
+		.ratio = s->bounds.repeat_ratio,
+		.slack = s->bounds.repeat_slack,
+		.window = s->repeat_window_us,
+	};
+}
+
 /* How long ago the list of targets was last known to be current. */
 apr_time_t entry_view_age(const struct entry *e)
 {
--- a/entry/entry.h
+++ b/entry/entry.h
@@ -52,6 +52,9 @@
 	double draw;
 	bool leaving;
 	bool ready;
+	apr_time_t stepped_at;
+	apr_time_t hold_until;
+	GPtrArray *held;
 	struct mesh *mesh;
 	struct reader *reader;
 	struct door front;
@@ -72,6 +75,7 @@
 		const char *from);
 void entry_offer_routes(struct entry *e, const struct store_item *item,
 			const char *from);
+void entry_set_bounds(struct entry *e);
 apr_time_t entry_view_age(const struct entry *e);
 struct tr_allowance *entry_allowance(struct entry *e, uint32_t service);
 
--- a/entry/exchange.c
+++ b/entry/exchange.c
@@ -29,6 +29,12 @@
 /* Golden ratio: steps of it spread weights evenly over any span of draws. */
 #define GOLDEN		  0.6180339887498949
 #define RETRY_AFTER_LEAST TR_MSEC(50)
+/* Between two turns of the loop's step, 25 ms apart, that tell of a pause; how
+ * old the list may be without holding requests after one; and how long they
+ * are held: a reader's answer and a message's way take a tenth of that. */
+#define PAUSED	  TR_MSEC(700)
+#define HELD_AGE  TR_MSEC(1500)
+#define HOLD_MOST TR_MSEC(300)
 
 struct exchange {
 	struct entry *e;
@@ -556,15 +562,12 @@
 		give_up(x, why);
 }
 
-static void handle(void *ctx, struct caller *caller)
+static void admit(struct entry *e, struct caller *caller)
 {
-	struct entry *e = ctx;
 	const struct message *in = &caller->in;
 	const char *host = message_header(in, "Host");
 	const struct tr_path_route *route;
 
-	e->counts.requests++;
-	caller->work = NULL;
 	if (!e->routes || !e->roster.current_at) {
 		refuse(caller, 503);
 		return;
@@ -589,6 +592,41 @@
 	start(e, caller, route);
 }
 
+/*
+ * After a pause of the process, what it knows is of before it: requests wait
+ * until the list is known to be current, or for a short time. One would notice
+ * by requests to targets that left meanwhile.
+ */
+static bool is_stale(struct entry *e)
+{
+	apr_time_t now = entry_now(e);
+
+	if (e->stepped_at && now - e->stepped_at > PAUSED)
+		e->hold_until = now + HOLD_MOST;
+	return now < e->hold_until && entry_view_age(e) > HELD_AGE;
+}
+
+static void handle(void *ctx, struct caller *caller)
+{
+	struct entry *e = ctx;
+
+	e->counts.requests++;
+	caller->work = NULL;
+	if (is_stale(e))
+		g_ptr_array_add(e->held, caller);
+	else
+		admit(e, caller);
+}
+
+/* Serve what was held, once the list is current or it has waited enough. */
+void exchange_serve_held(struct entry *e)
+{
+	if (!e->held->len || is_stale(e))
+		return;
+	while (e->held->len)
+		admit(e, g_ptr_array_remove_index(e->held, 0));
+}
+
 /*
  * The caller has left. What may repeat is cancelled at its target; what must
  * not goes on to its end, for nobody can take it back.
@@ -599,6 +637,7 @@
 	struct exchange *x = caller->work;
 
 	e->counts.callers_gone++;
+	g_ptr_array_remove(e->held, caller);
 	if (!x || x->done)
 		return;
 	x->caller = NULL;
--- a/entry/mesh.c
+++ b/entry/mesh.c
@@ -580,12 +580,23 @@
 	return -1;
 }
 
+/* Learn the seeds of the settings; they are called like lost VMs. */
+void mesh_seeds(struct mesh *mesh)
+{
+	const struct entry_settings *s = mesh->e->settings;
+	struct sockaddr_in seed;
+
+	for (unsigned i = 0; i < s->seeds_count; i++)
+		if (!stream_parse_address(s->seeds[i], &seed))
+			tr_membership_learn(&mesh->e->members,
+					    seed.sin_addr.s_addr);
+}
+
 /* Begin to listen and to call the seeds. NULL and err without the port. */
 struct mesh *mesh_open(struct entry *e, struct tr_error *err)
 {
 	struct mesh *mesh = calloc(1, sizeof(*mesh));
 	const struct entry_settings *s = e->settings;
-	struct sockaddr_in seed;
 	char address[64];
 
 	mesh->e = e;
@@ -607,9 +618,7 @@
 	}
 	/* Keeps datagrams of another fleet out; it is no secret. */
 	mesh->fleet = (uint32_t)tr_hash_string(s->store) ^ s->peer_port;
-	for (unsigned i = 0; i < s->seeds_count; i++)
-		if (!stream_parse_address(s->seeds[i], &seed))
-			tr_membership_learn(&e->members, seed.sin_addr.s_addr);
+	mesh_seeds(mesh);
 	loop_watch(e->loop, mesh->fd, LOOP_READ, readable, mesh);
 	return mesh;
 }
--- a/entry/mesh.h
+++ b/entry/mesh.h
@@ -8,6 +8,7 @@
 void mesh_tell_soon(struct mesh *mesh);
 void mesh_tell_list(struct mesh *mesh);
 void mesh_leaving(struct mesh *mesh);
+void mesh_seeds(struct mesh *mesh);
 void mesh_close(struct mesh *mesh);
 
 #endif
--- a/entry/reader.c
+++ b/entry/reader.c
@@ -15,20 +15,19 @@
 #include "eventlog.h"
 #include "mesh.h"
 
-/* Between two readings by one reader. Targets are written to every second or
- * so, so a watch returns at once: this is what bounds the calls, to some six a
- * second from two readers. A third of the shortest bound that news has (two
- * seconds) goes on here at most. */
-#define PACE TR_MSEC(330)
-/* The list is old when nobody has told of it for two paces. */
-#define OLD TR_MSEC(700)
+/* How long a watch waits for a change before it is answered without. Changes
+ * come at once; this bounds how old the list can be that a reader vouches for,
+ * at the price of a call each: two readers make four a second. */
+#define WATCH_WAIT TR_MSEC(500)
+/* Between two watches, when changes come in quick succession. */
+#define PACE TR_MSEC(50)
+/* The list is old when nobody has vouched for it for two waits. */
+#define OLD TR_MSEC(1000)
 /* What each VM before this one in the order adds to that, and the most. */
 #define OLD_A_RANK TR_MSEC(120)
 #define OLD_MOST   TR_MSEC(2500)
-/* How long a watch may wait for a change before it is answered without. */
-#define WATCH_WAIT TR_MSEC(1000)
 /* Answers take milliseconds, and in bad times some 60 times as long. */
-#define TIMEOUT TR_MSEC(1500)
+#define TIMEOUT TR_MSEC(700)
 /* After a failure; doubled up to the most, so that a store that is down is not
  * called by the whole fleet several times a second. */
 #define RETRY_FIRST TR_MSEC(250)
@@ -227,6 +226,12 @@
 		ask(r);
 }
 
+/* The settings have changed. */
+void reader_settings(struct reader *r)
+{
+	stream_parse_address(r->e->settings->store, &r->store);
+}
+
 /* This process stood still: whatever was asked before is void. */
 void reader_woke(struct reader *r)
 {
--- a/entry/reader.h
+++ b/entry/reader.h
@@ -5,6 +5,7 @@
 
 struct reader *reader_new(struct entry *e);
 void reader_step(struct reader *reader);
+void reader_settings(struct reader *reader);
 void reader_woke(struct reader *reader);
 void reader_free(struct reader *reader);
 
--- a/entry/toucanreel_entry.c
+++ b/entry/toucanreel_entry.c
@@ -9,6 +9,7 @@
 #include <stdlib.h>
 #include <string.h>
 #include <sys/random.h>
+#include <sys/stat.h>
 #include <unistd.h>
 
 #include "desk.h"
@@ -24,6 +25,12 @@
 #define EXIT_USAGE 2
 /* How often what is due is looked at: a third of the shortest period. */
 #define STEP TR_MSEC(25)
+/* A step that comes so late tells of a pause of the process or the VM; requests
+ * then wait at most this for news. */
+#define PAUSED		 TR_MSEC(700)
+#define HOLD_AFTER_PAUSE TR_MSEC(300)
+/* How often the settings file is looked at for a change without a signal. */
+#define SETTINGS_PERIOD TR_SEC(1)
 /* Of the time between the signal to stop and the kill: when idle connections
  * are closed, when new ones are refused, and when the process ends anyway. */
 #define STOP_IDLE_SHARE	  0.2
@@ -35,7 +42,9 @@
 	struct entry_settings *settings;
 	const char *path;
 	apr_time_t stop_since;
-	apr_time_t stepped_at;
+	GSList *old;
+	apr_time_t settings_seen_at;
+	struct timespec settings_changed;
 };
 
 static void step_stop(struct daemon *d, apr_time_t now)
@@ -53,13 +62,89 @@
 		loop_stop(e->loop);
 }
 
+/*
+ * Take over the settings as they are now. What is bound to a socket stays until
+ * the next start; a file that is wrong changes nothing.
+ */
+static void reload(struct daemon *d)
+{
+	struct entry *e = &d->e;
+	struct tr_error err = { 0 };
+	struct entry_settings *s;
+	char text[512];
+
+	snprintf(err.file, sizeof(err.file), "%s", d->path);
+	s = entry_settings_load(d->path, &err);
+	if (!s) {
+		tr_error_format(&err, text, sizeof(text));
+		eventlog(EVENT_FAILURE, "reload-refused", "why=\"%s\"", text);
+		return;
+	}
+	if (strcmp(s->front, d->settings->front) != 0 ||
+	    strcmp(s->ip, d->settings->ip) != 0 ||
+	    s->peer_port != d->settings->peer_port)
+		eventlog(EVENT_FAILURE, "reload-partial",
+			 "expected=\"a restart for new addresses\"");
+	/* Strings of the old settings are in use by the open doors. */
+	d->old = g_slist_prepend(d->old, d->settings);
+	d->settings = s;
+	e->settings = s;
+	entry_set_bounds(e);
+	reader_settings(e->reader);
+	mesh_seeds(e->mesh);
+	eventlog(EVENT_LIFE, "reload", "seeds=%u store=%s", s->seeds_count,
+		 s->store);
+}
+
+static struct timespec changed_at(const char *path)
+{
+	struct stat st;
+
+	if (stat(path, &st))
+		return (struct timespec){ 0 };
+	return st.st_mtim;
+}
+
+/* The file may change without a signal. */
+static void look_at_settings(struct daemon *d, apr_time_t now)
+{
+	struct timespec at;
+
+	if (now - d->settings_seen_at < SETTINGS_PERIOD)
+		return;
+	d->settings_seen_at = now;
+	at = changed_at(d->path);
+	if (at.tv_sec == d->settings_changed.tv_sec &&
+	    at.tv_nsec == d->settings_changed.tv_nsec)
+		return;
+	d->settings_changed = at;
+	if (at.tv_sec)
+		reload(d);
+}
+
+static void on_hangup(void *ctx)
+{
+	struct daemon *d = ctx;
+
+	d->settings_changed = changed_at(d->path);
+	reload(d);
+}
+
 static void step(void *ctx)
 {
 	struct daemon *d = ctx;
 	struct entry *e = &d->e;
 	apr_time_t now = entry_now(e);
 
-	d->stepped_at = now;
+	if (e->stepped_at && now - e->stepped_at > PAUSED) {
+		eventlog(EVENT_LIFE, "paused", "for_ms=%ld",
+			 (long)((now - e->stepped_at) / 1000));
+		reader_woke(e->reader);
+		e->hold_until = now + HOLD_AFTER_PAUSE;
+	}
+	e->stepped_at = now;
+	look_at_settings(d, now);
+	exchange_serve_held(e);
 	tr_roster_step(&e->roster, now);
 	reader_step(e->reader);
 	mesh_step(e->mesh);
@@ -144,11 +229,8 @@
 	e->dialect = &platform_dialect;
 	e->random.state = seeds[0];
 	e->draw = tr_random_unit(&e->random);
-	e->repeat_bound = (struct tr_repeat_bound){
-		.ratio = s->bounds.repeat_ratio,
-		.slack = s->bounds.repeat_slack,
-		.window = s->repeat_window_us,
-	};
+	e->held = g_ptr_array_new();
+	entry_set_bounds(e);
 	e->front.fd = e->directory.fd = -1;
 	e->readiness.fd = e->metrics.fd = -1;
 	inet_pton(AF_INET, s->ip, &ip);
@@ -171,6 +253,7 @@
 	tr_roster_release(&e->roster);
 	tr_routes_drop(e->routes);
 	g_free(e->allowances);
+	g_ptr_array_free(e->held, TRUE);
 	loop_destroy(e->loop);
 }
 
@@ -202,6 +285,8 @@
 		fprintf(stderr, "toucanreel-entry: out of memory\n");
 		return EXIT_FAILURE;
 	}
+	d.settings_changed = changed_at(path);
+	loop_on_hangup(d.e.loop, on_hangup, &d);
 	loop_on_signals(d.e.loop, on_signal, &d);
 	if (open_all(&d, &err)) {
 		code = say(&err);
@@ -218,6 +303,7 @@
 	}
 	close_all(&d);
 	entry_settings_free(d.settings);
+	g_slist_free_full(d.old, (GDestroyNotify)entry_settings_free);
 	return code;
 }
 
--- a/lib/place.c
+++ b/lib/place.c
@@ -35,16 +35,16 @@
 #define OWN_SAYS 0.5
 /* A target that nobody has used for so long is due for a request: so that one
  * a second comes about in spite of the messages' delay. */
-#define DUE_AFTER TR_MSEC(1200)
-/* Share of a service's requests that must fail before unused targets are due:
- * below it leaving some out harms nobody, and trying them costs requests (1.9%
- * of all on quiet days). Operators look from a tenth on. */
-#define DUE_FAILING 0.085
+#define DUE_AFTER TR_MSEC(1400)
+/* Requests a target of the service within the span of the recent outcomes, from
+ * which on each can have its own: below it chance leaves some out, and what is
+ * left out says nothing. */
+#define DUE_LEAST_WORK 2.5
 /* Chance with which a VM takes that on itself, since others see it as well. */
-#define DUE_CHANCE 0.25
+#define DUE_CHANCE 0.1
 /* Above the share that the operators demand, since this VM's view of which
  * targets are sound is not theirs. */
-#define FLOOR_MARGIN 0.04
+#define FLOOR_MARGIN 0.05
 /* A wait that ends with less than this part of the usual time left for the
  * work is hopeless. */
 #define LEAST_WORK 0.5
@@ -89,8 +89,7 @@
 	unsigned all = 0;
 	unsigned safer = 0;
 
-	if (tr_service_failing(roster, wish->service) < DUE_FAILING ||
-	    now - row->used_at < DUE_AFTER ||
+	if (now - row->used_at < DUE_AFTER ||
 	    now - row->known_since < DUE_AFTER ||
 	    row->in_flight + row->others_in_flight ||
 	    tr_random_unit(random) > DUE_CHANCE)
@@ -104,6 +103,8 @@
 		all++;
 		safer += other != row && risk_of(other, now) < risk;
 	}
+	if (tr_service_lately(roster, wish->service) < DUE_LEAST_WORK * all)
+		return false;
 	return safer < (wish->floor_share + FLOOR_MARGIN) * all;
 }
 
--- a/lib/roster.c
+++ b/lib/roster.c
@@ -21,8 +21,6 @@
 /* Span of the recent outcomes: that of the windows in which operators look at
  * how much of a service works. */
 #define LATELY_S 2.0
-/* Good outcomes that are taken as given, while few are known. */
-#define LATELY_PRIOR 5.0
 /* Weight of the newest time in the mean once it has settled: 1 in 40. */
 #define MEAN_SPAN 40.0
 
@@ -281,12 +279,13 @@
 		s->lately_good += times;
 }
 
-/* The share of the service's requests that failed lately. */
-double tr_service_failing(const struct tr_roster *roster, uint32_t service)
+/* How many of the service's requests came to an end lately, by the last one
+ * that this VM has heard of. */
+double tr_service_lately(const struct tr_roster *roster, uint32_t service)
 {
 	const struct tr_worked_service *s = &roster->services[service];
 
-	return s->lately_bad / (s->lately_bad + s->lately_good + LATELY_PRIOR);
+	return s->lately_bad + s->lately_good;
 }
 
 void tr_service_took(struct tr_roster *roster, uint32_t service,
--- a/lib/roster.h
+++ b/lib/roster.h
@@ -99,7 +99,7 @@
 void tr_service_outcomes(struct tr_roster *roster, uint32_t service,
 			 enum tr_symptom symptom, unsigned times,
 			 apr_time_t now);
-double tr_service_failing(const struct tr_roster *roster, uint32_t service);
+double tr_service_lately(const struct tr_roster *roster, uint32_t service);
 
 /* Learn how long work of a service takes; a mean over the last few dozen. */
 void tr_service_took(struct tr_roster *roster, uint32_t service,
--- a/src/loop.c
+++ b/src/loop.c
@@ -46,6 +46,7 @@
 	struct hook hooks[MAX_HOOKS];
 	int hooks_count;
 	struct hook on_signal;
+	struct hook on_hangup;
 	int signal_fd;
 	bool running;
 	struct tr_clock clock;
@@ -291,10 +292,20 @@
 	struct signalfd_siginfo info;
 
 	(void)events;
-	if (read(fd, &info, sizeof(info)) == (ssize_t)sizeof(info))
+	if (read(fd, &info, sizeof(info)) != (ssize_t)sizeof(info))
+		return;
+	if (info.ssi_signo == SIGHUP)
+		loop->on_hangup.fn(loop->on_hangup.ctx);
+	else
 		loop->on_signal.fn(loop->on_signal.ctx);
 }
 
+/* Call fn for each SIGHUP, from the loop; to be said before loop_on_signals. */
+void loop_on_hangup(struct loop *loop, loop_fn fn, void *ctx)
+{
+	loop->on_hangup = (struct hook){ fn, ctx };
+}
+
 /* Call fn for each SIGTERM or SIGINT, from the loop. */
 void loop_on_signals(struct loop *loop, loop_fn fn, void *ctx)
 {
@@ -304,6 +315,8 @@
 	sigemptyset(&set);
 	sigaddset(&set, SIGTERM);
 	sigaddset(&set, SIGINT);
+	if (loop->on_hangup.fn)
+		sigaddset(&set, SIGHUP);
 	sigprocmask(SIG_BLOCK, &set, NULL);
 	loop->on_signal = (struct hook){ fn, ctx };
 	loop->signal_fd = signalfd(-1, &set, SFD_NONBLOCK | SFD_CLOEXEC);
--- a/src/loop.h
+++ b/src/loop.h
@@ -26,6 +26,7 @@
 void loop_before_poll(struct loop *loop, loop_fn fn, void *ctx);
 void loop_run(struct loop *loop);
 void loop_stop(struct loop *loop);
+void loop_on_hangup(struct loop *loop, loop_fn fn, void *ctx);
 void loop_on_signals(struct loop *loop, loop_fn fn, void *ctx);
 const struct tr_clock *loop_clock(const struct loop *loop);
 uint64_t loop_wall(void *ctx);
