--- a/entry/exchange.c
+++ b/entry/exchange.c
@@ -13,6 +13,7 @@
 
 #include "entry_settings.h"
 #include "eventlog.h"
+#include "mesh.h"
 #include "place.h"
 #include "upstream.h"
 
@@ -287,6 +288,7 @@
 		.head_only = !strcmp(x->method, "HEAD"),
 		.expected = usual_of(x) + p->wait,
 	};
+	int res;
 
 	if (row->cold_until > entry_now(e))
 		request.expected += usual_of(x);
@@ -294,8 +296,12 @@
 	x->there[x->tried_count] = row->in_flight + row->others_in_flight;
 	x->tried[x->tried_count++] = p->row;
 	x->runs++;
-	return upstream_start(free_try(x), e, p->row, &request, upstream_done,
-			      x);
+	res = upstream_start(free_try(x), e, p->row, &request, upstream_done,
+			     x);
+	/* Before the others send one too. */
+	if (p->due)
+		mesh_tell_now(e->mesh);
+	return res;
 }
 
 static const char *const place_words[] = { "found", "no-target", "all-tried",
--- a/entry/mesh.c
+++ b/entry/mesh.c
@@ -381,9 +381,9 @@
 		told->target = row->hash;
 	}
 	row->others_in_flight += in->in_flight - told->in_flight;
-	told->in_flight = (uint16_t)in->in_flight;
-	if (in->in_flight)
+	if (in->in_flight > told->in_flight)
 		row->used_at = now;
+	told->in_flight = (uint16_t)in->in_flight;
 	for (int s = 0; s < TR_SYMPTOMS; s++) {
 		uint16_t news = totals.count[s] - told->totals.count[s];
 
@@ -393,7 +393,10 @@
 		tr_gray_add(&row->gray, (enum tr_symptom)s, news, now);
 		tr_service_outcomes(roster, row->service, (enum tr_symptom)s,
 				    news, now);
-		row->used_at = now;
+		/* Prompt, so it was begun a moment ago. What hangs is no sign
+		 * that the target is being used. */
+		if (s == TR_SYMPTOM_GOOD)
+			row->used_at = now;
 	}
 	told->totals = totals;
 }
@@ -527,8 +530,8 @@
 	tell_all(mesh);
 }
 
-/* Tell at once that this VM is leaving. */
-void mesh_leaving(struct mesh *mesh)
+/* Tell at once, without regard to the pace. */
+void mesh_tell_now(struct mesh *mesh)
 {
 	tell_all(mesh);
 }
--- a/entry/mesh.h
+++ b/entry/mesh.h
@@ -7,7 +7,7 @@
 void mesh_step(struct mesh *mesh);
 void mesh_tell_soon(struct mesh *mesh);
 void mesh_tell_list(struct mesh *mesh);
-void mesh_leaving(struct mesh *mesh);
+void mesh_tell_now(struct mesh *mesh);
 void mesh_seeds(struct mesh *mesh);
 void mesh_close(struct mesh *mesh);
 
--- a/entry/message.c
+++ b/entry/message.c
@@ -34,7 +34,7 @@
 static int on_field(http_parser *p, const char *at, size_t len)
 {
 	struct message *msg = of(p);
-	struct message_header next;
+	struct message_field next;
 
 	if (head_grew(msg, len))
 		return 1;
@@ -52,11 +52,11 @@
 static int on_value(http_parser *p, const char *at, size_t len)
 {
 	struct message *msg = of(p);
-	struct message_header *last;
+	struct message_field *last;
 
 	if (head_grew(msg, len) || !msg->headers->len)
 		return 1;
-	last = &g_array_index(msg->headers, struct message_header,
+	last = &g_array_index(msg->headers, struct message_field,
 			      msg->headers->len - 1);
 	if (!msg->in_value) {
 		g_string_append_c(msg->text, 0);
@@ -120,7 +120,7 @@
 {
 	memset(msg, 0, sizeof(*msg));
 	msg->text = g_string_sized_new(512);
-	msg->headers = g_array_new(FALSE, FALSE, sizeof(struct message_header));
+	msg->headers = g_array_new(FALSE, FALSE, sizeof(struct message_field));
 	msg->body = g_byte_array_new();
 	msg->head_most = head_most;
 	msg->body_most = body_most;
@@ -189,16 +189,16 @@
 
 const char *message_name_at(const struct message *msg, unsigned i)
 {
-	const struct message_header *h =
-		&g_array_index(msg->headers, struct message_header, i);
+	const struct message_field *h =
+		&g_array_index(msg->headers, struct message_field, i);
 
 	return msg->text->str + h->name;
 }
 
 const char *message_value_at(const struct message *msg, unsigned i)
 {
-	const struct message_header *h =
-		&g_array_index(msg->headers, struct message_header, i);
+	const struct message_field *h =
+		&g_array_index(msg->headers, struct message_field, i);
 
 	/* A header without a value has no zero of its own before it. */
 	return h->value == h->name ? "" : msg->text->str + h->value;
--- a/entry/message.h
+++ b/entry/message.h
@@ -6,7 +6,7 @@
 #include <stdbool.h>
 
 /* One header; offsets into the message's text. */
-struct message_header {
+struct message_field {
 	uint32_t name;
 	uint32_t value;
 };
--- a/entry/toucanreel_entry.c
+++ b/entry/toucanreel_entry.c
@@ -178,7 +178,7 @@
 	e->members.nodes[0].leaving = true;
 	e->front.closing = true;
 	eventlog(EVENT_LIFE, "stop", "in_hand=%u", e->exchanges_count);
-	mesh_leaving(e->mesh);
+	mesh_tell_now(e->mesh);
 }
 
 static int open_door(struct daemon *d, struct door *door, const char *field,
--- a/lib/gray.c
+++ b/lib/gray.c
@@ -10,8 +10,8 @@
 
 #include "clock.h"
 
-/* Odds before any outcome: one target in twenty is gray. */
-#define PRIOR_ODDS (-3.0)
+/* The chance that a target of which nothing is known is gray. */
+#define PRIOR 0.06
 /* Log-odds never leave this range: past it more of the same says nothing new,
  * and the way back must not take longer than a spell lasts. The lower bound is
  * near the prior, so that a target that is known to be well is not preferred
@@ -19,10 +19,10 @@
  * targets, and five of six sound ones got none for two seconds. */
 #define MOST_ODDS  5.0
 #define LEAST_ODDS (-3.5)
-/* Time in which odds drift back by a factor of e. Gray spells of some seconds
- * are what operators report; shorter forgets a target that hangs before its
- * requests could show it. */
-#define DRIFT_S 4.0
+/* Time in which what is known of a target fades by a factor of e. Gray spells
+ * of some seconds are what operators report; where every target was used
+ * throughout, spells of 7 to 9 s were seen. */
+#define FADE_S 6.0
 
 /* What an outcome adds, ln P(it | gray) / P(it | well), with three of four
  * requests failing at a gray target and one in fifty at a well one. */
@@ -48,30 +48,20 @@
 	[TR_STAGE_OVERDUE] = 4,
 };
 
-/* A target that failed before is the likelier to fail again: this part of what
- * speaks against it stays for longer, and good outcomes take it back slowly.
- * Without it a target that goes on failing is tried every seven seconds. */
-#define RELAPSE_PART	  0.25
-#define RELAPSE_GOOD_PART 0.08
-#define RELAPSE_MOST	  2.5
-#define RELAPSE_DRIFT_S	  30.0
-
-static double relapse_at(const struct tr_gray *gray, double s)
+static double chance(double odds)
 {
-	return gray->relapse * exp(-s / RELAPSE_DRIFT_S);
+	return 1 / (1 + exp(-odds));
 }
 
-static double drifted(const struct tr_gray *gray, apr_time_t now)
+/* Without news the chance goes back to the prior, as that of a chain with two
+ * states does. */
+static double faded(const struct tr_gray *gray, apr_time_t now)
 {
 	double s = (double)(now - gray->at) / 1e6;
-	double prior;
 
 	if (!gray->at)
-		return PRIOR_ODDS;
-	if (s <= 0)
-		return gray->odds;
-	prior = PRIOR_ODDS + relapse_at(gray, s);
-	return prior + (gray->odds - prior) * exp(-s / DRIFT_S);
+		return PRIOR;
+	return PRIOR + (chance(gray->odds) - PRIOR) * exp(-fmax(s, 0) / FADE_S);
 }
 
 /* Take in an outcome that was seen so many times. */
@@ -88,13 +78,9 @@
 		[TR_SYMPTOM_LATE_GOOD] = LATE_GOOD_STEP,
 		[TR_SYMPTOM_SLOW] = SLOW_STEP,
 	};
-	double step = steps[symptom] * times;
-	double odds = drifted(gray, now) + step;
-	double s = gray->at ? (double)(now - gray->at) / 1e6 : 0;
-	double part = step > 0 ? RELAPSE_PART : RELAPSE_GOOD_PART;
+	double p = faded(gray, now);
+	double odds = log(p / (1 - p)) + steps[symptom] * times;
 
-	gray->relapse = relapse_at(gray, s > 0 ? s : 0) + step * part;
-	gray->relapse = fmin(RELAPSE_MOST, fmax(0, gray->relapse));
 	gray->odds = fmin(MOST_ODDS, fmax(LEAST_ODDS, odds));
 	gray->at = now;
 }
@@ -102,7 +88,7 @@
 /* From 0 to 1. */
 double tr_gray_probability(const struct tr_gray *gray, apr_time_t now)
 {
-	return 1 / (1 + exp(-drifted(gray, now)));
+	return faded(gray, now);
 }
 
 /* How long a request runs until it comes to a stage, in us. */
--- a/lib/gray.h
+++ b/lib/gray.h
@@ -35,13 +35,9 @@
 	uint16_t count[TR_SYMPTOMS];
 };
 
-/*
- * Log-odds that a target is gray now, how much more likely than others it is to
- * become so again, and the time they hold for.
- */
+/* Log-odds that a target is gray now, and the time they hold for. */
 struct tr_gray {
 	double odds;
-	double relapse;
 	apr_time_t at;
 };
 
--- a/lib/place.c
+++ b/lib/place.c
@@ -33,21 +33,23 @@
 #define COLD_FACTOR 1.0
 /* From here on what this VM alone has seen outweighs the fleet's view. */
 #define OWN_SAYS 0.5
-/* A target that nobody has used for so long is due for a request: so that one
- * a second comes about in spite of the messages' delay. */
-#define DUE_AFTER TR_MSEC(1400)
+/* A target that nobody has used for so long is due for a request, so that each
+ * gets one in any two seconds, the window in which operators look. The VM that
+ * sends it tells the others at once. */
+#define DUE_AFTER TR_MSEC(1700)
+/* Above this chance of being gray a target is not due: it is not one of the
+ * sound ones, and most of what it got would be lost. */
+#define DUE_RISK 0.35
 /* Requests a target of the service within the span of the recent outcomes, from
  * which on each can have its own: below it chance leaves some out, and what is
  * left out says nothing. */
 #define DUE_LEAST_WORK 2.5
-/* Chance with which a VM takes that on itself, since others see it as well. */
-#define DUE_CHANCE 0.1
 /* Above the share that the operators demand, since this VM's view of which
  * targets are sound is not theirs. */
-#define FLOOR_MARGIN 0.05
+#define FLOOR_MARGIN 0.03
 /* A wait that ends with less than this part of the usual time left for the
  * work is hopeless. */
-#define LEAST_WORK 0.5
+#define LEAST_WORK 1.0
 
 static double gumbel(struct tr_random *random)
 {
@@ -82,17 +84,14 @@
  * targets without a request for seconds.
  */
 static bool is_due(const struct tr_roster *roster, const struct tr_wish *wish,
-		   const struct tr_instance *row, struct tr_random *random,
-		   apr_time_t now)
+		   const struct tr_instance *row, apr_time_t now)
 {
 	double risk = risk_of(row, now);
 	unsigned all = 0;
 	unsigned safer = 0;
 
-	if (now - row->used_at < DUE_AFTER ||
-	    now - row->known_since < DUE_AFTER ||
-	    row->in_flight + row->others_in_flight ||
-	    tr_random_unit(random) > DUE_CHANCE)
+	if (risk > DUE_RISK || now - row->used_at < DUE_AFTER ||
+	    now - row->known_since < DUE_AFTER)
 		return false;
 	for (uint32_t i = 0; i < roster->count; i++) {
 		const struct tr_instance *other = &roster->rows[i];
@@ -171,11 +170,12 @@
 			continue;
 		p.cost = cost_of(row, wish, now, &p);
 		if ((double)p.wait + (double)wish->usual * LEAST_WORK >
-		    (double)wish->time_left)
+		    (double)(wish->aim_left > wish->usual ? wish->aim_left
+							  : wish->time_left))
 			continue;
 		fitting++;
 		p.cost -= BLUR * gumbel(random);
-		p.due = is_due(roster, wish, row, random, now);
+		p.due = is_due(roster, wish, row, now);
 		p.cost -= p.due;
 		if (p.cost < placing->cost)
 			*placing = p;
--- /dev/null
+++ b/tests/entry_path_test.cc
@@ -0,0 +1,436 @@
+/*
+ * The whole path of an entry VM over loopback: the real program, a store and a
+ * target that the tests play.
+ */
+#include <atomic>
+#include <chrono>
+#include <csignal>
+#include <cstring>
+#include <fcntl.h>
+#include <fstream>
+#include <gtest/gtest.h>
+#include <sys/wait.h>
+
+#include "http_fake.h"
+
+extern "C" {
+#include <glib.h>
+}
+
+namespace
+{
+
+std::string base64(const std::string &text)
+{
+	g_autofree char *out = g_base64_encode(
+		reinterpret_cast<const guchar *>(text.data()), text.size());
+
+	return out;
+}
+
+std::string http(int status, const std::string &headers,
+		 const std::string &body)
+{
+	return "HTTP/1.1 " + std::to_string(status) + " X\r\n" + headers +
+	       "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" +
+	       body;
+}
+
+std::string header(const std::string &text, const std::string &name)
+{
+	size_t at = text.find("\r\n" + name + ": ");
+
+	if (at == std::string::npos)
+		return "";
+	at += name.size() + 4;
+	return text.substr(at, text.find("\r\n", at) - at);
+}
+
+int status_of(const std::string &answer)
+{
+	return answer.size() < 12 ? 0 : std::stoi(answer.substr(9, 3));
+}
+
+uint16_t free_port()
+{
+	sockaddr_in addr{};
+	socklen_t len = sizeof(addr);
+	int fd = socket(AF_INET, SOCK_STREAM, 0);
+
+	addr.sin_family = AF_INET;
+	addr.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	if (bind(fd, (sockaddr *)&addr, sizeof(addr)))
+		abort();
+	getsockname(fd, (sockaddr *)&addr, &len);
+	close(fd);
+	return ntohs(addr.sin_port);
+}
+
+class Entry : public testing::Test
+{
+      protected:
+	HttpFake::Handler at_target = [](const std::string &request) {
+		return http(200,
+			    "X-Request-Id: " + header(request, "X-Request-Id") +
+				    "\r\nX-Server-Stamp: s.1\r\n",
+			    "fine");
+	};
+	std::atomic<int> version{ 1 };
+	std::atomic<bool> store_away{ false };
+	std::atomic<bool> config_cut{ false };
+	HttpFake target{ [this](const std::string &r) {
+		return at_target(r);
+	} };
+	HttpFake store{ [this](const std::string &r) { return stored(r); } };
+	uint16_t front = free_port(), ready = free_port(),
+		 directory = free_port(), peer = free_port();
+	std::string path;
+	pid_t pid = -1;
+	int log_fd = -1;
+
+	std::string config()
+	{
+		std::string text =
+			R"({"version":)" + std::to_string(version.load()) +
+			R"(,"routes":{"columns":["name","host","prefix",)"
+			R"("kind","timeout","targetLatency","priority",)"
+			R"("maxAttempts","service"],"rows":[["r1","h.x",)"
+			R"("/read/","safe","3s","1s",1,2,"s1"],["r2","h.x",)"
+			R"("/order/","unsafe","3s","1s",1,2,"s1"]]},)"
+			R"("services":{"columns":["name","healthPath",)"
+			R"("maxConns"],"rows":[["s1","/health",10]]},)"
+			R"("limits":{"maxHeaderBytes":4096,"maxBodyBytes":)"
+			R"(1000,"headerTimeout":"3s","idleTimeout":"9s"}})";
+
+		return config_cut ? text.substr(0, text.size() / 2) : text;
+	}
+
+	std::string item(const std::string &key, const std::string &value,
+			 int rev)
+	{
+		return R"({"key":")" + key + R"(","value":")" + base64(value) +
+		       R"(","rev":)" + std::to_string(rev) + "}";
+	}
+
+	std::string stored(const std::string &request)
+	{
+		std::string entry =
+			R"({"address":"127.0.0.1:)" +
+			std::to_string(target.port) +
+			R"(","info":{"service":"s1","zone":"z","slots":3},)"
+			R"("status":{"state":"ready","coldLeft":"0ms"}})";
+		std::string items = item("op/config", config(), 10 + version) +
+				    "," + item("servers/i-1", entry, 5);
+		bool watch = request.find("kv-watch") != std::string::npos;
+
+		if (store_away)
+			return http(503, "", "");
+		if (watch)
+			std::this_thread::sleep_for(
+				std::chrono::milliseconds(20));
+		return http(200, "",
+			    watch ? R"({"events":[)" + items + R"(],"asOf":)" +
+					    std::to_string(10 + version) + "}"
+				  : R"({"items":[)" + items +
+					    R"(],"hasMore":false,"asOf":)" +
+					    std::to_string(10 + version) + "}");
+	}
+
+	void write_settings()
+	{
+		std::string ip = "127.0.0.1";
+		std::ofstream out(path);
+
+		out << "name: vm-1\nip: " << ip << "\ndata_centre: z\n"
+		    << "front: " << ip << ":" << front << "\n"
+		    << "ready: " << ip << ":" << ready << "\n"
+		    << "directory: " << ip << ":" << directory << "\n"
+		    << "store: " << ip << ":" << store.port << "\n"
+		    << "peer_port: " << peer << "\nseeds: []\nbounds:\n"
+		    << "  repeat_ratio: 0.2\n  repeat_slack: 50\n"
+		    << "  floor_share: 0.7\n  repeat_window: 10s\n"
+		    << "  keep_most: 5s\n  grace: 3s\n  drain: 2s\n";
+	}
+
+	void start()
+	{
+		int ends[2];
+
+		path = testing::TempDir() + "entry-" +
+		       std::to_string(getpid()) + "-" + std::to_string(front) +
+		       ".yaml";
+		write_settings();
+		ASSERT_EQ(pipe2(ends, O_CLOEXEC), 0);
+		pid = fork();
+		if (!pid) {
+			dup2(ends[1], STDOUT_FILENO);
+			execl(ENTRY_PROGRAM, "toucanreel-entry", "--settings",
+			      path.c_str(), nullptr);
+			_exit(127);
+		}
+		close(ends[1]);
+		log_fd = ends[0];
+	}
+
+	void start_ready()
+	{
+		start();
+		ASSERT_TRUE(becomes([this] { return readiness() == 200; }));
+	}
+
+	void TearDown() override
+	{
+		if (pid > 0) {
+			kill(pid, SIGKILL);
+			waitpid(pid, nullptr, 0);
+		}
+		if (log_fd >= 0)
+			close(log_fd);
+		unlink(path.c_str());
+	}
+
+	/* Wait for what must come, for as long as a slow machine may need. */
+	bool becomes(const std::function<bool()> &what)
+	{
+		for (int i = 0; i < 1000; i++) {
+			if (what())
+				return true;
+			std::this_thread::sleep_for(
+				std::chrono::milliseconds(20));
+		}
+		return false;
+	}
+
+	int readiness()
+	{
+		return status_of(http_ask(ready, "GET /v1/readiness HTTP/1.1"
+						 "\r\nHost: x\r\n\r\n"));
+	}
+
+	std::string ask(const std::string &line, const std::string &more = "",
+			const std::string &body = "")
+	{
+		return http_ask(
+			front,
+			line +
+				" HTTP/1.1\r\nHost: h.x\r\nX-Request-Id: id-7"
+				"\r\nX-Deadline-Ms: 2500\r\n" +
+				more +
+				(body.empty()
+					 ? ""
+					 : "Content-Length: " +
+						   std::to_string(body.size()) +
+						   "\r\n") +
+				"\r\n" + body);
+	}
+
+	/* What the log holds until now. */
+	std::string log()
+	{
+		std::string text;
+		char buf[4096];
+		ssize_t n;
+
+		fcntl(log_fd, F_SETFL, O_NONBLOCK);
+		while ((n = read(log_fd, buf, sizeof(buf))) > 0)
+			text.append(buf, (size_t)n);
+		return text;
+	}
+};
+
+TEST_F(Entry, ARequestGoesToItsTargetAndItsAnswerBack)
+{
+	start_ready();
+	std::string answer = ask("GET /read/a?b=c", "X-Other: kept\r\n");
+
+	EXPECT_EQ(status_of(answer), 200) << answer;
+	EXPECT_EQ(header(answer, "X-Server-Stamp"), "s.1");
+	EXPECT_EQ(header(answer, "X-Request-Id"), "id-7");
+	ASSERT_EQ(target.seen().size(), 1u);
+	std::string sent = target.seen()[0];
+	EXPECT_EQ(sent.substr(0, 24), "GET /read/a?b=c HTTP/1.1");
+	EXPECT_EQ(header(sent, "X-Expect-Instance"), "i-1");
+	EXPECT_EQ(header(sent, "X-Other"), "kept");
+	EXPECT_LE(std::stoi(header(sent, "X-Deadline-Ms")), 2500);
+	EXPECT_EQ(status_of(ask("GET /none/")), 404);
+}
+
+TEST_F(Entry, LookupsNameTheVm)
+{
+	start_ready();
+	std::string answer =
+		http_ask(directory, "GET /v1/resolve?name=h.x&region=r&zone=z "
+				    "HTTP/1.1\r\nHost: x\r\n\r\n");
+
+	EXPECT_NE(answer.find("\"127.0.0.1:" + std::to_string(front) + "\""),
+		  std::string::npos)
+		<< answer;
+	EXPECT_NE(answer.find("\"ttl\":\"5000ms\""), std::string::npos);
+}
+
+TEST_F(Entry, WithoutAConfigurationNothingIsSaidToBeMissing)
+{
+	store_away = true;
+	start();
+	ASSERT_TRUE(becomes([this] { return readiness() == 503; }));
+	std::string answer = ask("GET /read/a");
+	EXPECT_EQ(status_of(answer), 503);
+	EXPECT_NE(header(answer, "Retry-After"), "");
+	store_away = false;
+	EXPECT_TRUE(becomes([this] { return readiness() == 200; }));
+}
+
+/*
+ * Symptom: an order is run twice, or is said not to have run though it has.
+ * Sequence: a target reads it and its connection ends without an answer.
+ * Cause: it was sent again, or refused with a promise.
+ */
+TEST_F(Entry, WhatMayHaveRunIsNeitherSentAgainNorDenied)
+{
+	at_target = [](const std::string &) { return std::string(); };
+	start_ready();
+	EXPECT_EQ(status_of(ask("POST /order/1", "", "body")), 502);
+	EXPECT_EQ(target.seen().size(), 1u);
+}
+
+TEST_F(Entry, ARefusalWithoutProofIsNoPromise)
+{
+	at_target = [](const std::string &) { return http(503, "", ""); };
+	start_ready();
+	EXPECT_EQ(status_of(ask("POST /order/1", "", "body")), 502);
+}
+
+TEST_F(Entry, AProvenRefusalTellsWhenToComeBack)
+{
+	at_target = [](const std::string &) {
+		return http(503, "X-Not-Executed: 1\r\n", "");
+	};
+	start_ready();
+	std::string answer = ask("POST /order/1", "", "body");
+
+	EXPECT_EQ(status_of(answer), 503);
+	EXPECT_GT(std::stod(header(answer, "Retry-After")), 0);
+}
+
+TEST_F(Entry, ACutAnswerIsNoSuccess)
+{
+	at_target = [](const std::string &) {
+		return std::string("HTTP/1.1 200 OK\r\nX-Server-Stamp: s\r\n"
+				   "Connection: close\r\nContent-Length: 90"
+				   "\r\n\r\nhalf");
+	};
+	start_ready();
+	EXPECT_EQ(status_of(ask("POST /order/1", "", "body")), 502);
+}
+
+/*
+ * Symptom: a caller gets another's answer. Sequence: a target sends an answer
+ * of an earlier request before this one's. Cause: the first answer on a
+ * connection was taken for that of the request; its id was not looked at.
+ */
+TEST_F(Entry, AnAnswerToAnotherRequestIsPutAway)
+{
+	at_target = [](const std::string &request) {
+		return http(200, "X-Request-Id: other\r\nX-Server-Stamp: x\r\n",
+			    "not yours") +
+		       http(200,
+			    "X-Request-Id: " + header(request, "X-Request-Id") +
+				    "\r\nX-Server-Stamp: s.1\r\n",
+			    "yours");
+	};
+	start_ready();
+	std::string answer = ask("POST /order/1", "", "body");
+
+	EXPECT_EQ(status_of(answer), 200);
+	EXPECT_EQ(answer.substr(answer.size() - 5), "yours");
+}
+
+TEST_F(Entry, LimitsOfTheConfigurationHold)
+{
+	start_ready();
+	EXPECT_EQ(status_of(ask("POST /order/1", "", std::string(1001, 'x'))),
+		  413);
+	EXPECT_EQ(status_of(ask("GET /read/",
+				"Big: " + std::string(5000, 'x') + "\r\n")),
+		  431);
+	EXPECT_EQ(target.seen().size(), 0u);
+}
+
+/* A configuration that cannot be read stays out, and a line says why. */
+TEST_F(Entry, ACutConfigurationChangesNothing)
+{
+	std::string lines;
+
+	start_ready();
+	config_cut = true;
+	version = 2;
+	ASSERT_TRUE(becomes([&] {
+		lines += log();
+		return lines.find("event=routes-refused") != std::string::npos;
+	}));
+	EXPECT_NE(lines.find("key=op/config revision=12"), std::string::npos);
+	EXPECT_EQ(status_of(ask("GET /read/a")), 200);
+}
+
+/*
+ * Symptom: the VM stops serving while its log is not read. Cause: a write to a
+ * full pipe waits for the reader. Here nobody reads, and far more than a pipe
+ * holds is logged.
+ */
+TEST_F(Entry, ALogThatNobodyReadsStopsNothing)
+{
+	start_ready();
+	for (int i = 0; i < 1200; i++)
+		ASSERT_EQ(status_of(ask("GET /read/a")), 200) << i;
+}
+
+TEST_F(Entry, ATermEndsTheProcessAfterItsWork)
+{
+	int status = -1;
+
+	start_ready();
+	kill(pid, SIGTERM);
+	ASSERT_TRUE(becomes([this] { return readiness() != 200; }));
+	ASSERT_TRUE(
+		becomes([&] { return waitpid(pid, &status, WNOHANG) == pid; }));
+	pid = -1;
+	EXPECT_TRUE(WIFEXITED(status));
+	EXPECT_EQ(WEXITSTATUS(status), 0);
+}
+
+TEST_F(Entry, AHangupReloadsAndAWrongFileChangesNothing)
+{
+	std::string lines;
+
+	start_ready();
+	kill(pid, SIGHUP);
+	ASSERT_TRUE(becomes([&] {
+		lines += log();
+		return lines.find("event=reload ") != std::string::npos;
+	}));
+	std::ofstream(path, std::ios::app) << "colour: blue\n";
+	ASSERT_TRUE(becomes([&] {
+		lines += log();
+		return lines.find("event=reload-refused") != std::string::npos;
+	}));
+	EXPECT_NE(lines.find("colour"), std::string::npos);
+	EXPECT_EQ(status_of(ask("GET /read/a")), 200);
+}
+
+TEST(EntrySettings, AMissingFieldIsNamed)
+{
+	std::string path = testing::TempDir() + "entry-wrong.yaml";
+	std::string command = std::string(ENTRY_PROGRAM) +
+			      " --check --settings " + path + " 2>&1";
+	char text[512] = "";
+
+	std::ofstream(path) << "name: vm\nip: 1.2.3.4\n";
+	FILE *out = popen(command.c_str(), "r");
+	ASSERT_NE(out, nullptr);
+	EXPECT_NE(fgets(text, sizeof(text), out), nullptr);
+	EXPECT_NE(pclose(out), 0);
+	EXPECT_NE(strstr(text, "entry-wrong.yaml"), nullptr) << text;
+	EXPECT_NE(strstr(text, "data_centre"), nullptr) << text;
+}
+
+} // namespace
--- /dev/null
+++ b/tests/membership_test.cc
@@ -0,0 +1,151 @@
+#include <gtest/gtest.h>
+#include <vector>
+
+extern "C" {
+#include "clock.h"
+#include "membership.h"
+}
+
+namespace
+{
+
+struct Membership : testing::Test {
+	tr_membership m{};
+	apr_time_t now = TR_SEC(100);
+
+	void SetUp() override
+	{
+		tr_membership_init(&m, 1, 11, "dc-1");
+		m.nodes[0].ready = true;
+	}
+
+	void TearDown() override
+	{
+		tr_membership_release(&m);
+	}
+
+	tr_node *hear(uint32_t ip, uint64_t boot, uint64_t sequence,
+		      const char *centre = "dc-1", bool *restarted = nullptr)
+	{
+		tr_node_news news{};
+		bool ignored;
+
+		news.ip = ip;
+		news.boot = boot;
+		news.sequence = sequence;
+		news.data_centre = centre;
+		news.ready = true;
+		return tr_membership_heard(&m, &news, now,
+					   restarted ? restarted : &ignored);
+	}
+};
+
+TEST_F(Membership, AVmThatKnowsNobodyIsAliveAndReads)
+{
+	EXPECT_EQ(tr_membership_alive(&m, now), 1u);
+	EXPECT_TRUE(tr_membership_reads(&m, now));
+}
+
+/*
+ * Symptom: a restarted VM is taken for its earlier self and then forgotten
+ * again. Sequence: a late datagram of before the restart comes after the first
+ * one of after it. Cause: of two incarnations the last heard was believed.
+ */
+TEST_F(Membership, AnEarlierIncarnationDoesNotComeBack)
+{
+	bool restarted = false;
+
+	ASSERT_NE(hear(2, 20, 9), nullptr);
+	ASSERT_NE(hear(2, 21, 1, "dc-1", &restarted), nullptr);
+	EXPECT_TRUE(restarted);
+	EXPECT_EQ(hear(2, 20, 10), nullptr);
+	EXPECT_EQ(hear(2, 21, 1), nullptr);
+	EXPECT_NE(hear(2, 21, 2), nullptr);
+}
+
+TEST_F(Membership, SilentVmsAreNotNamedToCallers)
+{
+	tr_node *node = hear(2, 20, 1);
+
+	EXPECT_TRUE(tr_node_takes_callers(&m, node, now));
+	now += TR_MSEC(1300);
+	EXPECT_FALSE(tr_node_takes_callers(&m, node, now));
+	EXPECT_TRUE(tr_node_alive(&m, node, now));
+	now += TR_MSEC(1300);
+	EXPECT_FALSE(tr_node_alive(&m, node, now));
+}
+
+/*
+ * Symptom: after a herd of VMs is killed, some never see each other again.
+ * Sequence: all seeds of a restarted VM are dead. Cause: survivors had
+ * forgotten the addresses of the lost.
+ */
+TEST_F(Membership, LostVmsAreCalledForEver)
+{
+	hear(2, 20, 1);
+	now += TR_SEC(3600);
+	tr_node *lost = tr_membership_lost(&m, now);
+	ASSERT_NE(lost, nullptr);
+	EXPECT_EQ(lost->ip, 2u);
+	lost->called_at = now;
+	EXPECT_EQ(tr_membership_lost(&m, now), nullptr);
+	now += TR_SEC(2);
+	EXPECT_NE(tr_membership_lost(&m, now), nullptr);
+}
+
+/* What arrives at a VM stays level as the fleet grows. */
+TEST_F(Membership, ThePeriodGrowsWithTheFleet)
+{
+	for (uint32_t ip = 2; ip <= 300; ip++)
+		hear(ip, ip, 1);
+	apr_time_t period = tr_membership_period(&m, now);
+	EXPECT_LE(300.0 / (static_cast<double>(period) / 1e6), 70.0);
+}
+
+/* All VMs with the same view agree on two readers in two data centres. */
+TEST_F(Membership, ReadersStandInDifferentDataCentres)
+{
+	std::vector<std::string> centres;
+
+	for (uint32_t me = 1; me <= 16; me++) {
+		tr_membership v{};
+		tr_node_news news{};
+		bool restarted;
+		auto centre = [](uint32_t ip) {
+			return "dc-" + std::to_string(ip % 4);
+		};
+
+		tr_membership_init(&v, me, me, centre(me).c_str());
+		for (uint32_t ip = 1; ip <= 16; ip++) {
+			std::string name = centre(ip);
+
+			if (ip == me)
+				continue;
+			news.ip = ip;
+			news.boot = ip;
+			news.sequence = 1;
+			news.data_centre = name.c_str();
+			tr_membership_heard(&v, &news, now, &restarted);
+		}
+		if (tr_membership_reads(&v, now))
+			centres.push_back(centre(me));
+		tr_membership_release(&v);
+	}
+	ASSERT_EQ(centres.size(), 2u);
+	EXPECT_NE(centres[0], centres[1]);
+}
+
+/*
+ * Symptom: the list grows old though most VMs reach the store. Sequence: the
+ * store turns the readers away and serves the others. Cause: readers stayed
+ * readers while they could not read.
+ */
+TEST_F(Membership, AReaderThatCannotReadIsReplaced)
+{
+	for (uint32_t ip = 2; ip <= 8; ip++)
+		hear(ip, ip, 1)->cannot_read = true;
+	EXPECT_TRUE(tr_membership_reads(&m, now));
+	EXPECT_EQ(tr_membership_rank(&m, now), 0u);
+}
+
+} // namespace
--- /dev/null
+++ b/tests/message_test.cc
@@ -0,0 +1,133 @@
+#include <gtest/gtest.h>
+#include <string>
+
+extern "C" {
+#include "message.h"
+}
+
+namespace
+{
+
+struct Message : testing::Test {
+	message msg{};
+
+	void start(http_parser_type type, size_t head = 4096,
+		   size_t body = 4096)
+	{
+		message_init(&msg, type, head, body);
+	}
+
+	void TearDown() override
+	{
+		message_free(&msg);
+	}
+
+	ssize_t feed(const std::string &text)
+	{
+		return message_feed(&msg, text.data(), text.size());
+	}
+
+	std::string body()
+	{
+		return std::string(reinterpret_cast<char *>(msg.body->data),
+				   msg.body->len);
+	}
+};
+
+TEST_F(Message, ReadsARequestByteByByte)
+{
+	std::string text = "POST /a/b?c=d HTTP/1.1\r\nHost: h\r\nEmpty:\r\n"
+			   "Content-Length: 3\r\n\r\nxyz";
+
+	start(HTTP_REQUEST);
+	for (char c : text)
+		ASSERT_EQ(feed(std::string(1, c)), 1);
+	ASSERT_TRUE(msg.complete);
+	EXPECT_STREQ(message_target(&msg), "/a/b?c=d");
+	EXPECT_STREQ(message_header(&msg, "host"), "h");
+	EXPECT_STREQ(message_header(&msg, "Empty"), "");
+	EXPECT_EQ(message_header(&msg, "none"), nullptr);
+	EXPECT_EQ(body(), "xyz");
+}
+
+/*
+ * Symptom: a request that nobody sent is run. Sequence: two lengths, of which
+ * one reader takes the first and another the second; a request hides in the
+ * difference. Cause: ambiguous framing was passed on.
+ */
+TEST_F(Message, AmbiguousFramingIsRefused)
+{
+	start(HTTP_REQUEST);
+	EXPECT_EQ(feed("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n"
+		       "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n"),
+		  -1);
+	message_reset(&msg);
+	EXPECT_EQ(feed("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n"
+		       "Content-Length: 4\r\n\r\nabcd"),
+		  -1);
+}
+
+TEST_F(Message, TheNextRequestIsLeftToTheCaller)
+{
+	std::string first = "GET /1 HTTP/1.1\r\nHost: h\r\n\r\n";
+	std::string second = "GET /2 HTTP/1.1\r\nHost: h\r\n\r\n";
+
+	start(HTTP_REQUEST);
+	EXPECT_EQ(feed(first + second), (ssize_t)first.size());
+	EXPECT_STREQ(message_target(&msg), "/1");
+	message_reset(&msg);
+	EXPECT_EQ(feed(second), (ssize_t)second.size());
+	EXPECT_STREQ(message_target(&msg), "/2");
+}
+
+TEST_F(Message, LimitsHold)
+{
+	start(HTTP_REQUEST, 100, 10);
+	EXPECT_EQ(feed("GET / HTTP/1.1\r\nLong: " + std::string(200, 'x') +
+		       "\r\n\r\n"),
+		  -1);
+	EXPECT_TRUE(msg.too_long_head);
+	message_reset(&msg);
+	EXPECT_EQ(feed("POST / HTTP/1.1\r\nContent-Length: 11\r\n\r\n"), -1);
+	EXPECT_TRUE(msg.too_long_body);
+	message_reset(&msg);
+	EXPECT_EQ(feed("POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"
+		       "b\r\n12345678901\r\n"),
+		  -1);
+	EXPECT_TRUE(msg.too_long_body);
+}
+
+/*
+ * Symptom: a caller gets a success with half a body. Sequence: a target's
+ * connection ends in the middle of an answer. Cause: the end of the stream was
+ * taken for the end of the answer.
+ */
+TEST_F(Message, ACutAnswerIsNotComplete)
+{
+	start(HTTP_RESPONSE);
+	feed("HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhalf");
+	EXPECT_FALSE(message_end_of_stream(&msg));
+	message_reset(&msg);
+	feed("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf");
+	EXPECT_FALSE(message_end_of_stream(&msg));
+}
+
+TEST_F(Message, AnAnswerWithoutALengthEndsWithItsStream)
+{
+	start(HTTP_RESPONSE);
+	feed("HTTP/1.1 200 OK\r\n\r\nall of it");
+	EXPECT_FALSE(msg.complete);
+	EXPECT_FALSE(msg.framed);
+	EXPECT_TRUE(message_end_of_stream(&msg));
+	EXPECT_EQ(body(), "all of it");
+}
+
+TEST_F(Message, NoBodyFollowsTheAnswerToHead)
+{
+	start(HTTP_RESPONSE);
+	msg.head_only = true;
+	feed("HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\n");
+	EXPECT_TRUE(msg.complete);
+}
+
+} // namespace
--- /dev/null
+++ b/tests/place_test.cc
@@ -0,0 +1,347 @@
+#include <algorithm>
+#include <gtest/gtest.h>
+#include <map>
+#include <vector>
+
+extern "C" {
+#include "allowance.h"
+#include "clock.h"
+#include "place.h"
+}
+
+namespace
+{
+
+struct Place : testing::Test {
+	tr_roster roster{};
+	tr_random random{ 42 };
+	apr_time_t now = TR_SEC(100);
+	tr_wish wish{};
+
+	void SetUp() override
+	{
+		wish.service = tr_roster_service(&roster, "svc");
+		wish.kind = TR_KIND_UNSAFE;
+		wish.usual = TR_MSEC(250);
+		wish.aim_left = TR_SEC(1);
+		wish.time_left = TR_SEC(2);
+		wish.data_centre = "dc-1";
+		wish.floor_share = 0.7;
+	}
+
+	void TearDown() override
+	{
+		tr_roster_release(&roster);
+	}
+
+	tr_instance *add(const char *id, const char *centre = "dc-1")
+	{
+		tr_target_record r{};
+
+		snprintf(r.id, sizeof(r.id), "%s", id);
+		snprintf(r.service, sizeof(r.service), "svc");
+		snprintf(r.address, sizeof(r.address), "10.0.0.1:80");
+		snprintf(r.data_centre, sizeof(r.data_centre), "%s", centre);
+		r.slots = 3;
+		r.revision = 1;
+		tr_roster_apply(&roster, &r, now - TR_SEC(60));
+		roster.rows[roster.count - 1].used_at = now;
+		return &roster.rows[roster.count - 1];
+	}
+
+	void add_many(unsigned n)
+	{
+		for (unsigned i = 0; i < n; i++)
+			add(("t" + std::to_string(i)).c_str());
+	}
+
+	std::map<uint32_t, int> draw(int times)
+	{
+		std::map<uint32_t, int> counts;
+		tr_placing p;
+
+		for (int i = 0; i < times; i++) {
+			EXPECT_EQ(tr_place(&roster, &wish, &random, now, &p),
+				  TR_PLACE_FOUND);
+			counts[p.row]++;
+		}
+		return counts;
+	}
+};
+
+TEST_F(Place, AGrayTargetIsLeftOut)
+{
+	add_many(4);
+	tr_gray_add(&roster.rows[2].gray, TR_SYMPTOM_FAILED, 2, now);
+	EXPECT_EQ(draw(500)[2], 0);
+}
+
+/*
+ * Symptom: a new target gets six requests at once, hangs, and all are lost.
+ * Sequence: its cold time ends; it is idle, and the cheapest for all VMs until
+ * they hear of each other's requests. Cause: all took the one cheapest.
+ */
+TEST_F(Place, AnIdleTargetIsNotTakenByAllAtOnce)
+{
+	add_many(5);
+	for (int i = 0; i < 4; i++)
+		roster.rows[i].others_in_flight = 1;
+	EXPECT_LT(draw(1000)[4], 700);
+}
+
+TEST_F(Place, BusyTargetsComeAfterFreeOnes)
+{
+	add_many(2);
+	roster.rows[0].others_in_flight = 6;
+	EXPECT_LT(draw(500)[0], 25);
+}
+
+/*
+ * Symptom: a request waits for its whole timeout and is then refused. Sequence:
+ * all targets have queues that are longer than its time. Cause: it was sent, or
+ * kept, though it could not be done any more.
+ */
+TEST_F(Place, WhatCannotBeDoneInTimeIsSaidAtOnce)
+{
+	tr_placing p;
+
+	add_many(2);
+	roster.rows[0].others_in_flight = 60;
+	roster.rows[1].others_in_flight = 60;
+	EXPECT_EQ(tr_place(&roster, &wish, &random, now, &p),
+		  TR_PLACE_TOO_LATE);
+}
+
+TEST_F(Place, TriedTargetsAreNotTriedAgain)
+{
+	uint32_t tried[2] = { 0, 1 };
+	tr_placing p;
+
+	add_many(2);
+	wish.tried = tried;
+	wish.tried_count = 1;
+	EXPECT_EQ(draw(50)[0], 0);
+	wish.tried_count = 2;
+	EXPECT_EQ(tr_place(&roster, &wish, &random, now, &p),
+		  TR_PLACE_ALL_TRIED);
+}
+
+TEST_F(Place, ALeavingTargetGetsNothing)
+{
+	tr_placing p;
+
+	add("a")->leaving = true;
+	EXPECT_EQ(tr_place(&roster, &wish, &random, now, &p),
+		  TR_PLACE_NONE_KNOWN);
+}
+
+TEST_F(Place, ALargeBodyStaysInItsDataCentreWhileThereIsRoom)
+{
+	add("near");
+	add("far", "dc-2");
+	wish.body_bytes = 60000;
+	EXPECT_LT(draw(500)[1], 25);
+	roster.rows[0].others_in_flight = 9;
+	EXPECT_GT(draw(500)[1], 400);
+}
+
+/*
+ * Symptom: five of six sound targets get nothing for two seconds. Sequence:
+ * many targets fail at the same time and are well again; all are suspect, and
+ * the few that are not get all the work. Cause: suspicion knew no floor. Here
+ * the last two of eight seconds are looked at.
+ */
+TEST_F(Place, AShareOfTheTargetsIsUsedInSpiteOfSuspicion)
+{
+	std::map<uint32_t, int> counts;
+
+	add_many(10);
+	for (int i = 3; i < 10; i++) {
+		tr_gray_add(&roster.rows[i].gray, TR_SYMPTOM_FAILED, 1,
+			    now + i);
+		roster.rows[i].used_at = now - TR_SEC(2);
+	}
+	for (int i = 0; i < 800; i++) {
+		tr_placing p;
+
+		tr_service_outcomes(&roster, wish.service, TR_SYMPTOM_GOOD, 1,
+				    now);
+		ASSERT_EQ(tr_place(&roster, &wish, &random, now, &p),
+			  TR_PLACE_FOUND);
+		counts[p.row] += i >= 600;
+		roster.rows[p.row].used_at = now;
+		now += TR_MSEC(10);
+	}
+	EXPECT_GE(std::count_if(counts.begin(), counts.end(),
+				[](const auto &c) { return c.second > 0; }),
+		  7);
+}
+
+/* Of a service with hardly any requests, nothing is due. */
+TEST_F(Place, AQuietServiceKeepsAwayFromSuspects)
+{
+	add_many(4);
+	tr_gray_add(&roster.rows[3].gray, TR_SYMPTOM_FAILED, 1, now);
+	roster.rows[3].used_at = now - TR_SEC(5);
+	EXPECT_EQ(draw(200)[3], 0);
+}
+
+/*
+ * Symptom: refused callers all come back at the same moment and are refused
+ * again. Cause: one Retry-After for all.
+ */
+TEST_F(Place, ReturnsAreSpread)
+{
+	std::vector<apr_time_t> after;
+
+	add_many(2);
+	roster.rows[0].others_in_flight = 12;
+	roster.rows[1].others_in_flight = 12;
+	for (int i = 0; i < 100; i++)
+		after.push_back(tr_place_return_after(
+			&roster, wish.service, wish.usual, &random, now));
+	EXPECT_GT(*std::max_element(after.begin(), after.end()),
+		  *std::min_element(after.begin(), after.end()) * 3 / 2);
+	EXPECT_GE(*std::min_element(after.begin(), after.end()), wish.usual);
+}
+
+/*
+ * Plays a load of twice the slots on the decision: 8 VMs that hear of each
+ * other after 50 ms, 10 targets of 3 slots, 250 ms of work, 240 requests a
+ * second. Slots must stay busy, and what is refused must be refused at once.
+ */
+TEST(PlaceLoad, TwiceTheLoadKeepsSlotsBusyAndRefusesAtOnce)
+{
+	constexpr int VMS = 8, TARGETS = 10, SLOTS = 3;
+	constexpr apr_time_t STEP = TR_MSEC(10), WORK = TR_MSEC(250);
+	std::vector<tr_roster> views(VMS);
+	std::vector<std::vector<apr_time_t>> ends(TARGETS);
+	std::vector<std::vector<int>> shared(VMS, std::vector<int>(TARGETS));
+	struct Running {
+		int vm, target;
+		apr_time_t end;
+	};
+	std::vector<Running> running;
+	tr_random random{ 7 };
+	int done = 0, refused = 0, late = 0;
+	double owed = 0;
+
+	for (auto &view : views) {
+		view = {};
+		tr_roster_service(&view, "svc");
+		for (int t = 0; t < TARGETS; t++) {
+			tr_target_record r{};
+
+			snprintf(r.id, sizeof(r.id), "t%d", t);
+			snprintf(r.service, sizeof(r.service), "svc");
+			snprintf(r.data_centre, sizeof(r.data_centre), "dc");
+			r.slots = SLOTS;
+			r.revision = 1;
+			tr_roster_apply(&view, &r, 0);
+		}
+	}
+	for (apr_time_t now = TR_SEC(10); now < TR_SEC(30); now += STEP) {
+		for (size_t i = 0; i < running.size();) {
+			Running &r = running[i];
+
+			if (r.end > now) {
+				i++;
+				continue;
+			}
+			views[r.vm].rows[r.target].in_flight--;
+			done++;
+			running[i] = running.back();
+			running.pop_back();
+		}
+		if (now % TR_MSEC(50) == 0)
+			for (int v = 0; v < VMS; v++)
+				for (int t = 0; t < TARGETS; t++) {
+					int sum = 0;
+
+					for (int o = 0; o < VMS; o++)
+						if (o != v)
+							sum += (int)views[o]
+								       .rows[t]
+								       .in_flight;
+					views[v].rows[t].others_in_flight =
+						(uint32_t)sum;
+					views[v].rows[t].used_at = now;
+				}
+		for (owed += 2.4; owed >= 1; owed -= 1) {
+			int vm = (int)tr_random_below(&random, VMS);
+			tr_wish wish{};
+			tr_placing p;
+
+			wish.kind = TR_KIND_UNSAFE;
+			wish.usual = WORK;
+			wish.aim_left = TR_SEC(1);
+			wish.time_left = TR_SEC(2);
+			wish.data_centre = "dc";
+			if (tr_place(&views[vm], &wish, &random, now, &p) !=
+			    TR_PLACE_FOUND) {
+				refused++;
+				continue;
+			}
+			auto &busy = ends[p.row];
+			apr_time_t start = now;
+
+			busy.erase(std::remove_if(busy.begin(), busy.end(),
+						  [&](apr_time_t e) {
+							  return e <= now;
+						  }),
+				   busy.end());
+			std::sort(busy.begin(), busy.end());
+			if (busy.size() >= SLOTS)
+				start = busy[busy.size() - SLOTS];
+			busy.push_back(start + WORK);
+			views[vm].rows[p.row].in_flight++;
+			running.push_back({ vm, (int)p.row, start + WORK });
+			late += start + WORK > now + TR_SEC(2);
+		}
+	}
+	/* 30 slots at 250 ms do 120 a second: 2,400 in 20 s. */
+	EXPECT_GT(done, 2250);
+	EXPECT_GT(refused, 1500);
+	EXPECT_LT(late, 100);
+	for (auto &view : views)
+		tr_roster_release(&view);
+}
+
+/*
+ * Symptom: repeats grow while a service is failing and keep it down. Cause:
+ * every VM had a budget of its own with no regard to how many VMs there are.
+ */
+TEST(Allowance, TheFleetKeepsItsBound)
+{
+	tr_repeat_bound bound = { 0.2, 56, TR_SEC(10) };
+	std::vector<tr_allowance> vms(32);
+	apr_time_t now = TR_SEC(1000);
+	int repeats = 0;
+
+	for (int i = 0; i < 1000; i++) {
+		tr_allowance &vm = vms[(size_t)i % 32];
+
+		now += TR_MSEC(10);
+		tr_allowance_request(&vm, &bound, now);
+		repeats += tr_allowance_spend(&vm, &bound, 32, now);
+	}
+	EXPECT_GT(repeats, 100);
+	EXPECT_LE(repeats, 1000 * 0.2 + 56);
+}
+
+TEST(Allowance, OldRequestsAllowNothing)
+{
+	tr_repeat_bound bound = { 0.2, 0, TR_SEC(10) };
+	tr_allowance vm{};
+	apr_time_t now = TR_SEC(1000);
+	int repeats = 0;
+
+	for (int i = 0; i < 100; i++)
+		tr_allowance_request(&vm, &bound, now);
+	now += TR_SEC(60);
+	for (int i = 0; i < 20; i++)
+		repeats += tr_allowance_spend(&vm, &bound, 1, now);
+	EXPECT_LE(repeats, 1);
+}
+
+} // namespace
--- /dev/null
+++ b/tests/platform_test.cc
@@ -0,0 +1,234 @@
+#include <cstring>
+#include <gtest/gtest.h>
+#include <string>
+
+extern "C" {
+#include "dialect.h"
+#include "error.h"
+#include "platform.h"
+}
+
+namespace
+{
+
+struct Page {
+	store_page page{};
+	tr_error err{};
+
+	Page()
+	{
+		store_page_init(&page);
+	}
+
+	~Page()
+	{
+		store_page_clear(&page);
+	}
+
+	int read(const std::string &text)
+	{
+		return platform_dialect.read_page(text.data(), text.size(),
+						  &page, &err);
+	}
+
+	store_item *item(guint i)
+	{
+		return &g_array_index(page.items, store_item, i);
+	}
+};
+
+std::string base64(const std::string &text)
+{
+	g_autofree char *out = g_base64_encode(
+		reinterpret_cast<const guchar *>(text.data()), text.size());
+
+	return out;
+}
+
+store_item item_of(const char *key, std::string &text)
+{
+	store_item item{};
+
+	item.key = const_cast<char *>(key);
+	item.value = &text[0];
+	item.value_len = text.size();
+	item.revision = 5;
+	return item;
+}
+
+const char *const CONFIG =
+	R"({"version":7,"routes":{"columns":["name","host","prefix","kind",)"
+	R"("timeout","targetLatency","priority","trafficSplit","maxAttempts",)"
+	R"("service"],"rows":[["r1","h.example","/a/","safe","1500ms",)"
+	R"("1000ms",2,[{"service":"s1","weight":90},{"service":"s2",)"
+	R"("weight":10}],2,null],["r2","h.example","/b/","unsafe","2s",)"
+	R"("1000ms",1,null,2,"s2"]]},"services":{"columns":["name",)"
+	R"("healthPath","maxConns"],"rows":[["s1","/health",330],)"
+	R"(["s2","/health",330]]},"limits":{"maxHeaderBytes":16384,)"
+	R"("maxBodyBytes":67108864,"headerTimeout":"3000ms",)"
+	R"("idleTimeout":"15000ms"}})";
+
+TEST(Platform, ReadsAListing)
+{
+	Page p;
+
+	ASSERT_EQ(p.read(R"({"items":[{"key":"servers/i-1","value":")" +
+			 base64("hello") +
+			 R"(","rev":9,"createRevision":1,"lease":3}],)"
+			 R"("hasMore":true,"asOf":530})"),
+		  0);
+	EXPECT_EQ(p.page.as_of, 530u);
+	EXPECT_TRUE(p.page.more);
+	ASSERT_EQ(p.page.items->len, 1u);
+	EXPECT_STREQ(p.item(0)->key, "servers/i-1");
+	EXPECT_EQ(p.item(0)->revision, 9u);
+	EXPECT_EQ(std::string(p.item(0)->value, p.item(0)->value_len), "hello");
+}
+
+TEST(Platform, ReadsWhatHasChanged)
+{
+	Page p;
+
+	ASSERT_EQ(p.read(R"({"events":[{"key":"servers/i-1","rev":10,)"
+			 R"("removed":true}],"asOf":11})"),
+		  0);
+	EXPECT_TRUE(p.item(0)->removed);
+	EXPECT_FALSE(p.page.more);
+}
+
+/*
+ * Symptom: all targets vanish. Sequence: the store answers with half a page, or
+ * with something else, and 200. Cause: what could not be read was taken for an
+ * empty list.
+ */
+TEST(Platform, NonsenseIsAnErrorThatSaysWhatWasExpected)
+{
+	const char *const wrong[] = {
+		"",
+		"[]",
+		"{\"items\":[",
+		"{\"items\":{},\"asOf\":1}",
+		"{\"items\":[]}",
+		"{\"items\":[{\"key\":1}],\"asOf\":1}",
+		"{\"items\":[{\"key\":\"k\",\"rev\":1}],\"asOf\":1}",
+	};
+
+	for (const char *text : wrong) {
+		Page p;
+
+		EXPECT_EQ(p.read(text), -1) << text;
+		EXPECT_STRNE(p.err.expected, "") << text;
+	}
+}
+
+TEST(Platform, ReadsATarget)
+{
+	std::string text =
+		R"({"address":"10.1.0.9:80","info":{"service":"s1",)"
+		R"("version":"v1","zone":"z","slots":3},"status":)"
+		R"({"state":"draining","sequence":4,"coldLeft":"1.5s"}})";
+	store_item item = item_of("servers/i-7f", text);
+	tr_target_record r;
+	tr_error err{};
+
+	ASSERT_EQ(platform_dialect.read_target(&item, &r, &err), 0);
+	EXPECT_STREQ(r.id, "i-7f");
+	EXPECT_STREQ(r.service, "s1");
+	EXPECT_STREQ(r.data_centre, "z");
+	EXPECT_EQ(r.slots, 3u);
+	EXPECT_TRUE(r.leaving);
+	EXPECT_EQ(r.cold_for, 1500000);
+	EXPECT_EQ(r.revision, 5u);
+}
+
+TEST(Platform, ATargetWithoutAnAddressIsRefused)
+{
+	std::string text = R"({"info":{"service":"s1","zone":"z"},)"
+			   R"("status":{"state":"ready"}})";
+	store_item item = item_of("servers/i-7f", text);
+	tr_target_record r;
+	tr_error err{};
+
+	EXPECT_EQ(platform_dialect.read_target(&item, &r, &err), -1);
+	EXPECT_STREQ(err.field, "address");
+}
+
+TEST(Platform, ReadsAConfiguration)
+{
+	std::string text = CONFIG;
+	store_item item = item_of("op/config", text);
+	tr_error err{};
+	tr_routes *r = platform_dialect.read_routes(&item, &err);
+
+	ASSERT_NE(r, nullptr) << err.field << err.expected;
+	EXPECT_EQ(r->version, 7u);
+	EXPECT_EQ(r->limits.idle_timeout, 15000000);
+	const tr_path_route *a = tr_routes_match(r, "h.example", 9, "/a/x");
+	ASSERT_NE(a, nullptr);
+	EXPECT_EQ(a->kind, TR_KIND_SAFE);
+	EXPECT_EQ(a->timeout, 1500000);
+	EXPECT_EQ(a->split_count, 2u);
+	EXPECT_EQ(a->split[1].weight, 10);
+	const tr_path_route *b = tr_routes_match(r, "h.example", 9, "/b/");
+	ASSERT_NE(b, nullptr);
+	EXPECT_STREQ(r->services[b->split[0].service].name, "s2");
+	tr_routes_drop(r);
+}
+
+/* Every prefix of a configuration is no configuration. */
+TEST(Platform, ACutConfigurationIsRefused)
+{
+	std::string whole = CONFIG;
+
+	for (size_t n = 0; n < whole.size(); n++) {
+		std::string text = whole.substr(0, n);
+		store_item item = item_of("op/config", text);
+		tr_error err{};
+
+		EXPECT_EQ(platform_dialect.read_routes(&item, &err), nullptr)
+			<< n;
+		EXPECT_NE(err.code, TR_OK) << n;
+	}
+}
+
+TEST(Platform, AConfigurationWithAnUnknownServiceIsRefused)
+{
+	std::string text = CONFIG;
+	size_t at = text.rfind("\"s2\"]]}");
+
+	ASSERT_NE(at, std::string::npos);
+	text.replace(text.find("null,2,\"s2\""), 11, "null,2,\"sX\"");
+	store_item item = item_of("op/config", text);
+	tr_error err{};
+
+	EXPECT_EQ(platform_dialect.read_routes(&item, &err), nullptr);
+	EXPECT_STREQ(err.field, "service");
+}
+
+/* A field that is new to this version does no harm. */
+TEST(Platform, UnknownColumnsAreIgnored)
+{
+	std::string text = CONFIG;
+
+	text.replace(text.find("\"limits\""), 8,
+		     "\"colour\":\"blue\",\"limits\"");
+	store_item item = item_of("op/config", text);
+	tr_error err{};
+	tr_routes *r = platform_dialect.read_routes(&item, &err);
+
+	EXPECT_NE(r, nullptr);
+	tr_routes_drop(r);
+}
+
+TEST(Platform, PathsEscapeWhatTheyCarry)
+{
+	g_autofree char *list =
+		platform_dialect.list_path("servers/", "servers/a b&c");
+	g_autofree char *watch = platform_dialect.watch_path("", 411, 500000);
+
+	EXPECT_STREQ(list, "/v1/kv-range?prefix=servers/"
+			   "&after=servers/a%20b%26c");
+	EXPECT_STREQ(watch, "/v1/kv-watch?prefix=&after=411&waitMs=500");
+}
+
+} // namespace
--- /dev/null
+++ b/tests/roster_test.cc
@@ -0,0 +1,182 @@
+#include <gtest/gtest.h>
+
+extern "C" {
+#include "clock.h"
+#include "roster.h"
+}
+
+namespace
+{
+
+tr_target_record record(const char *id, uint64_t revision)
+{
+	tr_target_record r{};
+
+	snprintf(r.id, sizeof(r.id), "%s", id);
+	snprintf(r.service, sizeof(r.service), "svc");
+	snprintf(r.address, sizeof(r.address), "10.0.0.1:80");
+	snprintf(r.data_centre, sizeof(r.data_centre), "dc-1");
+	r.slots = 3;
+	r.revision = revision;
+	return r;
+}
+
+struct Roster : testing::Test {
+	tr_roster roster{};
+	apr_time_t now = TR_SEC(100);
+
+	void TearDown() override
+	{
+		tr_roster_release(&roster);
+	}
+
+	tr_instance *row(const char *id)
+	{
+		for (unsigned i = 0; i < roster.count; i++)
+			if (!strcmp(roster.rows[i].id, id))
+				return &roster.rows[i];
+		return nullptr;
+	}
+
+	void apply(const char *id, uint64_t revision, bool leaving = false,
+		   bool gone = false)
+	{
+		tr_target_record r = record(id, revision);
+
+		r.leaving = leaving;
+		r.gone = gone;
+		tr_roster_apply(&roster, &r, now);
+	}
+};
+
+/*
+ * Symptom: a target that is leaving gets new work. Sequence: one reader tells
+ * that it leaves, then a slower one tells what it read before. Cause: the later
+ * telling is taken for the newer.
+ */
+TEST_F(Roster, AnOlderRevisionChangesNothing)
+{
+	apply("a", 7, true);
+	apply("a", 6);
+	EXPECT_FALSE(tr_instance_usable(row("a"), now));
+}
+
+TEST_F(Roster, WhatIsGoneStaysGoneForOlderNews)
+{
+	apply("a", 5);
+	apply("a", 9, false, true);
+	apply("a", 8);
+	EXPECT_TRUE(row("a")->gone);
+}
+
+TEST_F(Roster, ATargetIsGoneAtOnceInCalmTimes)
+{
+	apply("a", 5);
+	tr_roster_current(&roster, 5, 0, now);
+	apply("a", 6, false, true);
+	EXPECT_FALSE(tr_instance_usable(row("a"), now));
+}
+
+/*
+ * Symptom: after the store comes back nothing is served for two seconds.
+ * Sequence: the store is away, leases run out, it returns with half of the
+ * entries missing, and their targets register again within two seconds. Cause:
+ * a missing entry was taken for a target that is gone.
+ */
+TEST_F(Roster, AfterAnInterruptionMissingTargetsHaveTimeToRegister)
+{
+	apply("a", 5);
+	tr_roster_current(&roster, 5, 0, now);
+	now += TR_SEC(8);
+	tr_roster_current(&roster, 9, 0, now);
+	tr_roster_drop_unlisted(&roster, nullptr, 0, 9, now);
+	EXPECT_TRUE(tr_instance_usable(row("a"), now));
+	now += TR_MSEC(1000);
+	tr_roster_step(&roster, now);
+	EXPECT_TRUE(tr_instance_usable(row("a"), now));
+	now += TR_MSEC(1000);
+	tr_roster_step(&roster, now);
+	EXPECT_FALSE(tr_instance_usable(row("a"), now));
+}
+
+TEST_F(Roster, ATargetThatRegistersAgainStays)
+{
+	apply("a", 5);
+	tr_roster_current(&roster, 5, 0, now);
+	now += TR_SEC(8);
+	tr_roster_current(&roster, 9, 0, now);
+	tr_roster_drop_unlisted(&roster, nullptr, 0, 9, now);
+	apply("a", 11);
+	now += TR_SEC(5);
+	tr_roster_step(&roster, now);
+	EXPECT_TRUE(tr_instance_usable(row("a"), now));
+}
+
+/* One that said that it leaves is not waited for. */
+TEST_F(Roster, ALeavingTargetDoesNotLapse)
+{
+	apply("a", 5, true);
+	tr_roster_current(&roster, 5, 0, now);
+	now += TR_SEC(8);
+	tr_roster_current(&roster, 9, 0, now);
+	tr_roster_drop_unlisted(&roster, nullptr, 0, 9, now);
+	EXPECT_TRUE(row("a")->gone);
+}
+
+/*
+ * Symptom: a new target vanishes for a moment. Sequence: a list is read as of
+ * revision 9, a target is added at 10 and heard of, then the list is applied.
+ * Cause: what a list does not name was dropped though it is newer.
+ */
+TEST_F(Roster, AListDropsNothingThatIsNewer)
+{
+	apply("a", 10);
+	tr_roster_drop_unlisted(&roster, nullptr, 0, 9, now);
+	EXPECT_TRUE(tr_instance_usable(row("a"), now));
+}
+
+TEST_F(Roster, TheDigestIsThatOfTheListAndNotOfItsOrder)
+{
+	tr_roster other{};
+	tr_target_record a = record("a", 1);
+	tr_target_record b = record("b", 2);
+
+	apply("a", 1);
+	apply("b", 2);
+	tr_roster_apply(&other, &b, now);
+	tr_roster_apply(&other, &a, now);
+	EXPECT_EQ(tr_roster_digest(&roster), tr_roster_digest(&other));
+	apply("b", 3, true);
+	EXPECT_NE(tr_roster_digest(&roster), tr_roster_digest(&other));
+	tr_roster_release(&other);
+}
+
+/*
+ * Symptom: requests end at targets of another service. Sequence: a target ends
+ * and its row is used for a new one while a request still runs there. Cause:
+ * the row was given away with work in flight.
+ */
+TEST_F(Roster, ARowWithWorkInFlightIsNotReused)
+{
+	apply("a", 1);
+	row("a")->in_flight = 1;
+	apply("a", 2, false, true);
+	now += TR_SEC(100);
+	tr_roster_step(&roster, now);
+	apply("b", 3);
+	ASSERT_NE(row("a"), nullptr);
+	EXPECT_NE(row("a"), row("b"));
+}
+
+TEST_F(Roster, UsualTimesStartFromTheAimAndFollowAnswers)
+{
+	uint32_t s = tr_roster_service(&roster, "svc");
+
+	EXPECT_EQ(tr_service_takes(&roster, s, TR_SEC(1)), TR_MSEC(250));
+	for (int i = 0; i < 100; i++)
+		tr_service_took(&roster, s, TR_MSEC(100));
+	EXPECT_NEAR(tr_service_takes(&roster, s, TR_SEC(1)), TR_MSEC(100),
+		    TR_MSEC(15));
+}
+
+} // namespace
