--- a/entry/stream.c
+++ b/entry/stream.c
@@ -197,8 +197,11 @@
 
 	if (fd < 0)
 		return -1;
-	if (from_ip && inet_pton(AF_INET, from_ip, &from.sin_addr) == 1)
-		bind(fd, (struct sockaddr *)&from, sizeof(from));
+	if (from_ip && inet_pton(AF_INET, from_ip, &from.sin_addr) == 1 &&
+	    bind(fd, (struct sockaddr *)&from, sizeof(from))) {
+		close(fd);
+		return -1;
+	}
 	if (connect(fd, (const struct sockaddr *)to, sizeof(*to)) &&
 	    errno != EINPROGRESS) {
 		close(fd);
