Take the first totals of a VM that was heard from its start as news

Each VM sees some three requests a second, and what it first told of a target was skipped as old, which was nearly all that was known.

Ruled out: slow starts (all 32 VMs ready within 0.4 s of their start), the store (no interruption), a stale list.

Change: first totals are news from a VM whose first messages were heard, or that has been heard for 5 s.

--- a/entry/mesh.c
+++ b/entry/mesh.c
@@ -409,6 +409,8 @@
 	if (first) {
 		memset(told, 0, sizeof(*told));
 		told->target = row->hash;
+		/* What it counted before this VM listened is old. */
+		first = !tr_node_heard_from_start(node, now);
 	}
 	row->others_in_flight += in->in_flight - told->in_flight;
 	if (in->in_flight > told->in_flight)
@@ -417,7 +419,6 @@
 	for (int s = 0; s < TR_SYMPTOMS; s++) {
 		uint16_t news = totals.count[s] - told->totals.count[s];
 
-		/* What it counted before this VM listened is old. */
 		if (!news || first)
 			continue;
 		tr_gray_add(&row->gray, (enum tr_symptom)s, news, now);
--- a/lib/membership.c
+++ b/lib/membership.c
@@ -26,6 +26,11 @@
 /* Time between two calls to one lost address. Survivors go on calling: a VM
  * that restarts with dead seeds is found only so. */
 #define CALL_LOST TR_SEC(1)
+/* A VM whose first message heard was one of its first so many, some seconds of
+ * its life, and how long a VM tells its totals in turn: from either on, what it
+ * tells of a target for the first time is new. */
+#define FIRST_MESSAGES 50
+#define TOLD_ALL_AFTER TR_SEC(5)
 /* VMs that watch the platform, in different data centres where there are
  * several: with two, news flows on while one is frozen or cut off. */
 #define READERS 2
@@ -109,6 +114,8 @@
 		node->retired_next =
 			(node->retired_next + 1) % TR_RETIRED_BOOTS;
 		node->boot = news->boot;
+		node->first_sequence = news->sequence;
+		node->heard_since = now;
 		*restarted = true;
 	}
 	node->sequence = news->sequence;
@@ -149,6 +156,19 @@
 	return heard_within(m, node, span, now);
 }
 
+/*
+ * Has the VM been heard since it started, so that the first totals it tells of
+ * a target are news? Without this the first outcome that each VM sees at each
+ * target was lost: after a restart of all VMs, when each sees three requests a
+ * second, that is nearly all there is, and a target that hung got ten to twelve
+ * requests in four seconds.
+ */
+bool tr_node_heard_from_start(const struct tr_node *node, apr_time_t now)
+{
+	return node->first_sequence <= FIRST_MESSAGES ||
+	       now - node->heard_since >= TOLD_ALL_AFTER;
+}
+
 /* May callers be sent to the VM? */
 bool tr_node_takes_callers(const struct tr_membership *m,
 			   const struct tr_node *node, apr_time_t now)
--- a/lib/membership.h
+++ b/lib/membership.h
@@ -32,6 +32,8 @@
 	uint64_t retired[TR_RETIRED_BOOTS];
 	unsigned retired_next;
 	uint64_t sequence;
+	uint64_t first_sequence;
+	apr_time_t heard_since;
 	char data_centre[TR_ID_MAX + 1];
 	apr_time_t heard_at;
 	apr_time_t called_at;
@@ -75,6 +77,7 @@
 apr_time_t tr_membership_period(const struct tr_membership *m, apr_time_t now);
 bool tr_node_alive(const struct tr_membership *m, const struct tr_node *node,
 		   apr_time_t now);
+bool tr_node_heard_from_start(const struct tr_node *node, apr_time_t now);
 bool tr_node_takes_callers(const struct tr_membership *m,
 			   const struct tr_node *node, apr_time_t now);
 struct tr_node *tr_membership_lost(struct tr_membership *m, apr_time_t now);
--- a/tests/membership_test.cc
+++ b/tests/membership_test.cc
@@ -93,6 +93,23 @@
 	EXPECT_NE(tr_membership_lost(&m, now), nullptr);
 }
 
+/*
+ * Symptom: after a restart of all VMs a target that hangs gets a dozen requests.
+ * Sequence: each VM sees one of them hang and tells it. Cause: the first totals
+ * that a VM told of a target were taken for old ones, also those of a VM that
+ * had been heard since its start.
+ */
+TEST_F(Membership, FirstTotalsOfAVmHeardFromItsStartAreNews)
+{
+	tr_node *young = hear(2, 20, 3);
+
+	EXPECT_TRUE(tr_node_heard_from_start(young, now));
+	tr_node *old = hear(3, 30, 5000);
+	EXPECT_FALSE(tr_node_heard_from_start(old, now));
+	now += TR_SEC(6);
+	EXPECT_TRUE(tr_node_heard_from_start(old, now));
+}
+
 /* What arrives at a VM stays level as the fleet grows. */
 TEST_F(Membership, ThePeriodGrowsWithTheFleet)
 {
