--- a/entry/entry.c
+++ b/entry/entry.c
@@ -8,6 +8,22 @@
 #include "error.h"
 #include "eventlog.h"
 
+/* The loop steps every 25 ms; one that comes so late tells of a pause of the
+ * process or its VM. */
+#define PAUSED TR_MSEC(700)
+/* How long requests wait for news after one: a reader's answer and a message's
+ * way take a tenth of that. */
+#define HOLD_MOST TR_MSEC(300)
+
+/* Has the process stood still since the loop's last step? */
+bool entry_paused(struct entry *e, apr_time_t now)
+{
+	if (!e->stepped_at || now - e->stepped_at <= PAUSED)
+		return false;
+	e->hold_until = now + HOLD_MOST;
+	return true;
+}
+
 /* Take over the bounds of the settings. */
 void entry_set_bounds(struct entry *e)
 {
--- a/entry/entry.h
+++ b/entry/entry.h
@@ -75,6 +75,7 @@
 		const char *from);
 void entry_offer_routes(struct entry *e, const struct store_item *item,
 			const char *from);
+bool entry_paused(struct entry *e, apr_time_t now);
 void entry_set_bounds(struct entry *e);
 apr_time_t entry_view_age(const struct entry *e);
 struct tr_allowance *entry_allowance(struct entry *e, uint32_t service);
--- /dev/null
+++ b/entry/exchange_arrive.c
@@ -0,0 +1,203 @@
+/* How a request begins: its route, its deadline, the head that is passed on. */
+#include <inttypes.h>
+#include <math.h>
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+
+#include "eventlog.h"
+#include "exchange_internal.h"
+
+/* What is left of a request's time when it is given up, for the answer's way.
+ */
+#define ANSWER_WAY TR_MSEC(10)
+/* Golden ratio: steps of it spread weights evenly over any span of draws. */
+#define GOLDEN 0.6180339887498949
+/* How old the list may be without holding requests after a pause. */
+#define HELD_AGE TR_MSEC(1500)
+
+static void refuse(struct caller *caller, int status)
+{
+	struct caller_answer answer = { .status = status };
+
+	if (status == 503)
+		answer.headers = "Retry-After: 0.300\r\n";
+	caller_answer(caller, &answer);
+}
+
+/* Does the Connection header name this one as its connection's own? */
+static bool named_by_connection(const struct message *in, const char *name)
+{
+	const char *list = message_header(in, "Connection");
+	size_t len = strlen(name);
+
+	while (list && *list) {
+		size_t n = strcspn(list, ", \t");
+
+		if (n == len && !strncasecmp(list, name, len))
+			return true;
+		list += n;
+		list += strspn(list, ", \t");
+	}
+	return false;
+}
+
+static GString *make_head(const struct exchange *x, const struct message *in)
+{
+	const struct dialect *d = x->e->dialect;
+	GString *head = g_string_sized_new(512);
+
+	g_string_append_printf(head, "%s %s HTTP/1.1\r\n", x->method,
+			       message_target(in));
+	for (unsigned i = 0; i < in->headers->len; i++) {
+		const char *name = message_name_at(in, i);
+
+		if (message_is_connection_header(name) ||
+		    !strcasecmp(name, d->deadline_ms) ||
+		    !strcasecmp(name, d->expected_instance) ||
+		    named_by_connection(in, name))
+			continue;
+		g_string_append_printf(head, "%s: %s\r\n", name,
+				       message_value_at(in, i));
+	}
+	if (in->body->len || in->framed)
+		g_string_append_printf(head, "Content-Length: %u\r\n",
+				       in->body->len);
+	g_string_append(head, "Connection: close\r\n");
+	return head;
+}
+
+static apr_time_t deadline_of(const struct exchange *x,
+			      const struct message *in)
+{
+	const char *text = message_header(in, x->e->dialect->deadline_ms);
+	apr_time_t left = text ? TR_MSEC(strtoll(text, NULL, 10)) : 0;
+
+	if (left <= 0 || left > x->route->timeout)
+		left = x->route->timeout;
+	return x->arrived + (left > 2 * ANSWER_WAY ? left - ANSWER_WAY : left);
+}
+
+static void start(struct entry *e, struct caller *caller,
+		  const struct tr_path_route *route)
+{
+	struct exchange *x = calloc(1, sizeof(*x));
+	struct message *in = &caller->in;
+	const char *why;
+
+	x->e = e;
+	x->caller = caller;
+	caller->work = x;
+	x->routes = tr_routes_hold(e->routes);
+	x->route = route;
+	x->next = e->exchanges;
+	if (x->next)
+		x->next->prev = x;
+	e->exchanges = x;
+	e->exchanges_count++;
+	e->draw = fmod(e->draw + GOLDEN, 1);
+	x->service =
+		x->routes
+			->services[route->split[tr_split_draw(route, e->draw)]
+					   .service]
+			.known_as;
+	x->id = g_strdup(message_header(in, e->dialect->request_id));
+	x->method =
+		g_strdup(http_method_str((enum http_method)in->parser.method));
+	x->arrived = entry_now(e);
+	x->ends_at = deadline_of(x, in);
+	x->head = make_head(x, in);
+	x->body = in->body;
+	in->body = g_byte_array_new();
+	tr_allowance_request(entry_allowance(e, x->service), &e->repeat_bound,
+			     x->arrived);
+	why = exchange_send(x);
+	if (why)
+		exchange_give_up(x, why);
+}
+
+static void admit(struct entry *e, struct caller *caller)
+{
+	const struct message *in = &caller->in;
+	const char *host = message_header(in, "Host");
+	const struct tr_path_route *route;
+
+	if (!e->routes || !e->roster.current_at) {
+		refuse(caller, 503);
+		return;
+	}
+	if (!host || message_count(in, "Host") != 1 ||
+	    !message_header(in, e->dialect->request_id) ||
+	    message_target(in)[0] != '/') {
+		refuse(caller, 400);
+		return;
+	}
+	route = tr_routes_match(e->routes, host, strcspn(host, ":"),
+				message_target(in));
+	if (!route) {
+		eventlog(EVENT_REQUEST, "request",
+			 "id=%s status=404 why=no-route host=%s "
+			 "version=%" PRIu64,
+			 message_header(in, e->dialect->request_id), host,
+			 e->routes->version);
+		refuse(caller, 404);
+		return;
+	}
+	start(e, caller, route);
+}
+
+/*
+ * After a pause of the process, what it knows is of before it: requests wait
+ * until the list is known to be current, or for a short time. One would notice
+ * by requests to targets that left meanwhile.
+ */
+static bool is_stale(struct entry *e)
+{
+	apr_time_t now = entry_now(e);
+
+	entry_paused(e, now);
+	return now < e->hold_until && entry_view_age(e) > HELD_AGE;
+}
+
+static void handle(void *ctx, struct caller *caller)
+{
+	struct entry *e = ctx;
+
+	e->counts.requests++;
+	caller->work = NULL;
+	if (is_stale(e))
+		g_ptr_array_add(e->held, caller);
+	else
+		admit(e, caller);
+}
+
+/* Serve what was held, once the list is current or it has waited enough. */
+void exchange_serve_held(struct entry *e)
+{
+	if (!e->held->len || is_stale(e))
+		return;
+	while (e->held->len)
+		admit(e, g_ptr_array_remove_index(e->held, 0));
+}
+
+/*
+ * The caller has left. What may repeat is cancelled at its target; what must
+ * not goes on to its end, for nobody can take it back.
+ */
+static void gone(void *ctx, struct caller *caller)
+{
+	struct entry *e = ctx;
+	struct exchange *x = caller->work;
+
+	e->counts.callers_gone++;
+	g_ptr_array_remove(e->held, caller);
+	if (!x || x->done)
+		return;
+	x->caller = NULL;
+	if (x->route->kind == TR_KIND_SAFE || !exchange_any_active(x)) {
+		exchange_log_end(x, 499, "caller-gone");
+		exchange_settle(x);
+	}
+}
+
+const struct door_calls exchange_door = { handle, gone };
--- /dev/null
+++ b/entry/exchange_reply.c
@@ -0,0 +1,188 @@
+/* How a request ends: whose answer it gets, and what is logged of it. */
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+
+#include "eventlog.h"
+#include "exchange_internal.h"
+#include "place.h"
+
+/* A caller that is told to come back at once would meet the same queue. */
+#define RETRY_AFTER_LEAST TR_MSEC(50)
+
+/* How long the request's work usually takes. */
+apr_time_t exchange_usual(const struct exchange *x)
+{
+	return tr_service_takes(&x->e->roster, x->service,
+				x->route->latency_aim);
+}
+
+/* Free it, from outside of its own calls. */
+void exchange_free(struct exchange *x)
+{
+	struct entry *e = x->e;
+
+	loop_cancel(e->loop, x->timer);
+	for (int i = 0; i < TRIES; i++)
+		upstream_release(&x->tries[i]);
+	if (x->prev)
+		x->prev->next = x->next;
+	else
+		e->exchanges = x->next;
+	if (x->next)
+		x->next->prev = x->prev;
+	e->exchanges_count--;
+	tr_routes_drop(x->routes);
+	if (x->head)
+		g_string_free(x->head, TRUE);
+	if (x->body)
+		g_byte_array_free(x->body, TRUE);
+	g_free(x->id);
+	g_free(x->method);
+	free(x);
+}
+
+static void freed_later(void *ctx)
+{
+	struct exchange *x = ctx;
+
+	x->timer = NULL;
+	exchange_free(x);
+}
+
+/* The fate is settled. Freed from the loop, since attempts may be on the
+ * stack. */
+void exchange_settle(struct exchange *x)
+{
+	x->done = true;
+	x->caller = NULL;
+	for (int i = 0; i < TRIES; i++)
+		upstream_stop(&x->tries[i], UPSTREAM_ABANDONED);
+	loop_cancel(x->e->loop, x->timer);
+	x->timer = loop_after(x->e->loop, 0, freed_later, x);
+}
+
+/* The targets that were tried, in their order, with the chance that each was
+ * gray when it was chosen. */
+static const char *tried_text(const struct exchange *x, char *buf, size_t size)
+{
+	const struct tr_roster *roster = &x->e->roster;
+	size_t len = 0;
+
+	buf[0] = 0;
+	for (unsigned i = 0; i < x->tried_count && len < size; i++)
+		len += (size_t)snprintf(
+			buf + len, size - len, "%s%s:%.2f:%u", i ? "," : "",
+			roster->rows[x->tried[i]].id, x->risk[i], x->there[i]);
+	return buf;
+}
+
+/* The line of the request's end. */
+void exchange_log_end(const struct exchange *x, int status, const char *why)
+{
+	const struct entry *e = x->e;
+	apr_time_t now = entry_now(e);
+	char tried[256];
+
+	eventlog(status >= 500 ? EVENT_FAILURE : EVENT_REQUEST, "request",
+		 "id=%s route=%s service=%s status=%d why=%s took_ms=%ld "
+		 "left_ms=%ld runs=%u tried=%s version=%" PRIu64
+		 " view_age_ms=%ld",
+		 x->id, x->route->name, e->roster.services[x->service].name,
+		 status, why, (long)((now - x->arrived) / 1000),
+		 (long)((x->ends_at - now) / 1000), x->runs,
+		 tried_text(x, tried, sizeof(tried)), x->routes->version,
+		 (long)(entry_view_age(e) / 1000));
+}
+
+/* Answer for this VM itself. 503 says when to come back. */
+void exchange_answer_own(struct exchange *x, int status, const char *why)
+{
+	struct caller_answer answer = { .status = status };
+	struct entry *e = x->e;
+	struct caller *caller = x->caller;
+	GString *headers = g_string_new(NULL);
+	apr_time_t after;
+
+	if (status == 503) {
+		after = tr_place_return_after(&e->roster, x->service,
+					      exchange_usual(x), &e->random,
+					      entry_now(e));
+		if (after < RETRY_AFTER_LEAST)
+			after = RETRY_AFTER_LEAST;
+		g_string_append_printf(headers, "Retry-After: %.3f\r\n",
+				       (double)after / 1e6);
+		e->counts.refused++;
+	} else {
+		e->counts.failed++;
+	}
+	g_string_append_printf(headers, "%s: %s\r\n", e->dialect->request_id,
+			       x->id);
+	exchange_log_end(x, status, why);
+	answer.headers = headers->str;
+	exchange_settle(x);
+	if (caller)
+		caller_answer(caller, &answer);
+	g_string_free(headers, TRUE);
+}
+
+/* The last word of this VM's own: not run only where that is proved. */
+void exchange_give_up(struct exchange *x, const char *why)
+{
+	if (x->maybe_ran)
+		exchange_answer_own(x, 502, why);
+	else
+		exchange_answer_own(x, 503, why);
+}
+
+static bool is_for_peer_only(const struct dialect *d, const char *name)
+{
+	return message_is_connection_header(name) ||
+	       !strcasecmp(name, d->load) || !strcasecmp(name, d->not_run);
+}
+
+/* Pass on a target's answer, as it was given. */
+void exchange_deliver(struct exchange *x, struct upstream *u)
+{
+	const struct message *msg = &u->answer;
+	int status = msg->parser.status_code;
+	struct caller *caller = x->caller;
+	GString *headers = g_string_sized_new(256);
+	struct caller_answer answer = {
+		.status = status,
+		.body = msg->body->data,
+		.body_len = msg->body->len,
+		.no_body = status == 204 || status == 304 ||
+			   !strcmp(x->method, "HEAD"),
+	};
+
+	for (unsigned i = 0; i < msg->headers->len; i++)
+		if (!is_for_peer_only(x->e->dialect, message_name_at(msg, i)))
+			g_string_append_printf(headers, "%s: %s\r\n",
+					       message_name_at(msg, i),
+					       message_value_at(msg, i));
+	x->e->counts.answered++;
+	exchange_log_end(x, status, "answered");
+	answer.headers = headers->str;
+	exchange_settle(x);
+	if (caller)
+		caller_answer(caller, &answer);
+	g_string_free(headers, TRUE);
+}
+
+/* These statuses promise that nothing was run. */
+bool exchange_promises_not_run(int status)
+{
+	return status == 429 || status == 503 || status == 408 || status == 421;
+}
+
+/* Does an attempt run? */
+bool exchange_any_active(const struct exchange *x)
+{
+	for (int i = 0; i < TRIES; i++)
+		if (x->tries[i].active)
+			return true;
+	return false;
+}
--- a/entry/mesh.c
+++ b/entry/mesh.c
@@ -17,9 +17,7 @@
 
 #include "entry_settings.h"
 #include "error.h"
-#include "eventlog.h"
-#include "mesh_xdr.h"
-#include "pull.h"
+#include "mesh_internal.h"
 
 /* One datagram, without fragments on an ordinary link. */
 #define DATAGRAM_MOST 1400
@@ -37,95 +35,9 @@
 #define BYTES_HEAD     200
 /* A change of the list is told for so long, some three readings, in case a
  * datagram is lost; a list that differs after that is pulled whole. */
-#define RECORD_TOLD	 TR_MSEC(1000)
-#define NODES_TOLD	 8
-#define MESH_READY	 1U
-#define MESH_LEAVING	 2U
-#define MESH_CANNOT_READ 4U
-#define MESH_LISTS	 8U
-#define MESH_ANSWER	 16U
-#define RECORD_LEAVING	 1U
-#define RECORD_GONE	 2U
-#define RPC_VERSION	 2
-#define CENTRES_MOST	 64
-
-struct mesh {
-	struct entry *e;
-	int fd;
-	uint32_t fleet;
-	uint64_t sequence;
-	bool soon;
-	bool lists;
-	apr_time_t told_at;
-	uint32_t row_again;
-	struct pull pull;
-};
-
-static void fill_call(struct rpc_msg *call, rpcproc_t procedure)
-{
-	memset(call, 0, sizeof(*call));
-	call->rm_direction = CALL;
-	call->rm_call.cb_rpcvers = RPC_VERSION;
-	call->rm_call.cb_prog = MESH_PEER;
-	call->rm_call.cb_vers = MESH_VERSION;
-	call->rm_call.cb_proc = procedure;
-	call->rm_call.cb_cred = _null_auth;
-	call->rm_call.cb_verf = _null_auth;
-}
-
-static size_t encode(struct mesh_message *msg, rpcproc_t procedure, char *buf,
-		     size_t size)
-{
-	struct rpc_msg call;
-	size_t len = 0;
-	XDR xdr;
-
-	fill_call(&call, procedure);
-	xdrmem_create(&xdr, buf, (u_int)size, XDR_ENCODE);
-	if (xdr_callmsg(&xdr, &call) && xdr_mesh_message(&xdr, msg))
-		len = xdr_getpos(&xdr);
-	xdr_destroy(&xdr);
-	return len;
-}
-
-static bool decode(char *buf, size_t len, struct mesh_message *msg,
-		   rpcproc_t *procedure)
-{
-	char cred[2][MAX_AUTH_BYTES];
-	struct rpc_msg call;
-	bool ok;
-	XDR xdr;
-
-	memset(&call, 0, sizeof(call));
-	memset(msg, 0, sizeof(*msg));
-	call.rm_call.cb_cred.oa_base = cred[0];
-	call.rm_call.cb_verf.oa_base = cred[1];
-	xdrmem_create(&xdr, buf, (u_int)len, XDR_DECODE);
-	ok = xdr_callmsg(&xdr, &call) && call.rm_call.cb_prog == MESH_PEER &&
-	     call.rm_call.cb_vers == MESH_VERSION &&
-	     xdr_mesh_message(&xdr, msg);
-	*procedure = call.rm_call.cb_proc;
-	xdr_destroy(&xdr);
-	return ok;
-}
-
-static void fill_row(struct mesh_row *out, const struct tr_instance *row)
-{
-	const uint16_t *n = row->own.count;
-
-	out->target = row->hash;
-	for (int i = 0; i < TR_SYMPTOMS / 2; i++)
-		out->totals[i] = (uint32_t)n[2 * i] << 16 | n[2 * i + 1];
-	out->in_flight = row->in_flight;
-}
-
-static void read_row(const struct mesh_row *in, struct tr_symptom_totals *t)
-{
-	for (int i = 0; i < TR_SYMPTOMS / 2; i++) {
-		t->count[2 * i] = (uint16_t)(in->totals[i] >> 16);
-		t->count[2 * i + 1] = (uint16_t)in->totals[i];
-	}
-}
+#define RECORD_TOLD  TR_MSEC(1000)
+#define NODES_TOLD   8
+#define CENTRES_MOST 64
 
 static void add_rows(struct mesh *mesh, struct mesh_message *msg,
 		     struct mesh_row *rows, size_t room)
@@ -142,7 +54,7 @@
 
 		if (!row->used || !row->dirty)
 			continue;
-		fill_row(&rows[msg->rows.rows_len++], row);
+		mesh_fill_row(&rows[msg->rows.rows_len++], row);
 		row->dirty = false;
 	}
 	for (unsigned n = 0;
@@ -152,7 +64,7 @@
 			&roster->rows[mesh->row_again++ % roster->count];
 
 		if (row->used && row->own.count[TR_SYMPTOM_GOOD])
-			fill_row(&rows[msg->rows.rows_len++], row);
+			mesh_fill_row(&rows[msg->rows.rows_len++], row);
 	}
 }
 
@@ -189,11 +101,6 @@
 	}
 }
 
-static uint32_t service_hash(const struct entry *e, unsigned service)
-{
-	return (uint32_t)tr_hash_string(e->roster.services[service].name);
-}
-
 static void add_work(struct mesh *mesh, struct mesh_message *msg,
 		     struct mesh_work *work)
 {
@@ -208,7 +115,7 @@
 		if (!own->requests && !own->repeats)
 			continue;
 		work[msg->work.work_len++] = (struct mesh_work){
-			.service = service_hash(e, i),
+			.service = mesh_service_hash(e, i),
 			.totals = (uint32_t)own->requests << 16 | own->repeats,
 		};
 	}
@@ -267,7 +174,8 @@
 		mesh->e->counts.messages_out++;
 }
 
-static void call_one(struct mesh *mesh, uint32_t ip, bool answer)
+/* Call one VM, with all VMs that this one hears. */
+void mesh_call_one(struct mesh *mesh, uint32_t ip, bool answer)
 {
 	uint32_t nodes[MESH_MAX_NODES];
 	struct mesh_message msg;
@@ -277,7 +185,7 @@
 	fill_head(mesh, &msg);
 	msg.flags |= answer ? MESH_ANSWER : 0;
 	add_nodes(mesh, &msg, nodes, MESH_MAX_NODES, entry_now(mesh->e));
-	len = encode(&msg, MESH_TELL, buf, sizeof(buf));
+	len = mesh_encode(&msg, MESH_TELL, buf, sizeof(buf));
 	if (len)
 		send_to(mesh, ip, buf, len);
 }
@@ -353,202 +261,14 @@
 	mesh->lists = false;
 	mesh->soon = false;
 	mesh->told_at = now;
-	len = encode(&msg, MESH_TELL, buf, sizeof(buf));
+	len = mesh_encode(&msg, MESH_TELL, buf, sizeof(buf));
 	if (!len)
 		return;
 	tell_centre(mesh, buf, len, now);
-	len = encode(&msg, MESH_HAND_ON, buf, sizeof(buf));
+	len = mesh_encode(&msg, MESH_HAND_ON, buf, sizeof(buf));
 	tell_other_centres(mesh, buf, len, now);
 }
 
-static void forget_told(struct mesh *mesh, struct tr_node *node)
-{
-	struct tr_roster *roster = &mesh->e->roster;
-
-	for (unsigned i = 0; i < node->told_count; i++)
-		if (i < roster->count &&
-		    roster->rows[i].hash == node->told[i].target)
-			roster->rows[i].others_in_flight -=
-				node->told[i].in_flight;
-	free(node->told);
-	node->told = NULL;
-	node->told_count = 0;
-	free(node->work);
-	node->work = NULL;
-	node->work_count = 0;
-}
-
-static struct tr_told *told_of(struct mesh *mesh, struct tr_node *node,
-			       unsigned at)
-{
-	unsigned n = mesh->e->roster.count;
-
-	if (at >= node->told_count) {
-		node->told = g_realloc_n(node->told, n, sizeof(*node->told));
-		memset(node->told + node->told_count, 0,
-		       (n - node->told_count) * sizeof(*node->told));
-		node->told_count = n;
-	}
-	return &node->told[at];
-}
-
-static void take_row(struct mesh *mesh, struct tr_node *node,
-		     const struct mesh_row *in, apr_time_t now)
-{
-	struct tr_roster *roster = &mesh->e->roster;
-	struct tr_instance *row = tr_roster_by_hash(roster, in->target);
-	struct tr_symptom_totals totals;
-	struct tr_told *told;
-	bool first;
-
-	if (!row)
-		return;
-	read_row(in, &totals);
-	told = told_of(mesh, node, (unsigned)(row - roster->rows));
-	first = told->target != row->hash;
-	if (first) {
-		memset(told, 0, sizeof(*told));
-		told->target = row->hash;
-		/* What it counted before this VM listened is old. */
-		first = !tr_node_heard_from_start(node, now);
-	}
-	row->others_in_flight += in->in_flight - told->in_flight;
-	if (in->in_flight > told->in_flight)
-		row->used_at = now;
-	told->in_flight = (uint16_t)in->in_flight;
-	for (int s = 0; s < TR_SYMPTOMS; s++) {
-		uint16_t news = totals.count[s] - told->totals.count[s];
-
-		if (!news || first)
-			continue;
-		tr_gray_add(&row->gray, (enum tr_symptom)s, news, now);
-		tr_service_outcomes(roster, row->service, (enum tr_symptom)s,
-				    news, now);
-		/* Prompt, so it was begun a moment ago. What hangs is no sign
-		 * that the target is being used. */
-		if (s == TR_SYMPTOM_GOOD)
-			row->used_at = now;
-	}
-	told->totals = totals;
-}
-
-static struct tr_told_work *told_work_of(struct tr_node *node, uint32_t service)
-{
-	struct tr_told_work *work;
-
-	for (unsigned i = 0; i < node->work_count; i++)
-		if (node->work[i].service == service)
-			return &node->work[i];
-	node->work = g_realloc_n(node->work, node->work_count + 1,
-				 sizeof(*node->work));
-	work = &node->work[node->work_count++];
-	memset(work, 0, sizeof(*work));
-	return work;
-}
-
-static void take_work(struct mesh *mesh, struct tr_node *node,
-		      const struct mesh_work *in, apr_time_t now)
-{
-	struct entry *e = mesh->e;
-	struct tr_work_totals told = {
-		.requests = (uint16_t)(in->totals >> 16),
-		.repeats = (uint16_t)in->totals,
-	};
-	struct tr_told_work *work = told_work_of(node, in->service);
-
-	/* What it counted before this VM listened is old. */
-	for (unsigned i = 0; work->service && i < e->roster.services_count; i++)
-		if (service_hash(e, i) == in->service)
-			tr_allowance_heard(entry_allowance(e, i),
-					   &e->repeat_bound, &work->totals,
-					   &told, now);
-	work->service = in->service;
-	work->totals = told;
-}
-
-static void take_record(struct mesh *mesh, const struct mesh_record *in,
-			apr_time_t now)
-{
-	struct tr_target_record r = {
-		.slots = in->slots,
-		.leaving = in->flags & RECORD_LEAVING,
-		.gone = in->flags & RECORD_GONE,
-		.cold_for = TR_MSEC(in->cold_ms),
-		.revision = in->revision,
-	};
-
-	strncpy(r.id, in->id, TR_ID_MAX);
-	strncpy(r.service, in->service, TR_ID_MAX);
-	strncpy(r.address, in->address, TR_ADDRESS_MAX);
-	strncpy(r.data_centre, in->data_centre, TR_ID_MAX);
-	if (tr_roster_apply(&mesh->e->roster, &r, now))
-		eventlog(EVENT_BELIEF, "target",
-			 "id=%s service=%s address=%s state=%s "
-			 "revision=%" G_GUINT64_FORMAT " from=peer",
-			 r.id, r.service, r.address,
-			 r.gone	     ? "gone"
-			 : r.leaving ? "leaving"
-				     : "ready",
-			 (guint64)r.revision);
-}
-
-/* Is the sender's list newer, or equal and so a proof that ours is current? */
-static void take_list(struct mesh *mesh, const struct tr_node *node,
-		      const struct mesh_message *msg, apr_time_t now)
-{
-	struct tr_roster *roster = &mesh->e->roster;
-	apr_time_t age = TR_MSEC(msg->age_ms);
-
-	if (!msg->as_of)
-		return;
-	if (msg->digest == tr_roster_digest(roster)) {
-		tr_roster_current(roster, msg->as_of, age, now);
-		return;
-	}
-	if (msg->as_of >= roster->as_of && now - age > roster->current_at)
-		pull_targets(&mesh->pull, node->ip);
-}
-
-static void take(struct mesh *mesh, const struct mesh_message *msg, uint32_t ip)
-{
-	struct entry *e = mesh->e;
-	struct tr_node_news news = {
-		.ip = ip,
-		.boot = msg->boot,
-		.sequence = msg->sequence,
-		.data_centre = msg->data_centre,
-		.ready = msg->flags & MESH_READY,
-		.leaving = msg->flags & MESH_LEAVING,
-		.cannot_read = msg->flags & MESH_CANNOT_READ,
-		.config_revision = msg->config_revision,
-	};
-	apr_time_t now = entry_now(e);
-	struct tr_node *node;
-	bool restarted;
-
-	e->counts.messages_in++;
-	node = tr_membership_heard(&e->members, &news, now, &restarted);
-	if (!node)
-		return;
-	if (restarted) {
-		forget_told(mesh, node);
-		if (!(msg->flags & MESH_ANSWER))
-			call_one(mesh, ip, true);
-	}
-	for (u_int i = 0; i < msg->records.records_len; i++)
-		take_record(mesh, &msg->records.records_val[i], now);
-	for (u_int i = 0; i < msg->work.work_len; i++)
-		take_work(mesh, node, &msg->work.work_val[i], now);
-	for (u_int i = 0; i < msg->rows.rows_len; i++)
-		take_row(mesh, node, &msg->rows.rows_val[i], now);
-	take_list(mesh, node, msg, now);
-	if (msg->config_revision > (e->routes ? e->routes->revision : 0) &&
-	    msg->config_revision > e->refused_revision)
-		pull_routes(&mesh->pull, ip);
-	for (u_int i = 0; i < msg->nodes.nodes_len; i++)
-		tr_membership_learn(&e->members, msg->nodes.nodes_val[i]);
-}
-
 /* Where the procedure's number stands in an encoded call (RFC 5531). */
 #define PROCEDURE_AT 20
 
@@ -574,11 +294,11 @@
 
 		if (n < 0)
 			return;
-		if (decode(buf, (size_t)n, &msg, &procedure) &&
+		if (mesh_decode(buf, (size_t)n, &msg, &procedure) &&
 		    msg.fleet == mesh->fleet) {
 			if (procedure == MESH_HAND_ON)
 				hand_on(mesh, buf, (size_t)n);
-			take(mesh, &msg, msg.sender);
+			mesh_take(mesh, &msg, msg.sender);
 		}
 		xdr_free((xdrproc_t)xdr_mesh_message, (char *)&msg);
 	}
@@ -611,8 +331,8 @@
 		return;
 	lost->called_at = now;
 	if (lost->told_count || lost->work_count)
-		forget_told(mesh, lost);
-	call_one(mesh, lost->ip, false);
+		mesh_forget_told(mesh, lost);
+	mesh_call_one(mesh, lost->ip, false);
 }
 
 /* Send what is due; call every 50 ms or so. */
--- /dev/null
+++ b/entry/mesh_take.c
@@ -0,0 +1,196 @@
+/* What is done with another VM's message. */
+#include <stdlib.h>
+#include <string.h>
+
+#include "eventlog.h"
+#include "mesh_internal.h"
+
+/* What the VM told is void: it restarted, or is lost with its requests. */
+void mesh_forget_told(struct mesh *mesh, struct tr_node *node)
+{
+	struct tr_roster *roster = &mesh->e->roster;
+
+	for (unsigned i = 0; i < node->told_count; i++)
+		if (i < roster->count &&
+		    roster->rows[i].hash == node->told[i].target)
+			roster->rows[i].others_in_flight -=
+				node->told[i].in_flight;
+	free(node->told);
+	node->told = NULL;
+	node->told_count = 0;
+	free(node->work);
+	node->work = NULL;
+	node->work_count = 0;
+}
+
+static struct tr_told *told_of(struct mesh *mesh, struct tr_node *node,
+			       unsigned at)
+{
+	unsigned n = mesh->e->roster.count;
+
+	if (at >= node->told_count) {
+		node->told = g_realloc_n(node->told, n, sizeof(*node->told));
+		memset(node->told + node->told_count, 0,
+		       (n - node->told_count) * sizeof(*node->told));
+		node->told_count = n;
+	}
+	return &node->told[at];
+}
+
+static void take_row(struct mesh *mesh, struct tr_node *node,
+		     const struct mesh_row *in, apr_time_t now)
+{
+	struct tr_roster *roster = &mesh->e->roster;
+	struct tr_instance *row = tr_roster_by_hash(roster, in->target);
+	struct tr_symptom_totals totals;
+	struct tr_told *told;
+	bool first;
+
+	if (!row)
+		return;
+	mesh_read_row(in, &totals);
+	told = told_of(mesh, node, (unsigned)(row - roster->rows));
+	first = told->target != row->hash;
+	if (first) {
+		memset(told, 0, sizeof(*told));
+		told->target = row->hash;
+		/* What it counted before this VM listened is old. */
+		first = !tr_node_heard_from_start(node, now);
+	}
+	row->others_in_flight += in->in_flight - told->in_flight;
+	if (in->in_flight > told->in_flight)
+		row->used_at = now;
+	told->in_flight = (uint16_t)in->in_flight;
+	for (int s = 0; s < TR_SYMPTOMS; s++) {
+		uint16_t news = totals.count[s] - told->totals.count[s];
+
+		if (!news || first)
+			continue;
+		tr_gray_add(&row->gray, (enum tr_symptom)s, news, now);
+		tr_service_outcomes(roster, row->service, (enum tr_symptom)s,
+				    news, now);
+		/* Prompt, so it was begun a moment ago. What hangs is no sign
+		 * that the target is being used. */
+		if (s == TR_SYMPTOM_GOOD)
+			row->used_at = now;
+	}
+	told->totals = totals;
+}
+
+static struct tr_told_work *told_work_of(struct tr_node *node, uint32_t service)
+{
+	struct tr_told_work *work;
+
+	for (unsigned i = 0; i < node->work_count; i++)
+		if (node->work[i].service == service)
+			return &node->work[i];
+	node->work = g_realloc_n(node->work, node->work_count + 1,
+				 sizeof(*node->work));
+	work = &node->work[node->work_count++];
+	memset(work, 0, sizeof(*work));
+	return work;
+}
+
+static void take_work(struct mesh *mesh, struct tr_node *node,
+		      const struct mesh_work *in, apr_time_t now)
+{
+	struct entry *e = mesh->e;
+	struct tr_work_totals told = {
+		.requests = (uint16_t)(in->totals >> 16),
+		.repeats = (uint16_t)in->totals,
+	};
+	struct tr_told_work *work = told_work_of(node, in->service);
+
+	/* What it counted before this VM listened is old. */
+	for (unsigned i = 0; work->service && i < e->roster.services_count; i++)
+		if (mesh_service_hash(e, i) == in->service)
+			tr_allowance_heard(entry_allowance(e, i),
+					   &e->repeat_bound, &work->totals,
+					   &told, now);
+	work->service = in->service;
+	work->totals = told;
+}
+
+static void take_record(struct mesh *mesh, const struct mesh_record *in,
+			apr_time_t now)
+{
+	struct tr_target_record r = {
+		.slots = in->slots,
+		.leaving = in->flags & RECORD_LEAVING,
+		.gone = in->flags & RECORD_GONE,
+		.cold_for = TR_MSEC(in->cold_ms),
+		.revision = in->revision,
+	};
+
+	strncpy(r.id, in->id, TR_ID_MAX);
+	strncpy(r.service, in->service, TR_ID_MAX);
+	strncpy(r.address, in->address, TR_ADDRESS_MAX);
+	strncpy(r.data_centre, in->data_centre, TR_ID_MAX);
+	if (tr_roster_apply(&mesh->e->roster, &r, now))
+		eventlog(EVENT_BELIEF, "target",
+			 "id=%s service=%s address=%s state=%s "
+			 "revision=%" G_GUINT64_FORMAT " from=peer",
+			 r.id, r.service, r.address,
+			 r.gone	     ? "gone"
+			 : r.leaving ? "leaving"
+				     : "ready",
+			 (guint64)r.revision);
+}
+
+/* Is the sender's list newer, or equal and so a proof that ours is current? */
+static void take_list(struct mesh *mesh, const struct tr_node *node,
+		      const struct mesh_message *msg, apr_time_t now)
+{
+	struct tr_roster *roster = &mesh->e->roster;
+	apr_time_t age = TR_MSEC(msg->age_ms);
+
+	if (!msg->as_of)
+		return;
+	if (msg->digest == tr_roster_digest(roster)) {
+		tr_roster_current(roster, msg->as_of, age, now);
+		return;
+	}
+	if (msg->as_of >= roster->as_of && now - age > roster->current_at)
+		pull_targets(&mesh->pull, node->ip);
+}
+
+/* Take in a message of the VM at the address. */
+void mesh_take(struct mesh *mesh, const struct mesh_message *msg, uint32_t ip)
+{
+	struct entry *e = mesh->e;
+	struct tr_node_news news = {
+		.ip = ip,
+		.boot = msg->boot,
+		.sequence = msg->sequence,
+		.data_centre = msg->data_centre,
+		.ready = msg->flags & MESH_READY,
+		.leaving = msg->flags & MESH_LEAVING,
+		.cannot_read = msg->flags & MESH_CANNOT_READ,
+		.config_revision = msg->config_revision,
+	};
+	apr_time_t now = entry_now(e);
+	struct tr_node *node;
+	bool restarted;
+
+	e->counts.messages_in++;
+	node = tr_membership_heard(&e->members, &news, now, &restarted);
+	if (!node)
+		return;
+	if (restarted) {
+		mesh_forget_told(mesh, node);
+		if (!(msg->flags & MESH_ANSWER))
+			mesh_call_one(mesh, ip, true);
+	}
+	for (u_int i = 0; i < msg->records.records_len; i++)
+		take_record(mesh, &msg->records.records_val[i], now);
+	for (u_int i = 0; i < msg->work.work_len; i++)
+		take_work(mesh, node, &msg->work.work_val[i], now);
+	for (u_int i = 0; i < msg->rows.rows_len; i++)
+		take_row(mesh, node, &msg->rows.rows_val[i], now);
+	take_list(mesh, node, msg, now);
+	if (msg->config_revision > (e->routes ? e->routes->revision : 0) &&
+	    msg->config_revision > e->refused_revision)
+		pull_routes(&mesh->pull, ip);
+	for (u_int i = 0; i < msg->nodes.nodes_len; i++)
+		tr_membership_learn(&e->members, msg->nodes.nodes_val[i]);
+}
--- a/entry/toucanreel_entry.c
+++ b/entry/toucanreel_entry.c
@@ -25,10 +25,6 @@
 #define EXIT_USAGE 2
 /* How often what is due is looked at: a third of the shortest period. */
 #define STEP TR_MSEC(25)
-/* A step that comes so late tells of a pause of the process or the VM; requests
- * then wait at most this for news. */
-#define PAUSED		 TR_MSEC(700)
-#define HOLD_AFTER_PAUSE TR_MSEC(300)
 /* How often the settings file is looked at for a change without a signal. */
 #define SETTINGS_PERIOD TR_SEC(1)
 /* Of the time between the signal to stop and the kill: when idle connections
@@ -136,11 +132,10 @@
 	struct entry *e = &d->e;
 	apr_time_t now = entry_now(e);
 
-	if (e->stepped_at && now - e->stepped_at > PAUSED) {
+	if (entry_paused(e, now)) {
 		eventlog(EVENT_LIFE, "paused", "for_ms=%ld",
 			 (long)((now - e->stepped_at) / 1000));
 		reader_woke(e->reader);
-		e->hold_until = now + HOLD_AFTER_PAUSE;
 	}
 	e->stepped_at = now;
 	look_at_settings(d, now);
--- a/tests/membership_test.cc
+++ b/tests/membership_test.cc
@@ -94,10 +94,10 @@
 }
 
 /*
- * Symptom: after a restart of all VMs a target that hangs gets a dozen requests.
- * Sequence: each VM sees one of them hang and tells it. Cause: the first totals
- * that a VM told of a target were taken for old ones, also those of a VM that
- * had been heard since its start.
+ * Symptom: after a restart of all VMs a target that hangs gets a dozen
+ * requests. Sequence: each VM sees one of them hang and tells it. Cause: the
+ * first totals that a VM told of a target were taken for old ones, also those
+ * of a VM that had been heard since its start.
  */
 TEST_F(Membership, FirstTotalsOfAVmHeardFromItsStartAreNews)
 {
--- a/tests/place_test.cc
+++ b/tests/place_test.cc
@@ -290,7 +290,7 @@
 			wish.kind = TR_KIND_UNSAFE;
 			wish.usual = WORK;
 			wish.aim = TR_SEC(1);
-		wish.aim_left = TR_SEC(1);
+			wish.aim_left = TR_SEC(1);
 			wish.time_left = TR_SEC(2);
 			wish.data_centre = "dc";
 			if (tr_place(&views[vm], &wish, &random, now, &p) !=
