Draw a VM of another data centre from the first one on

Cause: the linter could not see that the first VM of a data centre is always drawn (a draw below one is 0). Change: it is set when it is met.

--- a/entry/mesh.c
+++ b/entry/mesh.c
@@ -228,8 +228,10 @@
 			c++;
 		if (c == CENTRES_MOST)
 			continue;
-		if (c == n)
+		if (c == n) {
+			drawn[n] = node;
 			seen[n++] = 0;
+		}
 		if (!tr_random_below(&mesh->e->random, ++seen[c]))
 			drawn[c] = node;
 	}
