--- a/tests/entry_path_test.cc
+++ b/tests/entry_path_test.cc
@@ -51,19 +51,32 @@
 	return answer.size() < 12 ? 0 : std::stoi(answer.substr(9, 3));
 }
 
+/*
+ * A port that nobody has. They lie below the range from which the kernel takes
+ * the ports of outgoing connections, and apart for each process: a port that
+ * was free a moment ago could else be taken by a connection of another test
+ * before the program binds it.
+ */
 uint16_t free_port()
 {
-	sockaddr_in addr{};
-	socklen_t len = sizeof(addr);
-	int fd = socket(AF_INET, SOCK_STREAM, 0);
-
-	addr.sin_family = AF_INET;
-	addr.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-	if (bind(fd, (sockaddr *)&addr, sizeof(addr)))
-		abort();
-	getsockname(fd, (sockaddr *)&addr, &len);
-	close(fd);
-	return ntohs(addr.sin_port);
+	static int next = 10000 + getpid() % 4000 * 5;
+
+	for (;;) {
+		sockaddr_in addr{};
+		int one = 1;
+		int fd = socket(AF_INET, SOCK_STREAM, 0);
+		int port = next++;
+		bool is_free;
+
+		addr.sin_family = AF_INET;
+		addr.sin_port = htons((uint16_t)port);
+		addr.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+		setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof(one));
+		is_free = !bind(fd, (sockaddr *)&addr, sizeof(addr));
+		close(fd);
+		if (is_free)
+			return (uint16_t)port;
+	}
 }
 
 class Entry : public testing::Test
