--- a/lib/place.c
+++ b/lib/place.c
@@ -18,6 +18,9 @@
 #define LOSS_REPEAT 0.45
 /* Expected time beyond the aim costs this share of the credit an aim. */
 #define LATE_COST 0.8
+/* A target whose slots are all taken costs so much more than an idle one,
+ * beside the wait: among alike targets the idle ones come first. */
+#define BUSY_COST 0.05
 /* A small cost of crossing data centres: decides only between targets that are
  * otherwise alike. A body that is moved adds to it, for what the operators pay:
  * a body of 600 kB is worth as much as a request. */
@@ -135,7 +138,7 @@
 	 * idle one comes first. */
 	share = (double)(row->in_flight + row->others_in_flight) / row->slots;
 	takes += (double)p->wait;
-	return p->risk * loss + takes / aim * LATE_COST + share * 0.05 +
+	return p->risk * loss + takes / aim * LATE_COST + share * BUSY_COST +
 	       (strcmp(row->data_centre, wish->data_centre) != 0) *
 		       fmin(away, AWAY_COST_MOST);
 }
