Bound a slow head by its own limit, not by that of idle connections

Cause: a connection's timer was set for the idle timeout when it opened, and was kept when a head began, whose limit ends sooner. Ruled out: the limits not being taken over from the configuration (they are, at each connection and look).

Read while at it: bytes that come in the same turn of the loop in which a request is answered were fed before those that waited behind it; now what waits comes first.

--- a/entry/caller.c
+++ b/entry/caller.c
@@ -86,14 +86,20 @@
 
 static void timed_out(void *ctx);
 
-/* The timer is left as it is while it fires early enough. */
+/*
+ * The timer is left as it is while it fires early enough: most move later with
+ * each request. A head that begins on an idle connection moves it earlier.
+ */
 static void set_timer(struct caller *c)
 {
-	apr_time_t left = closes_at(c) - now_of(c);
+	apr_time_t at = closes_at(c);
+	apr_time_t left = at - now_of(c);
 
-	if (!c->timer)
-		c->timer = loop_after(c->door->loop, left > 0 ? left : 0,
-				      timed_out, c);
+	if (c->timer && c->timer_at <= at)
+		return;
+	loop_cancel(c->door->loop, c->timer);
+	c->timer_at = at;
+	c->timer = loop_after(c->door->loop, left > 0 ? left : 0, timed_out, c);
 }
 
 static void refuse(struct caller *c, int status)
@@ -185,7 +191,8 @@
 	c->active_at = now_of(c);
 	if (c->lingering || (c->close_after && !c->handling))
 		return;
-	if (c->handling) {
+	/* What waits behind the last request comes first. */
+	if (c->handling || c->behind) {
 		keep_behind(c, data, len);
 		return;
 	}
@@ -283,6 +290,7 @@
 	if (!c->behind)
 		return;
 	loop_cancel(c->door->loop, c->timer);
+	c->timer_at = c->active_at;
 	c->timer = loop_after(c->door->loop, 0, serve_behind, c);
 }
 
--- a/entry/caller.h
+++ b/entry/caller.h
@@ -19,6 +19,7 @@
 	struct message in;
 	GByteArray *behind;
 	struct loop_timer *timer;
+	apr_time_t timer_at;
 	apr_time_t active_at;
 	apr_time_t began_at;
 	bool handling;
--- a/tests/entry_path_test.cc
+++ b/tests/entry_path_test.cc
@@ -91,6 +91,7 @@
 	std::atomic<int> version{ 1 };
 	std::atomic<bool> store_away{ false };
 	std::atomic<bool> config_cut{ false };
+	std::string header_timeout = "3s", idle_timeout = "9s";
 	HttpFake target{ [this](const std::string &r) {
 		return at_target(r);
 	} };
@@ -113,7 +114,9 @@
 			R"("services":{"columns":["name","healthPath",)"
 			R"("maxConns"],"rows":[["s1","/health",10]]},)"
 			R"("limits":{"maxHeaderBytes":4096,"maxBodyBytes":)"
-			R"(1000,"headerTimeout":"3s","idleTimeout":"9s"}})";
+			R"(1000,"headerTimeout":")" +
+			header_timeout + R"(","idleTimeout":")" + idle_timeout +
+			R"("}})";
 
 		return config_cut ? text.substr(0, text.size() / 2) : text;
 	}
@@ -369,6 +372,63 @@
 	EXPECT_EQ(target.seen().size(), 0u);
 }
 
+/*
+ * Symptom: a VM runs out of descriptors while hardly any request is under way.
+ * Sequence: callers open connections and send their heads byte by byte, or
+ * nothing at all. Cause: the connection's timer was set for the idle timeout
+ * when it opened and left so when a head began, whose own limit is shorter.
+ */
+TEST_F(Entry, AHeadThatComesTooSlowlyIsAnsweredAndClosed)
+{
+	header_timeout = "300ms";
+	idle_timeout = "600s";
+	start_ready();
+	int fd = http_connect(front);
+	std::string text;
+
+	ASSERT_GE(fd, 0);
+	timeval often = { 0, 50000 };
+	setsockopt(fd, SOL_SOCKET, SO_RCVTIMEO, &often, sizeof(often));
+	ASSERT_GT(send(fd, "GET /read/", 10, MSG_NOSIGNAL), 0);
+	/* Each byte is a sign of life; the head as a whole is too slow. */
+	EXPECT_TRUE(becomes([&] {
+		char buf[256];
+		ssize_t n;
+
+		(void)!send(fd, "a", 1, MSG_NOSIGNAL);
+		n = recv(fd, buf, sizeof(buf), 0);
+		if (n > 0)
+			text.append(buf, (size_t)n);
+		return !n;
+	}));
+	close(fd);
+	EXPECT_EQ(status_of(text), 408) << text;
+	EXPECT_NE(text.find("Connection: close"), std::string::npos) << text;
+	EXPECT_EQ(target.seen().size(), 0u);
+}
+
+TEST_F(Entry, AnIdleConnectionIsClosedWithoutAWord)
+{
+	idle_timeout = "300ms";
+	start_ready();
+	int silent = http_connect(front);
+	int used = http_connect(front);
+	std::string request = "GET /read/a HTTP/1.1\r\nHost: h.x\r\n"
+			      "X-Request-Id: id-8\r\n\r\n";
+
+	ASSERT_GE(silent, 0);
+	ASSERT_GE(used, 0);
+	ASSERT_GT(send(used, request.data(), request.size(), MSG_NOSIGNAL), 0);
+	EXPECT_EQ(status_of(http_read(used)), 200);
+	EXPECT_EQ(http_read(silent), "");
+	EXPECT_EQ(http_read(used), "");
+	char byte;
+	EXPECT_EQ(recv(silent, &byte, 1, 0), 0);
+	EXPECT_EQ(recv(used, &byte, 1, 0), 0);
+	close(silent);
+	close(used);
+}
+
 /* A configuration that cannot be read stays out, and a line says why. */
 TEST_F(Entry, ACutConfigurationChangesNothing)
 {
