A fault soak of real processes; the story of a request from logs

Change: entry-soak (tests/soak) runs the entry daemon as processes beside a store, targets behind proxies and callers that it plays, injects faults by seed (kills, stops, pauses, reloads, a store that is away, slow, silent or forgets, sick, leaving, crashed and replaced targets, ways that are delayed, reset, cut one way or silent, configurations) in series that overlap, and checks from what callers and targets see: run once, not-run is true, whole answers, only allowed services, no 404 for what is there, all VMs end well and serve the newest route after it.

--- /dev/null
+++ b/src/logline.h
@@ -0,0 +1,21 @@
+#ifndef LOGLINE_H
+#define LOGLINE_H
+
+#include <glib.h>
+#include <stdio.h>
+
+/* One line of a VM's log, taken apart. Times are seconds of its wall clock. */
+struct logline {
+	double at;
+	unsigned order;
+	GHashTable *fields;
+};
+
+/* The lines of several VMs, merged; elements are struct logline. */
+GPtrArray *loglines_new(void);
+unsigned loglines_read(GPtrArray *lines, FILE *in);
+void loglines_sort(GPtrArray *lines);
+const char *logline_get(const struct logline *line, const char *field);
+double logline_number(const struct logline *line, const char *field);
+
+#endif
--- a/src/toucanreel.c
+++ b/src/toucanreel.c
@@ -13,6 +13,8 @@
 	{ "lookup", "ask which addresses serve a service", command_lookup },
 	{ "timeline", "the events of all processes in causal order",
 	  command_timeline },
+	{ "explain", "the story of a request, by the logs of all VMs",
+	  command_explain },
 	{ "capacity", "what a fleet of a given size costs", command_capacity },
 };
 
--- /dev/null
+++ b/tests/soak/net.h
@@ -0,0 +1,241 @@
+#ifndef SOAK_NET_H
+#define SOAK_NET_H
+
+/*
+ * Blocking sockets and threads for the stand-ins of the soak: what they do is
+ * plain to read, and a few hundred threads cost nothing here.
+ */
+#include <arpa/inet.h>
+#include <atomic>
+#include <functional>
+#include <list>
+#include <mutex>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <string>
+#include <sys/socket.h>
+#include <sys/time.h>
+#include <thread>
+#include <unistd.h>
+
+namespace soak
+{
+
+struct Address {
+	std::string ip;
+	uint16_t port = 0;
+
+	std::string text() const
+	{
+		return ip + ":" + std::to_string(port);
+	}
+};
+
+inline sockaddr_in to_sockaddr(const Address &a)
+{
+	sockaddr_in addr{};
+
+	addr.sin_family = AF_INET;
+	addr.sin_port = htons(a.port);
+	inet_pton(AF_INET, a.ip.c_str(), &addr.sin_addr);
+	return addr;
+}
+
+inline void set_timeout(int fd, int ms)
+{
+	timeval tv{ ms / 1000, ms % 1000 * 1000 };
+
+	setsockopt(fd, SOL_SOCKET, SO_RCVTIMEO, &tv, sizeof(tv));
+	setsockopt(fd, SOL_SOCKET, SO_SNDTIMEO, &tv, sizeof(tv));
+}
+
+/* A connection, or -1. ms bounds the connect and each call after it. */
+inline int dial(const Address &a, int ms)
+{
+	sockaddr_in addr = to_sockaddr(a);
+	int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+	int one = 1;
+
+	set_timeout(fd, ms);
+	setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof(one));
+	if (!connect(fd, (sockaddr *)&addr, sizeof(addr)))
+		return fd;
+	close(fd);
+	return -1;
+}
+
+inline bool send_all(int fd, const std::string &text)
+{
+	for (size_t at = 0; at < text.size();) {
+		ssize_t n = send(fd, text.data() + at, text.size() - at,
+				 MSG_NOSIGNAL);
+
+		if (n <= 0)
+			return false;
+		at += (size_t)n;
+	}
+	return true;
+}
+
+/* Close with a reset, so that the peer sees its connection break. */
+inline void reset(int fd)
+{
+	linger now{ 1, 0 };
+
+	setsockopt(fd, SOL_SOCKET, SO_LINGER, &now, sizeof(now));
+}
+
+inline std::string header(const std::string &text, const std::string &name)
+{
+	size_t end = text.find("\r\n\r\n");
+	size_t at = text.find("\r\n" + name + ": ");
+
+	if (at == std::string::npos || at > end)
+		return "";
+	at += name.size() + 4;
+	return text.substr(at, text.find("\r\n", at) - at);
+}
+
+/*
+ * The next whole message; what follows stays in rest. "" when the peer ends or
+ * breaks off: half an answer is none.
+ */
+inline std::string read_message(int fd, std::string &rest)
+{
+	char buf[16384];
+
+	for (;;) {
+		size_t head = rest.find("\r\n\r\n");
+
+		if (head != std::string::npos) {
+			std::string len = header(rest, "Content-Length");
+			size_t all =
+				head + 4 + (len.empty() ? 0 : std::stoul(len));
+
+			if (rest.size() >= all) {
+				std::string message = rest.substr(0, all);
+
+				rest.erase(0, all);
+				return message;
+			}
+		}
+		ssize_t n = recv(fd, buf, sizeof(buf), 0);
+
+		if (n <= 0)
+			return "";
+		rest.append(buf, (size_t)n);
+	}
+}
+
+inline std::string body_of(const std::string &message)
+{
+	size_t head = message.find("\r\n\r\n");
+
+	return head == std::string::npos ? "" : message.substr(head + 4);
+}
+
+inline std::string http(int status, const std::string &headers,
+			const std::string &body)
+{
+	return "HTTP/1.1 " + std::to_string(status) + " X\r\n" + headers +
+	       "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" +
+	       body;
+}
+
+/* Accepts connections and serves each on a thread of its own, until closed. */
+class Listener
+{
+      public:
+	using Serve = std::function<void(int fd, const std::string &peer_ip)>;
+
+	Listener(Address a, Serve s)
+	    : address(std::move(a)), serve(std::move(s))
+	{
+	}
+
+	~Listener()
+	{
+		shut();
+	}
+
+	bool open()
+	{
+		sockaddr_in addr = to_sockaddr(address);
+		int one = 1;
+
+		fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+		setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof(one));
+		if (bind(fd, (sockaddr *)&addr, sizeof(addr)) ||
+		    listen(fd, 256))
+			return false;
+		acceptor = std::thread([this] { accept_all(); });
+		return true;
+	}
+
+	/* No further connections; those that are open are reset. */
+	void shut()
+	{
+		if (fd < 0)
+			return;
+		shutdown(fd, SHUT_RDWR);
+		acceptor.join();
+		close(fd);
+		fd = -1;
+		{
+			std::lock_guard<std::mutex> lock(mutex);
+
+			for (auto &c : open_ones)
+				if (c.fd >= 0)
+					shutdown(c.fd, SHUT_RDWR);
+		}
+		for (auto &c : open_ones)
+			c.thread.join();
+		open_ones.clear();
+	}
+
+	const Address address;
+
+      private:
+	struct Connection {
+		int fd;
+		std::thread thread;
+	};
+
+	void accept_all()
+	{
+		for (;;) {
+			sockaddr_in peer{};
+			socklen_t len = sizeof(peer);
+			int conn = accept4(fd, (sockaddr *)&peer, &len,
+					   SOCK_CLOEXEC);
+			char ip[INET_ADDRSTRLEN] = "";
+			int one = 1;
+
+			if (conn < 0)
+				return;
+			setsockopt(conn, IPPROTO_TCP, TCP_NODELAY, &one,
+				   sizeof(one));
+			inet_ntop(AF_INET, &peer.sin_addr, ip, sizeof(ip));
+			std::lock_guard<std::mutex> lock(mutex);
+			Connection &c = open_ones.emplace_back();
+			c.fd = conn;
+			c.thread = std::thread(
+				[this, &c, conn, from = std::string(ip)] {
+					serve(conn, from);
+					std::lock_guard<std::mutex> l(mutex);
+					c.fd = -1;
+					close(conn);
+				});
+		}
+	}
+
+	Serve serve;
+	int fd = -1;
+	std::mutex mutex;
+	std::list<Connection> open_ones;
+	std::thread acceptor;
+};
+
+} // namespace soak
+
+#endif
--- /dev/null
+++ b/tests/soak/soak.cc
@@ -0,0 +1,101 @@
+/*
+ * Runs the real entry daemon as processes of their own and injects faults from
+ * outside them, from a seed. What must hold is checked from what callers and
+ * targets see.
+ */
+#include <argtable2.h>
+#include <cstdio>
+#include <cstdlib>
+#include <filesystem>
+
+#include "world.h"
+
+namespace
+{
+
+/* 0 when every promise held. The story of a run that failed is printed. */
+int run(const soak::Options &options)
+{
+	soak::World world(options);
+	unsigned total = 0;
+
+	if (!world.begin()) {
+		printf("seed %u: could not begin\n", options.seed);
+		return 1;
+	}
+	world.play();
+	world.heal();
+	world.stop();
+	auto failures = world.ledger.failures();
+	auto statuses = world.ledger.statuses();
+	printf("seed %u: %s,", options.seed,
+	       failures.empty() ? "kept" : "BROKEN");
+	for (const auto &[status, n] : statuses) {
+		printf(" %d: %u", status, n);
+		total += n;
+	}
+	printf(", answers %u\n", total);
+	if (failures.empty())
+		return 0;
+	for (const std::string &line : world.story)
+		printf("  %s\n", line.c_str());
+	for (const std::string &line : failures)
+		printf("  BROKEN: %s\n", line.c_str());
+	printf("  logs of the VMs: %s\n", options.dir.c_str());
+	return 1;
+}
+
+int number_or(const arg_int *arg, int otherwise)
+{
+	return arg->count ? arg->ival[0] : otherwise;
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+	arg_file *program = arg_file1(nullptr, "program", "FILE",
+				      "the entry daemon to run");
+	arg_int *seed = arg_int0(nullptr, "seed", "N", "the first seed");
+	arg_int *seeds =
+		arg_int0(nullptr, "seeds", "N", "how many, one by one");
+	arg_int *secs = arg_int0(nullptr, "seconds", "N", "of faults, a seed");
+	arg_int *vms = arg_int0(nullptr, "vms", "N", "entry VMs");
+	arg_int *targets = arg_int0(nullptr, "targets", "N", "targets");
+	arg_int *callers = arg_int0(nullptr, "callers", "N", "callers");
+	arg_lit *bounds =
+		arg_lit0(nullptr, "bounds", "hold bounds in time as well");
+	struct arg_end *end = arg_end(8);
+	void *table[] = { program, seed,    seeds,  secs, vms,
+			  targets, callers, bounds, end };
+	soak::Options options;
+	int failed = 0;
+
+	if (arg_parse(argc, argv, table)) {
+		arg_print_errors(stderr, end, "entry-soak");
+		arg_print_glossary(stderr, table, "  %-20s %s\n");
+		return 2;
+	}
+	setvbuf(stdout, nullptr, _IOLBF, 0);
+	signal(SIGPIPE, SIG_IGN);
+	options.program = program->filename[0];
+	options.vms = (unsigned)number_or(vms, 8);
+	options.targets = (unsigned)number_or(targets, 12);
+	options.callers = (unsigned)number_or(callers, 16);
+	options.seconds = (unsigned)number_or(secs, 10);
+	options.bounds = bounds->count > 0;
+	for (int i = 0; i < number_or(seeds, 1); i++) {
+		char dir[] = "/tmp/entry-soak-XXXXXX";
+
+		options.seed = (uint32_t)(number_or(seed, 1) + i);
+		options.dir = mkdtemp(dir) ? dir : "/tmp";
+		int bad = run(options);
+
+		failed += bad;
+		if (!bad)
+			std::filesystem::remove_all(options.dir);
+	}
+	printf("%d of %d seeds broken\n", failed, number_or(seeds, 1));
+	arg_freetable(table, sizeof(table) / sizeof(table[0]));
+	return failed != 0;
+}
--- /dev/null
+++ b/tests/soak/store.cc
@@ -0,0 +1,194 @@
+#include "store.h"
+
+extern "C" {
+#include <glib.h>
+}
+
+namespace soak
+{
+
+namespace
+{
+
+constexpr size_t PAGE = 20;
+constexpr int SLOW_MS = 240;
+
+std::string base64(const std::string &text)
+{
+	g_autofree char *out = g_base64_encode(
+		reinterpret_cast<const guchar *>(text.data()), text.size());
+
+	return out;
+}
+
+std::string query(const std::string &request, const std::string &name)
+{
+	size_t end = request.find(" HTTP/");
+	size_t at = request.find(name + "=");
+
+	if (at == std::string::npos || at > end)
+		return "";
+	at += name.size() + 1;
+	g_autofree char *text = g_uri_unescape_string(
+		request.substr(at, request.find_first_of("& ", at) - at)
+			.c_str(),
+		nullptr);
+
+	return text ? text : "";
+}
+
+uint64_t number(const std::string &text)
+{
+	return text.empty() ? 0 : std::stoull(text);
+}
+
+std::string item_json(const std::string &key, const std::string &value,
+		      uint64_t rev)
+{
+	return R"({"key":")" + key + R"(","value":")" + base64(value) +
+	       R"(","rev":)" + std::to_string(rev) +
+	       R"(,"createRevision":1,"lease":0})";
+}
+
+} // namespace
+
+uint64_t Store::write(const std::string &key, const std::string &value)
+{
+	std::lock_guard<std::mutex> lock(mutex);
+
+	items[key] = { value, ++rev };
+	history.push_back({ key, items[key], false });
+	changed.notify_all();
+	return rev;
+}
+
+uint64_t Store::remove(const std::string &key)
+{
+	std::lock_guard<std::mutex> lock(mutex);
+
+	if (!items.erase(key))
+		return rev;
+	++rev;
+	history.push_back({ key, { "", rev }, true });
+	changed.notify_all();
+	return rev;
+}
+
+void Store::forget_history()
+{
+	std::lock_guard<std::mutex> lock(mutex);
+
+	history.clear();
+	forgotten = rev;
+	changed.notify_all();
+}
+
+void Store::set_mode(StoreMode m, std::set<std::string> vms)
+{
+	std::lock_guard<std::mutex> lock(mutex);
+
+	mode = m;
+	turned_away = std::move(vms);
+}
+
+StoreMode Store::mode_for(const std::string &ip)
+{
+	std::lock_guard<std::mutex> lock(mutex);
+
+	return turned_away.empty() || turned_away.count(ip) ? mode
+							    : StoreMode::Up;
+}
+
+std::string Store::range(const std::string &request)
+{
+	std::string prefix = query(request, "prefix");
+	std::string after = query(request, "after");
+	std::lock_guard<std::mutex> lock(mutex);
+	std::string rows;
+	size_t n = 0;
+	bool more = false;
+
+	for (const auto &[key, item] : items) {
+		if (key.compare(0, prefix.size(), prefix) || key <= after)
+			continue;
+		if (n == PAGE) {
+			more = true;
+			break;
+		}
+		rows += (n++ ? "," : "") + item_json(key, item.value, item.rev);
+	}
+	return http(200, "Content-Type: application/json\r\n",
+		    R"({"items":[)" + rows + R"(],"hasMore":)" +
+			    (more ? "true" : "false") + R"(,"asOf":)" +
+			    std::to_string(rev) + "}");
+}
+
+std::string Store::watch(const std::string &request)
+{
+	std::string prefix = query(request, "prefix");
+	uint64_t after = number(query(request, "after"));
+	std::chrono::milliseconds wait(number(query(request, "waitMs")));
+	std::unique_lock<std::mutex> lock(mutex);
+	std::string rows;
+
+	changed.wait_for(lock, wait, [&] { return ending || rev > after; });
+	if (after < forgotten)
+		return http(410, "", "");
+	for (const Event &e : history) {
+		if (e.item.rev <= after ||
+		    e.key.compare(0, prefix.size(), prefix))
+			continue;
+		if (!rows.empty())
+			rows += ",";
+		if (e.removed)
+			rows += R"({"key":")" + e.key + R"(","rev":)" +
+				std::to_string(e.item.rev) +
+				R"(,"removed":true})";
+		else
+			rows += item_json(e.key, e.item.value, e.item.rev);
+	}
+	return http(200, "Content-Type: application/json\r\n",
+		    R"({"events":[)" + rows + R"(],"asOf":)" +
+			    std::to_string(rev) + "}");
+}
+
+std::string Store::answer(const std::string &request)
+{
+	if (request.rfind("GET /v1/kv-range?", 0) == 0)
+		return range(request);
+	if (request.rfind("GET /v1/kv-watch?", 0) == 0)
+		return watch(request);
+	return http(404, "", "");
+}
+
+void Store::serve(int fd, const std::string &ip)
+{
+	std::string rest;
+
+	for (;;) {
+		std::string request = read_message(fd, rest);
+		StoreMode now = mode_for(ip);
+		std::string text;
+
+		if (request.empty())
+			return;
+		calls++;
+		if (now == StoreMode::Reset) {
+			reset(fd);
+			return;
+		}
+		if (now == StoreMode::Silent)
+			continue;
+		if (now == StoreMode::Slow)
+			usleep(SLOW_MS * 1000);
+		text = now == StoreMode::Busy ? http(503, "", "")
+					      : answer(request);
+		/* On a connection that lost an answer nothing more comes. */
+		if (now == StoreMode::Lost)
+			continue;
+		if (!send_all(fd, text))
+			return;
+	}
+}
+
+} // namespace soak
--- /dev/null
+++ b/tests/soak/store.h
@@ -0,0 +1,92 @@
+#ifndef SOAK_STORE_H
+#define SOAK_STORE_H
+
+#include <condition_variable>
+#include <deque>
+#include <map>
+#include <set>
+
+#include "net.h"
+
+namespace soak
+{
+
+enum class StoreMode { Up, Busy, Reset, Silent, Slow, Lost };
+
+/*
+ * The platform's store, as entry VMs read it: listing in pages, watches by
+ * revision, a history that may be forgotten. Values are kept as they are
+ * written; what is called here on behalf of operator and targets is
+ * acknowledged when it returns.
+ */
+class Store
+{
+      public:
+	explicit Store(const Address &at)
+	    : listener(at,
+		       [this](int fd, const std::string &ip) { serve(fd, ip); })
+	{
+	}
+
+	~Store()
+	{
+		{
+			std::lock_guard<std::mutex> lock(mutex);
+
+			ending = true;
+		}
+		changed.notify_all();
+		listener.shut();
+	}
+
+	bool open()
+	{
+		return listener.open();
+	}
+
+	const Address &address() const
+	{
+		return listener.address;
+	}
+
+	/* The revision that the write got. */
+	uint64_t write(const std::string &key, const std::string &value);
+	uint64_t remove(const std::string &key);
+	void forget_history();
+	/* From now on, for the VMs of these addresses; for all when empty. */
+	void set_mode(StoreMode mode, std::set<std::string> vms = {});
+
+	std::atomic<unsigned> calls{ 0 };
+
+      private:
+	struct Item {
+		std::string value;
+		uint64_t rev = 0;
+	};
+	struct Event {
+		std::string key;
+		Item item;
+		bool removed = false;
+	};
+
+	void serve(int fd, const std::string &ip);
+	std::string answer(const std::string &request);
+	std::string range(const std::string &request);
+	std::string watch(const std::string &request);
+	StoreMode mode_for(const std::string &ip);
+
+	std::mutex mutex;
+	std::condition_variable changed;
+	std::map<std::string, Item> items;
+	std::deque<Event> history;
+	uint64_t rev = 1;
+	uint64_t forgotten = 0;
+	StoreMode mode = StoreMode::Up;
+	std::set<std::string> turned_away;
+	bool ending = false;
+	Listener listener;
+};
+
+} // namespace soak
+
+#endif
--- /dev/null
+++ b/tests/soak/vm.h
@@ -0,0 +1,124 @@
+#ifndef SOAK_VM_H
+#define SOAK_VM_H
+
+#include <csignal>
+#include <fcntl.h>
+#include <fstream>
+#include <sys/wait.h>
+#include <vector>
+
+#include "ledger.h"
+#include "net.h"
+
+namespace soak
+{
+
+constexpr uint16_t FRONT_PORT = 8001, READY_PORT = 8002, DIRECTORY_PORT = 8003,
+		   PEER_PORT = 8004;
+
+/* One entry VM: the real program as a process of its own. */
+class Vm
+{
+      public:
+	Vm(std::string program_, std::string dir_, std::string ip_,
+	   std::string centre_, std::string store_)
+	    : ip(std::move(ip_)), centre(std::move(centre_)),
+	      program(std::move(program_)), dir(std::move(dir_)),
+	      store(std::move(store_))
+	{
+	}
+
+	~Vm()
+	{
+		kill_now();
+	}
+
+	void write_settings(const std::vector<std::string> &seeds)
+	{
+		std::ofstream out(path());
+
+		out << "name: vm-" << ip << "\nip: " << ip
+		    << "\ndata_centre: " << centre << "\nfront: " << ip << ":"
+		    << FRONT_PORT << "\nready: " << ip << ":" << READY_PORT
+		    << "\ndirectory: " << ip << ":" << DIRECTORY_PORT
+		    << "\nstore: " << store << "\npeer_port: " << PEER_PORT
+		    << "\nseeds:\n";
+		for (const auto &seed : seeds)
+			out << "- " << seed << ":" << PEER_PORT << "\n";
+		out << "bounds:\n  repeat_ratio: 0.2\n  repeat_slack: 50\n"
+		    << "  floor_share: 0.7\n  repeat_window: 10s\n"
+		    << "  keep_most: 2s\n  grace: 3s\n  drain: 2s\n";
+	}
+
+	/* Nothing when it runs: faults that overlap both want it back. */
+	void start()
+	{
+		if (pid > 0)
+			return;
+		starts++;
+		int log = open((dir + "/" + ip + ".log").c_str(),
+			       O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
+
+		pid = fork();
+		if (!pid) {
+			dup2(log, STDOUT_FILENO);
+			dup2(log, STDERR_FILENO);
+			execl(program.c_str(), "toucanreel-entry", "--settings",
+			      path().c_str(), nullptr);
+			_exit(127);
+		}
+		close(log);
+	}
+
+	void send(int signal_number)
+	{
+		if (pid > 0)
+			kill(pid, signal_number);
+		if (signal_number == SIGSTOP)
+			paused = true;
+		if (signal_number == SIGCONT) {
+			paused = false;
+			resumed_at = Clock::now();
+		}
+	}
+
+	/* True when the process has ended; its status is in ended_with. */
+	bool has_ended()
+	{
+		if (pid <= 0)
+			return true;
+		if (waitpid(pid, &ended_with, WNOHANG) != pid)
+			return false;
+		pid = -1;
+		return true;
+	}
+
+	void kill_now()
+	{
+		if (pid <= 0)
+			return;
+		kill(pid, SIGKILL);
+		waitpid(pid, &ended_with, 0);
+		pid = -1;
+	}
+
+	const std::string ip;
+	const std::string centre;
+	int ended_with = 0;
+	unsigned starts = 0;
+	bool paused = false;
+	Time resumed_at{};
+
+      private:
+	std::string path() const
+	{
+		return dir + "/" + ip + ".yaml";
+	}
+
+	std::string program, dir, store;
+	pid_t pid = -1;
+};
+
+} // namespace soak
+
+#endif
