--- a/tests/soak/net.h
+++ b/tests/soak/net.h
@@ -201,6 +201,27 @@
 		std::thread thread;
 	};
 
+	/* Threads that have ended still count until they are joined. */
+	void reap()
+	{
+		std::list<Connection> ended;
+		{
+			std::lock_guard<std::mutex> lock(mutex);
+
+			for (auto it = open_ones.begin();
+			     it != open_ones.end();) {
+				auto next = std::next(it);
+
+				if (it->fd < 0)
+					ended.splice(ended.end(), open_ones,
+						     it);
+				it = next;
+			}
+		}
+		for (auto &c : ended)
+			c.thread.join();
+	}
+
 	void accept_all()
 	{
 		for (;;) {
@@ -216,6 +237,7 @@
 			setsockopt(conn, IPPROTO_TCP, TCP_NODELAY, &one,
 				   sizeof(one));
 			inet_ntop(AF_INET, &peer.sin_addr, ip, sizeof(ip));
+			reap();
 			std::lock_guard<std::mutex> lock(mutex);
 			Connection &c = open_ones.emplace_back();
 			c.fd = conn;
