--- a/models/run.sh
+++ b/models/run.sh
@@ -8,7 +8,8 @@
 FAILED=0
 # Depth first reduces the interleavings of several processes; floor.pml is one
 # process of many short steps, whose depth has no useful bound.
-declare -A ENGINE=([once]=-DCOLLAPSE [config]=-DCOLLAPSE [floor]=-DBFS)
+declare -A ENGINE=([once]=-DCOLLAPSE [config]=-DCOLLAPSE [floor]=-DBFS
+	[news]=-DCOLLAPSE)
 
 # check MODEL good|broken [DEFINE]
 check() {
@@ -35,6 +36,7 @@
 check once good &
 check config good &
 check floor good &
+check news good &
 wait
 check once broken NO_BOOT_CHECK
 check once broken NO_EXPIRY_CHECK
@@ -42,6 +44,9 @@
 check config broken TAKE_ANY
 check config broken NO_CONFIRM
 check config broken NO_ECHO
+check news broken TAKE_ANY
+check news broken DROP_NEWER
+check news broken NO_TOMBSTONE
 check floor broken NO_WAIT &
 check floor broken VOTES_AT_ONCE &
 check floor broken FRESH_ON_ARRIVAL &
