Take over the revision of each answer of the store

An answer was taken as no newer than what peers had vouched for since it was asked for, and its revision was thrown away with its age: the reader watched from 672 again and told of a list that seemed as old as all others.

Change: the revision moves with each answer, whatever its age; a list of a larger revision is pulled without regard to age.

--- a/entry/mesh_take.c
+++ b/entry/mesh_take.c
@@ -148,7 +148,8 @@
 		tr_roster_vouched(roster, msg->as_of, age, now);
 		return;
 	}
-	if (msg->as_of >= roster->as_of && now - age > roster->current_at)
+	if (msg->as_of > roster->as_of ||
+	    (msg->as_of == roster->as_of && now - age > roster->current_at))
 		pull_targets(&mesh->pull, node->ip);
 }
 
--- a/lib/roster.c
+++ b/lib/roster.c
@@ -183,13 +183,16 @@
 {
 	apr_time_t at = now - age;
 
+	/* An answer of the store may be newer than what was vouched for since
+	 * it was asked for: else its reader asks for the same changes again,
+	 * and tells the others of a revision that they have. */
+	if (as_of > roster->as_of)
+		roster->as_of = as_of;
 	if (at <= roster->current_at)
 		return;
 	if (roster->current_at && at - roster->current_at > INTERRUPTED)
 		roster->returned_at = now;
 	roster->current_at = at;
-	if (as_of > roster->as_of)
-		roster->as_of = as_of;
 }
 
 /*
--- a/tests/roster_test.cc
+++ b/tests/roster_test.cc
@@ -204,4 +204,23 @@
 	EXPECT_GE(now - b.current_at, TR_MSEC(2900));
 }
 
+/*
+ * Symptom: targets that left go on getting requests from all VMs but the reader
+ * for seconds. Sequence: a reader asks the store; while it waits another VM
+ * vouches for its list; the answer says that a target left. Cause: as the
+ * answer was asked for before that, its revision was not taken over: the reader
+ * told a list that seemed as old as the others', and nobody pulled it.
+ */
+TEST(RosterAge, AnAnswerThatWasAskedForLongAgoStillMovesTheRevision)
+{
+	tr_roster r{};
+	apr_time_t now = TR_SEC(100);
+
+	tr_roster_current(&r, 7, 0, now);
+	tr_roster_vouched(&r, 7, TR_MSEC(10), now + TR_MSEC(390));
+	tr_roster_current(&r, 9, TR_MSEC(400), now + TR_MSEC(400));
+	EXPECT_EQ(r.as_of, 9u);
+	EXPECT_GE(r.current_at, now + TR_MSEC(300));
+}
+
 } // namespace
