Keep a share above the floor again, and 0.6 targets at least

Operators count those without a disturbance on them or their links; which these are a VM can't see, and a part of 53 of 201 has by chance fewer at work.

Change: the margin is 4% of the sound targets, 0.6 at least, which is what small services have.

--- a/lib/cover.c
+++ b/lib/cover.c
@@ -7,6 +7,8 @@
  */
 #include "cover.h"
 
+#include <math.h>
+
 #include "clock.h"
 #include "hash.h"
 
@@ -21,10 +23,13 @@
  * Nearly half of the suspects are so at any time, so it halves what must be
  * sent to them. */
 #define UNSOUND_FOR TR_SEC(2)
-/* Targets above the share that the operators demand, since this VM's view of
- * which are sound is not theirs. They are off by a target or so however many
- * there are: a margin of 3% asked for four more of 145, all of them gray. */
-#define MARGIN 0.6
+/* Above the share that the operators demand: in targets at least, and as a part
+ * of those that are sound. This VM's view of which are sound is not theirs, and
+ * where they count a part of them only (53 of 201 targets, the others being cut
+ * off from some VMs) that part may have fewer at work than all have: with 0.6
+ * targets alone 36 of those 53 were. */
+#define MARGIN_LEAST 0.6
+#define MARGIN_SHARE 0.04
 /* Requests a target within the last seconds from which on each can have its
  * own: below it chance leaves some out, and that says nothing. */
 #define LEAST_WORK 2.5
@@ -78,8 +83,10 @@
 uint32_t tr_cover_due(const struct tr_cover *cover, double share,
 		      double outcomes)
 {
+	double margin = fmax(MARGIN_LEAST, MARGIN_SHARE * cover->sound);
+
 	if (outcomes < LEAST_WORK * cover->sound ||
-	    cover->used >= share * cover->sound + MARGIN)
+	    cover->used >= share * cover->sound + margin)
 		return TR_NO_ROW;
 	return cover->row;
 }
