Tell a target's lives apart; an entry that can't be read names no target

Cause: a target may start again under the id that it had. The row of the roster was found by the id alone, so evidence, requests in flight and refusals of the earlier process were held against the new one, and a write of the earlier one that the store took in late came back as the newer. Entries by another writer were taken with zeros for what was missing, and what could not be read left the target's row as it was.

Change: a record carries when its target started. A later start gets a row of its own, whose name between VMs is made of id and start, so that what peers say of the earlier process stays with it; an earlier start is never taken. Digests and pulled lists carry the start, messages between VMs are of version 2 and others are refused with a line that names the sender. An entry is taken only if each of its fields is there, of its type and in its range; else its target is out at once. Lines of refusals are paced, rows and services bounded.

Ruled out: to clear the old row in place, since answers and peers' totals of the earlier process would go on to be counted for the new one.

--- a/entry/entry.c
+++ b/entry/entry.c
@@ -14,6 +14,8 @@
 /* How long requests wait for news after one: a reader's answer and a message's
  * way take a tenth of that. */
 #define HOLD_MOST TR_MSEC(300)
+/* Lines a second, in the mean, of entries that can't be read. */
+#define REFUSAL_LINES_A_S 2
 
 /* Has the process stood still since the loop's last step? */
 bool entry_paused(struct entry *e, apr_time_t now)
@@ -87,36 +89,69 @@
 	put_in_force(e, routes, from);
 }
 
-/* One value of the store. */
-void entry_item(struct entry *e, const struct store_item *item,
-		const char *from)
+/*
+ * An entry that can't be read names no target; the others hold. Lines are few
+ * however many there are: a writer that floods the store with nonsense must not
+ * push out the lines that tell of requests.
+ */
+static void refuse_target(struct entry *e, const struct store_item *item,
+			  const struct tr_target_record *record,
+			  const struct tr_error *err, const char *from)
+{
+	apr_time_t now = entry_now(e);
+
+	e->counts.targets_refused++;
+	if (*record->id)
+		tr_roster_refuse(&e->roster, record->id, item->revision, now);
+	if (!tr_pacer_has(&e->refusal_lines, REFUSAL_LINES_A_S, now))
+		return;
+	tr_pacer_spend(&e->refusal_lines, 1);
+	eventlog(EVENT_FAILURE, "target-refused",
+		 "key=%s revision=%" G_GUINT64_FORMAT
+		 " field=%s expected=\"%s\" from=%s refused=%" G_GUINT64_FORMAT,
+		 item->key, (guint64)item->revision, err->field, err->expected,
+		 from, (guint64)e->counts.targets_refused);
+}
+
+static const char *state_word(const struct tr_target_record *record)
+{
+	if (record->gone)
+		return "gone";
+	return record->leaving ? "leaving" : "ready";
+}
+
+/* Take in what is said of a target, by the store or a peer. */
+void entry_target(struct entry *e, const struct tr_target_record *record,
+		  const char *from)
+{
+	if (!tr_roster_apply(&e->roster, record, entry_now(e)))
+		return;
+	eventlog(EVENT_BELIEF, "target",
+		 "id=%s born=%" G_GUINT64_FORMAT " service=%s address=%s "
+		 "state=%s revision=%" G_GUINT64_FORMAT " from=%s",
+		 record->id, (guint64)record->born, record->service,
+		 record->address, state_word(record), (guint64)record->revision,
+		 from);
+}
+
+/* One value of the store. True with the record, where it names a target. */
+bool entry_item(struct entry *e, const struct store_item *item,
+		const char *from, struct tr_target_record *record)
 {
-	struct tr_target_record record;
 	struct tr_error err = { 0 };
 
 	if (e->dialect->is_routes(item->key)) {
 		entry_offer_routes(e, item, from);
-		return;
+		return false;
 	}
 	if (!e->dialect->is_target(item->key))
-		return;
-	if (e->dialect->read_target(item, &record, &err)) {
-		eventlog(EVENT_FAILURE, "target-refused",
-			 "key=%s revision=%" G_GUINT64_FORMAT
-			 " field=%s expected=\"%s\" from=%s",
-			 item->key, (guint64)item->revision, err.field,
-			 err.expected, from);
-		return;
+		return false;
+	if (e->dialect->read_target(item, record, &err)) {
+		refuse_target(e, item, record, &err, from);
+		return false;
 	}
-	if (tr_roster_apply(&e->roster, &record, entry_now(e)))
-		eventlog(EVENT_BELIEF, "target",
-			 "id=%s service=%s address=%s state=%s "
-			 "revision=%" G_GUINT64_FORMAT " from=%s",
-			 record.id, record.service, record.address,
-			 record.gone	  ? "gone"
-			 : record.leaving ? "leaving"
-					  : "ready",
-			 (guint64)record.revision, from);
+	entry_target(e, record, from);
+	return true;
 }
 
 /* The repeats of a service of the roster. */
--- a/entry/entry.h
+++ b/entry/entry.h
@@ -9,6 +9,7 @@
 #include "hash.h"
 #include "loop.h"
 #include "membership.h"
+#include "pacer.h"
 #include "roster.h"
 #include "route.h"
 
@@ -30,6 +31,8 @@
 	uint64_t messages_in;
 	uint64_t messages_out;
 	uint64_t pulls;
+	uint64_t targets_refused;
+	uint64_t messages_refused;
 };
 
 /*
@@ -64,6 +67,7 @@
 	struct exchange *exchanges;
 	unsigned exchanges_count;
 	struct entry_counts counts;
+	struct tr_pacer refusal_lines;
 	GArray *times;
 };
 
@@ -72,8 +76,10 @@
 	return tr_clock_now(loop_clock(e->loop));
 }
 
-void entry_item(struct entry *e, const struct store_item *item,
-		const char *from);
+bool entry_item(struct entry *e, const struct store_item *item,
+		const char *from, struct tr_target_record *record);
+void entry_target(struct entry *e, const struct tr_target_record *record,
+		  const char *from);
 void entry_offer_routes(struct entry *e, const struct store_item *item,
 			const char *from);
 bool entry_paused(struct entry *e, apr_time_t now);
--- a/entry/mesh.c
+++ b/entry/mesh.c
@@ -17,6 +17,7 @@
 
 #include "entry_settings.h"
 #include "error.h"
+#include "eventlog.h"
 #include "mesh_internal.h"
 
 /* One datagram, without fragments on an ordinary link. */
@@ -35,9 +36,11 @@
 #define BYTES_HEAD     200
 /* A change of the list is told for so long, some three readings, in case a
  * datagram is lost; a list that differs after that is pulled whole. */
-#define RECORD_TOLD  TR_MSEC(1000)
-#define NODES_TOLD   3
-#define CENTRES_MOST 64
+#define RECORD_TOLD TR_MSEC(1000)
+#define NODES_TOLD  3
+/* Lines a second, in the mean, of messages that can't be taken. */
+#define REFUSAL_LINES_A_S 0.2
+#define CENTRES_MOST	  64
 
 static void add_rows(struct mesh *mesh, struct mesh_message *msg,
 		     struct mesh_row *rows, size_t room)
@@ -80,7 +83,7 @@
 		unsigned n = msg->records.records_len;
 		struct tr_target_record *t = &typed[n];
 
-		if (!row->used || !row->changed_at ||
+		if (!row->used || row->superseded || !row->changed_at ||
 		    now - row->changed_at > RECORD_TOLD)
 			continue;
 		if (n == MESH_MAX_RECORDS)
@@ -96,6 +99,7 @@
 				 (t->gone ? RECORD_GONE : 0),
 			.cold_ms = (uint32_t)(t->cold_for / 1000),
 			.revision = t->revision,
+			.born = t->born,
 		};
 		msg->records.records_len++;
 	}
@@ -283,6 +287,25 @@
 	tell_centre(mesh, buf, len, entry_now(mesh->e));
 }
 
+/*
+ * A message of another version, or nonsense. During an upgrade the VMs of each
+ * version act together and not across; the lines say which VM to look at.
+ */
+static void refuse_message(struct mesh *mesh, const struct sockaddr_in *from)
+{
+	char ip[INET_ADDRSTRLEN] = "";
+
+	mesh->e->counts.messages_refused++;
+	if (!tr_pacer_has(&mesh->refusal_lines, REFUSAL_LINES_A_S,
+			  entry_now(mesh->e)))
+		return;
+	tr_pacer_spend(&mesh->refusal_lines, 1);
+	inet_ntop(AF_INET, &from->sin_addr, ip, sizeof(ip));
+	eventlog(EVENT_FAILURE, "message-refused",
+		 "from=%s expected=\"a message of version %d of this fleet\"",
+		 ip, MESH_VERSION);
+}
+
 static void readable(void *ctx, int fd, int events)
 {
 	struct mesh *mesh = ctx;
@@ -292,12 +315,17 @@
 
 	(void)events;
 	for (int i = 0; i < DATAGRAMS_A_TURN; i++) {
-		ssize_t n = recv(fd, buf, sizeof(buf), MSG_DONTWAIT);
+		struct sockaddr_in from = { 0 };
+		socklen_t from_len = sizeof(from);
+		ssize_t n = recvfrom(fd, buf, sizeof(buf), MSG_DONTWAIT,
+				     (struct sockaddr *)&from, &from_len);
 
 		if (n < 0)
 			return;
-		if (mesh_decode(buf, (size_t)n, &msg, &procedure) &&
-		    msg.fleet == mesh->fleet) {
+		if (!mesh_decode(buf, (size_t)n, &msg, &procedure) ||
+		    msg.fleet != mesh->fleet) {
+			refuse_message(mesh, &from);
+		} else {
 			if (procedure == MESH_HAND_ON)
 				hand_on(mesh, buf, (size_t)n);
 			mesh_take(mesh, &msg, msg.sender);
--- a/entry/mesh.x
+++ b/entry/mesh.x
@@ -29,6 +29,7 @@
 	unsigned int flags;
 	unsigned int cold_ms;
 	unsigned hyper revision;
+	unsigned hyper born;
 };
 
 struct mesh_message {
@@ -53,5 +54,5 @@
 		void MESH_TELL(mesh_message) = 1;
 		/* The same, to be handed on in the receiver's data centre. */
 		void MESH_HAND_ON(mesh_message) = 2;
-	} = 1;
+	} = 2;
 } = 0x20544353;
--- a/entry/mesh_internal.h
+++ b/entry/mesh_internal.h
@@ -23,6 +23,7 @@
 	apr_time_t told_at;
 	uint32_t row_again;
 	struct pull pull;
+	struct tr_pacer refusal_lines;
 };
 
 size_t mesh_encode(struct mesh_message *msg, rpcproc_t procedure, char *buf,
--- a/entry/mesh_take.c
+++ b/entry/mesh_take.c
@@ -109,8 +109,7 @@
 	work->totals = told;
 }
 
-static void take_record(struct mesh *mesh, const struct mesh_record *in,
-			apr_time_t now)
+static void take_record(struct mesh *mesh, const struct mesh_record *in)
 {
 	struct tr_target_record r = {
 		.slots = in->slots,
@@ -118,21 +117,14 @@
 		.gone = in->flags & RECORD_GONE,
 		.cold_for = TR_MSEC(in->cold_ms),
 		.revision = in->revision,
+		.born = in->born,
 	};
 
 	strncpy(r.id, in->id, TR_ID_MAX);
 	strncpy(r.service, in->service, TR_ID_MAX);
 	strncpy(r.address, in->address, TR_ADDRESS_MAX);
 	strncpy(r.data_centre, in->data_centre, TR_ID_MAX);
-	if (tr_roster_apply(&mesh->e->roster, &r, now))
-		eventlog(EVENT_BELIEF, "target",
-			 "id=%s service=%s address=%s state=%s "
-			 "revision=%" G_GUINT64_FORMAT " from=peer",
-			 r.id, r.service, r.address,
-			 r.gone	     ? "gone"
-			 : r.leaving ? "leaving"
-				     : "ready",
-			 (guint64)r.revision);
+	entry_target(mesh->e, &r, "peer");
 }
 
 /* Is the sender's list newer, or equal and so a proof that ours is current? */
@@ -181,7 +173,7 @@
 			mesh_call_one(mesh, ip, true);
 	}
 	for (u_int i = 0; i < msg->records.records_len; i++)
-		take_record(mesh, &msg->records.records_val[i], now);
+		take_record(mesh, &msg->records.records_val[i]);
 	for (u_int i = 0; i < msg->work.work_len; i++)
 		take_work(mesh, node, &msg->work.work_val[i], now);
 	for (u_int i = 0; i < msg->rows.rows_len; i++)
--- a/entry/mesh_xdr.c
+++ b/entry/mesh_xdr.c
@@ -113,6 +113,8 @@
 		}
 		 if (!xdr_u_quad_t (xdrs, &objp->revision))
 			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->born))
+			 return FALSE;
 		return TRUE;
 	} else if (xdrs->x_op == XDR_DECODE) {
 		 if (!xdr_string (xdrs, &objp->id, MESH_MAX_ID))
@@ -139,6 +141,8 @@
 		}
 		 if (!xdr_u_quad_t (xdrs, &objp->revision))
 			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->born))
+			 return FALSE;
 	 return TRUE;
 	}
 
@@ -158,6 +162,8 @@
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->revision))
 		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->born))
+		 return FALSE;
 	return TRUE;
 }
 
--- a/entry/mesh_xdr.h
+++ b/entry/mesh_xdr.h
@@ -42,6 +42,7 @@
 	u_int flags;
 	u_int cold_ms;
 	u_quad_t revision;
+	u_quad_t born;
 };
 typedef struct mesh_record mesh_record;
 
@@ -76,25 +77,25 @@
 typedef struct mesh_message mesh_message;
 
 #define MESH_PEER 0x20544353
-#define MESH_VERSION 1
+#define MESH_VERSION 2
 
 #if defined(__STDC__) || defined(__cplusplus)
 #define MESH_TELL 1
-extern  void * mesh_tell_1(mesh_message *, CLIENT *);
-extern  void * mesh_tell_1_svc(mesh_message *, struct svc_req *);
+extern  void * mesh_tell_2(mesh_message *, CLIENT *);
+extern  void * mesh_tell_2_svc(mesh_message *, struct svc_req *);
 #define MESH_HAND_ON 2
-extern  void * mesh_hand_on_1(mesh_message *, CLIENT *);
-extern  void * mesh_hand_on_1_svc(mesh_message *, struct svc_req *);
-extern int mesh_peer_1_freeresult (SVCXPRT *, xdrproc_t, caddr_t);
+extern  void * mesh_hand_on_2(mesh_message *, CLIENT *);
+extern  void * mesh_hand_on_2_svc(mesh_message *, struct svc_req *);
+extern int mesh_peer_2_freeresult (SVCXPRT *, xdrproc_t, caddr_t);
 
 #else /* K&R C */
 #define MESH_TELL 1
-extern  void * mesh_tell_1();
-extern  void * mesh_tell_1_svc();
+extern  void * mesh_tell_2();
+extern  void * mesh_tell_2_svc();
 #define MESH_HAND_ON 2
-extern  void * mesh_hand_on_1();
-extern  void * mesh_hand_on_1_svc();
-extern int mesh_peer_1_freeresult ();
+extern  void * mesh_hand_on_2();
+extern  void * mesh_hand_on_2_svc();
+extern int mesh_peer_2_freeresult ();
 #endif /* K&R C */
 
 /* the xdr functions */
--- a/entry/pull.c
+++ b/entry/pull.c
@@ -39,12 +39,13 @@
 static int read_record(json_t *row, struct tr_target_record *r)
 {
 	const char *id, *service, *address, *centre;
-	json_int_t slots, cold, revision;
+	json_int_t slots, cold, revision, born;
 	int leaving;
 	int gone;
 
-	if (json_unpack(row, "[s,s,s,s,I,b,b,I,I]", &id, &service, &address,
-			&centre, &slots, &leaving, &gone, &cold, &revision))
+	if (json_unpack(row, "[s,s,s,s,I,b,b,I,I,I]", &id, &service, &address,
+			&centre, &slots, &leaving, &gone, &cold, &revision,
+			&born))
 		return -1;
 	memset(r, 0, sizeof(*r));
 	strncpy(r->id, id, TR_ID_MAX);
@@ -56,6 +57,7 @@
 	r->gone = gone;
 	r->cold_for = cold;
 	r->revision = (uint64_t)revision;
+	r->born = (uint64_t)born;
 	return 0;
 }
 
@@ -142,10 +144,10 @@
 		tr_roster_record(&e->roster, row, &r, now);
 		json_array_append_new(
 			rows,
-			json_pack("[s,s,s,s,I,b,b,I,I]", r.id, r.service,
+			json_pack("[s,s,s,s,I,b,b,I,I,I]", r.id, r.service,
 				  r.address, r.data_centre, (json_int_t)r.slots,
 				  r.leaving, r.gone, (json_int_t)r.cold_for,
-				  (json_int_t)r.revision));
+				  (json_int_t)r.revision, (json_int_t)r.born));
 	}
 	json_object_set_new(root, "targets", rows);
 	json_object_set_new(root, "as_of",
--- a/entry/reader.c
+++ b/entry/reader.c
@@ -96,14 +96,9 @@
 	for (guint i = 0; i < page->items->len; i++) {
 		struct store_item *item =
 			&g_array_index(page->items, struct store_item, i);
-
-		entry_item(r->e, item, "store");
-		if (!r->listing || !r->e->dialect->is_target(item->key))
-			continue;
 		struct tr_target_record record;
-		struct tr_error err;
 
-		if (!r->e->dialect->read_target(item, &record, &err))
+		if (entry_item(r->e, item, "store", &record) && r->listing)
 			g_array_append_val(r->records, record);
 	}
 }
--- a/lib/roster.c
+++ b/lib/roster.c
@@ -19,6 +19,11 @@
 #define HOP_MOST TR_MSEC(30)
 /* Rows of targets that are gone keep older news from bringing them back. */
 #define TOMBSTONE_KEEP TR_SEC(60)
+/* Rows and services are not made beyond this many, half as much again as the
+ * plan's 69,000 targets and 2,900 services: entries that another writer floods
+ * the store with must not take the memory of callers' requests. */
+#define ROWS_MOST     100000
+#define SERVICES_MOST 4096
 /* Before the first answers the usual time is taken as this share of the aim. */
 #define FIRST_GUESS 4
 /* Span of the recent outcomes: that of the windows in which operators look at
@@ -32,6 +37,14 @@
 	memset(roster, 0, sizeof(*roster));
 }
 
+static bool has_service(const struct tr_roster *roster, const char *name)
+{
+	for (unsigned i = 0; i < roster->services_count; i++)
+		if (!strcmp(roster->services[i].name, name))
+			return true;
+	return false;
+}
+
 /* The service's place, made when the name is new. */
 uint32_t tr_roster_service(struct tr_roster *roster, const char *name)
 {
@@ -53,12 +66,23 @@
 
 static struct tr_instance *find(struct tr_roster *roster, const char *id)
 {
-	for (unsigned i = 0; i < roster->count; i++)
-		if (roster->rows[i].used && !strcmp(roster->rows[i].id, id))
-			return &roster->rows[i];
+	for (unsigned i = 0; i < roster->count; i++) {
+		struct tr_instance *row = &roster->rows[i];
+
+		if (row->used && !row->superseded && !strcmp(row->id, id))
+			return row;
+	}
 	return NULL;
 }
 
+/* The name under which VMs tell each other of this start of the target. */
+static uint32_t life_hash(const struct tr_target_record *record)
+{
+	uint64_t h = tr_hash_string(record->id);
+
+	return (uint32_t)(record->born ? tr_hash_pair(h, record->born) : h);
+}
+
 static struct tr_instance *new_row(struct tr_roster *roster)
 {
 	struct tr_instance *grown;
@@ -114,35 +138,85 @@
 	row->cold_until = record->cold_for ? now + record->cold_for : 0;
 }
 
+/* Can a row be made for what the record says? */
+static bool has_room(const struct tr_roster *roster,
+		     const struct tr_target_record *record)
+{
+	if (roster->count >= ROWS_MOST)
+		return false;
+	return roster->services_count < SERVICES_MOST ||
+	       has_service(roster, record->service);
+}
+
+/* A row of its own for this start of the target, of which nothing is known. */
+static bool add(struct tr_roster *roster, const struct tr_target_record *record,
+		apr_time_t now)
+{
+	struct tr_instance *row;
+
+	if (!has_room(roster, record))
+		return false;
+	row = new_row(roster);
+	row->used = true;
+	row->known_since = now;
+	memcpy(row->id, record->id, sizeof(row->id));
+	row->born = record->born;
+	row->hash = life_hash(record);
+	row->revision = record->revision;
+	if (record->gone) {
+		row->gone = true;
+		row->gone_at = now;
+		return false;
+	}
+	fill(roster, row, record, now);
+	row->changed_at = now;
+	return true;
+}
+
+static void set_gone_at_once(struct tr_instance *row, apr_time_t now)
+{
+	row->lapsed_at = 0;
+	row->changed_at = now;
+	if (row->gone)
+		return;
+	row->gone = true;
+	row->gone_at = now;
+}
+
 /*
- * Take in what is said of one target; of two sayings the larger revision
- * holds, whoever tells it and in whatever order. True when it changes what
- * this VM does.
+ * The target has started again under its id: a new process, which knows nothing
+ * of what the earlier one was sent. The row of the earlier start only waits for
+ * the ends of the requests that were sent to it. One would notice a row that is
+ * kept by a target that is held to be gray, cold or full for what its earlier
+ * process did.
  */
-bool tr_roster_apply(struct tr_roster *roster,
-		     const struct tr_target_record *record, apr_time_t now)
+static void supersede(struct tr_instance *row, apr_time_t now)
+{
+	set_gone_at_once(row, now);
+	row->superseded = true;
+	row->changed_at = 0;
+}
+
+/*
+ * An entry that names no target, since another writer's value stands there or
+ * one that can't be read: what was known under the id is no longer listed.
+ */
+void tr_roster_refuse(struct tr_roster *roster, const char *id,
+		      uint64_t revision, apr_time_t now)
+{
+	struct tr_instance *row = find(roster, id);
+
+	if (!row || revision <= row->revision)
+		return;
+	row->revision = revision;
+	set_gone_at_once(row, now);
+}
+
+static bool update(struct tr_roster *roster, struct tr_instance *row,
+		   const struct tr_target_record *record, apr_time_t now)
 {
-	struct tr_instance *row = find(roster, record->id);
 	bool changed;
 
-	if (row && record->revision <= row->revision)
-		return false;
-	if (!row) {
-		row = new_row(roster);
-		row->used = true;
-		row->known_since = now;
-		memcpy(row->id, record->id, sizeof(row->id));
-		row->hash = (uint32_t)tr_hash_string(record->id);
-		row->revision = record->revision;
-		if (record->gone) {
-			row->gone = true;
-			row->gone_at = now;
-			return false;
-		}
-		fill(roster, row, record, now);
-		row->changed_at = now;
-		return true;
-	}
 	row->revision = record->revision;
 	if (record->gone) {
 		changed = !row->gone && !row->lapsed_at;
@@ -159,6 +233,35 @@
 	return changed;
 }
 
+/*
+ * Take in what is said of one target; of two sayings the larger revision
+ * holds, whoever tells it and in whatever order, and of two starts the later
+ * one: what an earlier process wrote and the store took in late says nothing
+ * of the one that runs. An id whose target has told when it started always
+ * does; without it the entry is another writer's. True when it changes what
+ * this VM does.
+ */
+bool tr_roster_apply(struct tr_roster *roster,
+		     const struct tr_target_record *record, apr_time_t now)
+{
+	struct tr_instance *row = find(roster, record->id);
+
+	if (!row)
+		return add(roster, record, now);
+	if (record->revision <= row->revision)
+		return false;
+	if (record->gone || record->born == row->born)
+		return update(roster, row, record, now);
+	if (!record->born) {
+		tr_roster_refuse(roster, record->id, record->revision, now);
+		return true;
+	}
+	if (record->born < row->born)
+		return false;
+	supersede(row, now);
+	return add(roster, record, now);
+}
+
 /* A whole list as of a revision: what is not on it, and not newer, is gone. */
 void tr_roster_drop_unlisted(struct tr_roster *roster,
 			     const struct tr_target_record *records,
@@ -241,6 +344,7 @@
 			continue;
 		h = tr_hash_string(row->id);
 		h = tr_hash_pair(h, tr_hash_string(row->address));
+		h = tr_hash_pair(h, row->born);
 		sum += tr_hash_pair(h, row->slots * 2 + row->leaving);
 	}
 	return sum;
@@ -272,6 +376,7 @@
 	record->gone = row->gone || row->lapsed_at;
 	record->cold_for = row->cold_until > now ? row->cold_until - now : 0;
 	record->revision = row->revision;
+	record->born = row->born;
 }
 
 /* May the target be given new work? */
--- a/lib/roster.h
+++ b/lib/roster.h
@@ -12,7 +12,10 @@
 #define TR_ADDRESS_MAX 23
 #define TR_NO_ROW      UINT32_MAX
 
-/* What the platform says of one target, as it is passed between VMs. */
+/*
+ * What the platform says of one target, as it is passed between VMs. born is
+ * when the target started, in ms of Unix time, or 0 where that is not told.
+ */
 struct tr_target_record {
 	char id[TR_ID_MAX + 1];
 	char service[TR_ID_MAX + 1];
@@ -23,13 +26,18 @@
 	bool gone;
 	apr_time_t cold_for;
 	uint64_t revision;
+	uint64_t born;
 };
 
-/* One start of a target: a row of the roster, found by its place. */
+/*
+ * One start of a target: a row of the roster, found by its place. superseded:
+ * the target has started again under the same id, in another row.
+ */
 struct tr_instance {
 	bool used;
 	bool gone;
 	bool leaving;
+	bool superseded;
 	apr_time_t gone_at;
 	apr_time_t leaving_since;
 	apr_time_t lapsed_at;
@@ -43,6 +51,7 @@
 	char data_centre[TR_ID_MAX + 1];
 	uint32_t slots;
 	uint64_t revision;
+	uint64_t born;
 	struct tr_gray gray;
 	struct tr_gray own_path;
 	apr_time_t full_until;
@@ -83,6 +92,8 @@
 uint32_t tr_roster_service(struct tr_roster *roster, const char *name);
 bool tr_roster_apply(struct tr_roster *roster,
 		     const struct tr_target_record *record, apr_time_t now);
+void tr_roster_refuse(struct tr_roster *roster, const char *id,
+		      uint64_t revision, apr_time_t now);
 void tr_roster_drop_unlisted(struct tr_roster *roster,
 			     const struct tr_target_record *records,
 			     unsigned count, uint64_t as_of, apr_time_t now);
--- a/tests/platform_test.cc
+++ b/tests/platform_test.cc
@@ -1,5 +1,6 @@
 #include <cstring>
 #include <gtest/gtest.h>
+#include <random>
 #include <string>
 
 extern "C" {
@@ -153,6 +154,145 @@
 	EXPECT_STREQ(err.field, "address");
 }
 
+/* An entry as targets write it, with one field put in place of another. */
+std::string entry_with(const std::string &old_text, const std::string &new_text)
+{
+	std::string text =
+		R"({"born":1782630203067,"address":"10.1.0.9:80","info":)"
+		R"({"service":"s1","version":"v1","zone":"z","slots":3},)"
+		R"("status":{"state":"ready","sequence":4,"coldLeft":"0ms"}})";
+	size_t at = text.find(old_text);
+
+	EXPECT_NE(at, std::string::npos) << old_text;
+	return text.replace(at, old_text.size(), new_text);
+}
+
+TEST(Platform, ReadsWhenATargetStarted)
+{
+	std::string text = entry_with("v1", "v2");
+	store_item item = item_of("servers/i-7f", text);
+	tr_target_record r;
+	tr_error err{};
+
+	ASSERT_EQ(platform_dialect.read_target(&item, &r, &err), 0);
+	EXPECT_EQ(r.born, 1782630203067u);
+}
+
+/*
+ * Symptom: requests go to addresses where no target is. Sequence: a program
+ * that is no target writes below the targets' keys. Cause: what was missing or
+ * of another type was taken for zero or for ready.
+ */
+TEST(Platform, AnEntryOfAnotherWriterNamesNoTarget)
+{
+	const struct {
+		const char *old_text;
+		const char *new_text;
+		const char *field;
+	} wrong[] = {
+		{ R"("born":1782630203067)", R"("born":"1782630203067")",
+		  "born" },
+		{ R"("born":1782630203067)", R"("born":1782630203.5)", "born" },
+		{ R"("born":1782630203067)", R"("born":null)", "born" },
+		{ R"("born":1782630203067)", R"("born":-4)", "born" },
+		{ "10.1.0.9:80", "10.1.0.9", "address" },
+		{ "10.1.0.9:80", "10.1.0.9:0", "address" },
+		{ "10.1.0.9:80", "10.1.0.9:80x", "address" },
+		{ "10.1.0.9:80", "10.1.0.900:80", "address" },
+		{ "10.1.0.9:80", "host.example:80", "address" },
+		{ R"("service":"s1",)", "", "service" },
+		{ R"("service":"s1")", R"("service":7)", "service" },
+		{ R"("version":"v1",)", "", "version" },
+		{ R"("zone":"z")", R"("zone":["z"])", "zone" },
+		{ R"("slots":3)", R"("slots":"3")", "slots" },
+		{ R"("slots":3)", R"("slots":0)", "slots" },
+		{ R"("slots":3)", R"("slots":-3)", "slots" },
+		{ R"("slots":3)", R"("slots":9000000000)", "slots" },
+		{ R"("state":"ready")", R"("state":"resting")", "state" },
+		{ R"("state":"ready")", R"("state":true)", "state" },
+		{ R"("sequence":4,)", "", "sequence" },
+		{ R"(,"coldLeft":"0ms")", "", "coldLeft" },
+		{ R"("coldLeft":"0ms")", R"("coldLeft":0)", "coldLeft" },
+		{ R"("coldLeft":"0ms")", R"("coldLeft":"1e30s")", "coldLeft" },
+		{ R"("coldLeft":"0ms")", R"("coldLeft":"nans")", "coldLeft" },
+	};
+
+	for (const auto &w : wrong) {
+		std::string text = entry_with(w.old_text, w.new_text);
+		store_item item = item_of("servers/i-7f", text);
+		tr_target_record r;
+		tr_error err{};
+
+		EXPECT_EQ(platform_dialect.read_target(&item, &r, &err), -1)
+			<< text;
+		EXPECT_STREQ(err.field, w.field) << text;
+		EXPECT_STREQ(r.id, "i-7f");
+	}
+}
+
+TEST(Platform, BytesThatAreNoObjectNameNoTarget)
+{
+	std::string texts[] = { "", "[1]", "7", std::string("\0\xff{", 3),
+				entry_with("born", "bo\xff\xfen") };
+
+	for (std::string &text : texts) {
+		store_item item = item_of("servers/i-7f", text);
+		tr_target_record r;
+		tr_error err{};
+
+		EXPECT_EQ(platform_dialect.read_target(&item, &r, &err), -1);
+		EXPECT_STRNE(err.expected, "");
+	}
+}
+
+/*
+ * Symptom: targets get headers that nobody meant to send. Sequence: a key holds
+ * a line break. Cause: the id was put into a header as it stood.
+ */
+TEST(Platform, AnIdThatIsNotPlainIsRefused)
+{
+	std::string text = entry_with("v1", "v1");
+	const std::string keys[] = { "servers/", "servers/a b",
+				     "servers/a\r\nX-A: 1",
+				     "servers/" + std::string(64, 'a') };
+
+	for (const std::string &key : keys) {
+		store_item item = item_of(key.c_str(), text);
+		tr_target_record r;
+		tr_error err{};
+
+		EXPECT_EQ(platform_dialect.read_target(&item, &r, &err), -1);
+		EXPECT_STREQ(err.field, "key");
+		EXPECT_STREQ(r.id, "");
+	}
+}
+
+/* Any entry with some bytes changed is refused with a reason, or is one whose
+ * every part can be used as it is. */
+TEST(Platform, AnEntryWithChangedBytesIsRefusedOrUsable)
+{
+	std::mt19937 random(20261202);
+
+	for (int run = 0; run < 20000; run++) {
+		std::string text = entry_with("v1", "v1");
+		tr_target_record r;
+		tr_error err{};
+
+		for (unsigned n = random() % 4; n < 4; n++)
+			text[random() % text.size()] = (char)(random() % 256);
+		store_item item = item_of("servers/i-7f", text);
+
+		if (platform_dialect.read_target(&item, &r, &err)) {
+			EXPECT_NE(err.code, TR_OK) << text;
+			continue;
+		}
+		EXPECT_GT(r.slots, 0u) << text;
+		EXPECT_NE(strchr(r.address, ':'), nullptr) << text;
+		EXPECT_STRNE(r.service, "") << text;
+		EXPECT_GE(r.cold_for, 0) << text;
+	}
+}
+
 TEST(Platform, ReadsAConfiguration)
 {
 	std::string text = CONFIG;
--- a/tests/roster_test.cc
+++ b/tests/roster_test.cc
@@ -1,4 +1,5 @@
 #include <gtest/gtest.h>
+#include <string>
 
 extern "C" {
 #include "clock.h"
@@ -223,4 +224,134 @@
 	EXPECT_GE(r.current_at, now + TR_MSEC(300));
 }
 
+struct Lives : Roster {
+	bool apply_life(uint64_t born, uint64_t revision, bool leaving = false)
+	{
+		tr_target_record r = record("a", revision);
+
+		r.born = born;
+		r.leaving = leaving;
+		return tr_roster_apply(&roster, &r, now);
+	}
+
+	tr_instance *living()
+	{
+		for (unsigned i = 0; i < roster.count; i++)
+			if (roster.rows[i].used && !roster.rows[i].superseded)
+				return &roster.rows[i];
+		return nullptr;
+	}
+};
+
+/*
+ * Symptom: a target that has started again gets nothing for seconds. Sequence:
+ * it hangs with four requests, which VMs say of it; it crashes and is back
+ * under its id. Cause: the evidence and the requests of the earlier process
+ * were kept for the new one.
+ */
+TEST_F(Lives, ATargetThatStartsAgainIsHeldToNothingOfBefore)
+{
+	apply_life(1000, 5);
+	tr_instance *before = living();
+	uint32_t old_name = before->hash;
+
+	tr_gray_add(&before->gray, TR_SYMPTOM_FAILED, 3, now);
+	before->in_flight = 2;
+	before->others_in_flight = 2;
+	before->full_until = now + TR_SEC(5);
+	ASSERT_TRUE(apply_life(2000, 6));
+
+	const tr_instance *after = living();
+
+	EXPECT_LT(tr_gray_probability(&after->gray, now), 0.1);
+	EXPECT_EQ(after->in_flight + after->others_in_flight, 0u);
+	EXPECT_EQ(after->full_until, 0);
+	EXPECT_NE(after->hash, old_name);
+	EXPECT_TRUE(tr_instance_usable(after, now));
+	EXPECT_FALSE(
+		tr_instance_usable(tr_roster_by_hash(&roster, old_name), now));
+}
+
+/*
+ * Symptom: requests go to an address that its target no longer has. Sequence:
+ * a target is started again and registers; a write of its earlier process,
+ * which the store had held up, is taken in after that. Cause: the later
+ * revision was taken for the later life.
+ */
+TEST_F(Lives, AWriteOfAnEarlierLifeDoesNotComeBack)
+{
+	apply_life(2000, 5);
+	EXPECT_FALSE(apply_life(1000, 6, true));
+	EXPECT_FALSE(living()->leaving);
+	EXPECT_EQ(living()->born, 2000u);
+}
+
+TEST_F(Lives, OldNewsFromAPeerDoesNotBringBackAnEarlierLife)
+{
+	apply_life(1000, 5);
+	apply_life(2000, 8);
+	EXPECT_FALSE(apply_life(1000, 5));
+	EXPECT_FALSE(apply_life(1000, 7));
+	EXPECT_EQ(living()->born, 2000u);
+}
+
+/* An id whose target told its start and an entry that does not is another
+ * writer's: it names no target. */
+TEST_F(Lives, AnEntryThatLostItsStartNamesNoTarget)
+{
+	apply_life(1000, 5);
+	apply("a", 6);
+	EXPECT_FALSE(tr_instance_usable(living(), now));
+	apply_life(1000, 7);
+	EXPECT_TRUE(tr_instance_usable(living(), now));
+}
+
+TEST_F(Lives, ListsWithDifferentLivesDiffer)
+{
+	apply_life(1000, 5);
+	uint64_t before = tr_roster_digest(&roster);
+
+	apply_life(2000, 6);
+	EXPECT_NE(tr_roster_digest(&roster), before);
+}
+
+/*
+ * Symptom: requests go on to a target whose entry was overwritten. Sequence:
+ * another writer puts nonsense under a target's key, just after the store was
+ * away. Cause: what can't be read was passed over, and the row stayed; or it
+ * was given the time that a lapsed entry has.
+ */
+TEST_F(Roster, ARefusedEntryTakesItsTargetOutAtOnce)
+{
+	apply("a", 5);
+	apply("b", 6);
+	tr_roster_current(&roster, 6, 0, now);
+	now += TR_SEC(8);
+	tr_roster_current(&roster, 9, 0, now);
+	tr_roster_refuse(&roster, "a", 4, now);
+	EXPECT_TRUE(tr_instance_usable(row("a"), now));
+	tr_roster_refuse(&roster, "a", 9, now);
+	EXPECT_FALSE(tr_instance_usable(row("a"), now));
+	EXPECT_TRUE(tr_instance_usable(row("b"), now));
+	apply("a", 10);
+	EXPECT_TRUE(tr_instance_usable(row("a"), now));
+}
+
+/*
+ * Symptom: a VM runs out of memory. Sequence: another writer puts entries of
+ * ever new services into the store. Cause: a table that grew by each name.
+ */
+TEST_F(Roster, AFloodOfServicesIsBounded)
+{
+	for (int i = 0; i < 6000; i++) {
+		tr_target_record r =
+			record(("t" + std::to_string(i)).c_str(), i + 1);
+
+		snprintf(r.service, sizeof(r.service), "s%d", i);
+		tr_roster_apply(&roster, &r, now);
+	}
+	EXPECT_EQ(roster.services_count, 4096u);
+	EXPECT_EQ(roster.count, 4096u);
+}
+
 } // namespace
