Spread configurations from VM to VM, packed

Cause: every VM fetched a new configuration from the VM whose message told of it first, as text, within a second, and again when that had passed.

Change: lib/spread decides whom to ask (drawn among all that say they have it, of the own data centre first, never at once with all others) and whether the own link has room to give one; entry/pack packs with zlib's fastest level; an answer is taken only if it unpacks to the length and digest it told. A fetch ends when no byte has come for its time-out, not when it takes long. A VM that knows of a newer configuration answers 503, not 404, to a route that it does not know. Lists of targets go the same way.

Ruled out for now: deltas between revisions, since a copy is 20 kB; pushing, since a holder does not know what others lack.

--- a/entry/desk.c
+++ b/entry/desk.c
@@ -9,6 +9,7 @@
 #include "cleanup.h"
 #include "entry_settings.h"
 #include "eventlog.h"
+#include "spread.h"
 #include "times.h"
 
 #define ADDRESSES_MOST 64
@@ -142,6 +143,10 @@
 		{ "peer_messages_out_total", c->messages_out },
 		{ "peer_messages_refused_total", c->messages_refused },
 		{ "peer_pulls_total", c->pulls },
+		{ "peer_pulls_failed_total", c->pulls_failed },
+		{ "routes_late",
+		  tr_spread_newest(&e->members, entry_now(e)) >
+			  (e->routes ? e->routes->revision : 0) },
 		{ "store_targets_refused_total", c->targets_refused },
 		{ "in_hand", e->exchanges_count },
 		{ "view_age_ms", (uint64_t)entry_view_age(e) / 1000 },
--- a/entry/entry.h
+++ b/entry/entry.h
@@ -31,6 +31,7 @@
 	uint64_t messages_in;
 	uint64_t messages_out;
 	uint64_t pulls;
+	uint64_t pulls_failed;
 	uint64_t targets_refused;
 	uint64_t messages_refused;
 };
--- a/entry/entry_settings.c
+++ b/entry/entry_settings.c
@@ -12,10 +12,13 @@
 #include "yamlfile.h"
 
 #define TEXT_CHARS 256
-#define OPT	   CYAML_FLAG_OPTIONAL
-#define PTR	   CYAML_FLAG_POINTER
-#define SET	   struct entry_settings
-#define BOUNDS	   struct entry_bounds
+/* A VM whose link is not told is taken for one on the thinnest of those that
+ * fleets run on. */
+#define LINK_MBPS 10
+#define OPT	  CYAML_FLAG_OPTIONAL
+#define PTR	  CYAML_FLAG_POINTER
+#define SET	  struct entry_settings
+#define BOUNDS	  struct entry_bounds
 
 static const cyaml_schema_value_t word = {
 	CYAML_VALUE_STRING(PTR, char, 1, TEXT_CHARS),
@@ -49,6 +52,7 @@
 	CYAML_FIELD_STRING_PTR("store", PTR, SET, store, 1, TEXT_CHARS),
 	CYAML_FIELD_UINT("peer_port", CYAML_FLAG_DEFAULT, SET, peer_port),
 	CYAML_FIELD_UINT("metrics_port", OPT, SET, metrics_port),
+	CYAML_FIELD_FLOAT("link_mbps", OPT, SET, link_mbps),
 	CYAML_FIELD_SEQUENCE("seeds", PTR, SET, seeds, &word, 0, 64),
 	CYAML_FIELD_MAPPING("bounds", CYAML_FLAG_DEFAULT, SET, bounds,
 			    bounds_fields),
@@ -101,6 +105,11 @@
 	if (!s->peer_port || s->peer_port > 65535 || s->metrics_port > 65535)
 		return tr_error_set(err, TR_OUT_OF_RANGE, "peer_port", "",
 				    "expected a port from 1 to 65535");
+	if (!s->link_mbps)
+		s->link_mbps = LINK_MBPS;
+	if (!(s->link_mbps >= 1))
+		return tr_error_set(err, TR_OUT_OF_RANGE, "link_mbps", "",
+				    "expected megabits a second, 1 or more");
 	for (unsigned i = 0; i < s->seeds_count; i++)
 		if (check_address("seeds", s->seeds[i], err))
 			return -1;
--- a/entry/entry_settings.h
+++ b/entry/entry_settings.h
@@ -28,6 +28,7 @@
 	char *store;
 	uint32_t peer_port;
 	uint32_t metrics_port;
+	double link_mbps;
 	char **seeds;
 	unsigned seeds_count;
 	struct entry_bounds bounds;
--- a/entry/exchange_arrive.c
+++ b/entry/exchange_arrive.c
@@ -7,6 +7,7 @@
 
 #include "eventlog.h"
 #include "exchange_internal.h"
+#include "spread.h"
 
 /* What is left of the caller's own time when a request is given up, as a part
  * of it and at most, so that the answer still reaches the caller: one that is
@@ -124,6 +125,15 @@
 		exchange_give_up(x, why);
 }
 
+/* Has another VM a newer configuration? A route that is not known here may
+ * stand in it; a caller that is told 404 would not come back. */
+static bool is_late(const struct entry *e)
+{
+	uint64_t newest = tr_spread_newest(&e->members, entry_now(e));
+
+	return newest > e->routes->revision && newest > e->refused_revision;
+}
+
 static void admit(struct entry *e, struct caller *caller)
 {
 	const struct message *in = &caller->in;
@@ -142,6 +152,10 @@
 	}
 	route = tr_routes_match(e->routes, host, strcspn(host, ":"),
 				message_target(in));
+	if (!route && is_late(e)) {
+		refuse(caller, 503);
+		return;
+	}
 	if (!route) {
 		eventlog(EVENT_REQUEST, "request",
 			 "id=%s status=404 why=no-route host=%s "
--- a/entry/fetch.c
+++ b/entry/fetch.c
@@ -4,6 +4,9 @@
 #include <string.h>
 
 #define HEAD_MAX 16384
+/* An answer may take so many times its time-out while bytes keep coming: a
+ * megabyte on a link of 10 Mbit/s takes 0.9 s. */
+#define PATIENCE 8
 
 static void shut(struct fetcher *f)
 {
@@ -35,8 +38,10 @@
 			finish(f, NULL);
 		return;
 	}
-	if (!f->answer.complete)
+	if (!f->answer.complete) {
+		f->progressed = true;
 		return;
+	}
 	if ((size_t)used != len)
 		f->answer.keep_alive = false;
 	finish(f, &f->answer);
@@ -74,6 +79,11 @@
 	struct fetcher *f = ctx;
 
 	f->timer = NULL;
+	if (f->progressed && --f->patience) {
+		f->progressed = false;
+		f->timer = loop_after(f->loop, f->timeout, timed_out, f);
+		return;
+	}
 	shut(f);
 	finish(f, NULL);
 }
@@ -98,7 +108,8 @@
 	message_init(&f->answer, HTTP_RESPONSE, HEAD_MAX, FETCH_BODY_MAX);
 }
 
-/* Ask. 0, and done will be called, later; or -1 when that can't begin. */
+/* Ask. 0, and done will be called, later; or -1 when that can't begin. timeout
+ * is how long no byte need come. */
 int fetcher_get(struct fetcher *f, const struct sockaddr_in *to,
 		const char *path, apr_time_t timeout, fetch_done_fn done,
 		void *ctx)
@@ -119,6 +130,9 @@
 	if (send_request(f))
 		return -1;
 	f->busy = true;
+	f->progressed = false;
+	f->patience = PATIENCE;
+	f->timeout = timeout;
 	f->timer = loop_after(f->loop, timeout, timed_out, f);
 	return 0;
 }
--- a/entry/fetch.h
+++ b/entry/fetch.h
@@ -18,6 +18,9 @@
 	bool open;
 	bool reused;
 	bool busy;
+	bool progressed;
+	unsigned patience;
+	apr_time_t timeout;
 	char *request;
 	struct loop_timer *timer;
 	fetch_done_fn done;
--- a/entry/mesh.c
+++ b/entry/mesh.c
@@ -376,6 +376,7 @@
 	if ((apr_time_t)m->count * URGENT_GAP_A_VM > gap)
 		gap = (apr_time_t)m->count * URGENT_GAP_A_VM;
 	call_lost(mesh, now);
+	pull_step(&mesh->pull);
 	if ((mesh->soon && since >= gap) ||
 	    since >= tr_membership_period(m, now))
 		tell_all(mesh);
--- a/entry/mesh_take.c
+++ b/entry/mesh_take.c
@@ -179,9 +179,6 @@
 	for (u_int i = 0; i < msg->rows.rows_len; i++)
 		take_row(mesh, node, &msg->rows.rows_val[i], now);
 	take_list(mesh, node, msg, now);
-	if (msg->config_revision > (e->routes ? e->routes->revision : 0) &&
-	    msg->config_revision > e->refused_revision)
-		pull_routes(&mesh->pull, ip);
 	for (u_int i = 0; i < msg->nodes.nodes_len; i++)
 		tr_membership_learn(&e->members, msg->nodes.nodes_val[i]);
 }
--- /dev/null
+++ b/entry/pack.h
@@ -0,0 +1,9 @@
+#ifndef PACK_H
+#define PACK_H
+
+#include <glib.h>
+
+GBytes *pack_bytes(const char *text, size_t len);
+char *pack_open(const void *packed, size_t len, size_t most, size_t *text_len);
+
+#endif
--- a/entry/pull.c
+++ b/entry/pull.c
@@ -8,32 +8,70 @@
 #include "cleanup.h"
 #include "entry_settings.h"
 #include "eventlog.h"
+#include "hash.h"
+#include "pack.h"
 
 #define ROUTES_PATH  "/peer/routes"
 #define TARGETS_PATH "/peer/targets"
-#define REVISION     "Toucanreel-Revision"
-/* A peer answers from memory; longer than a few round trips is a dead path. */
+/* Of the routes that are sent: their revision, and what the whole is once it is
+ * unpacked. */
+#define REVISION "Toucanreel-Revision"
+#define LENGTH	 "Toucanreel-Length"
+#define DIGEST	 "Toucanreel-Digest"
+/* A peer answers from memory; longer without a byte is a dead path. */
 #define PULL_TIMEOUT TR_MSEC(1000)
-/* Between two pulls of the same thing: messages that are on their way mend most
+/* Between two pulls of the list: messages that are on their way mend most
  * differences. */
 #define PULL_GAP TR_MSEC(250)
+/* The largest value that is unpacked: the platform's own values hold up to a
+ * megabyte. */
+#define TEXT_MOST (4 * 1024 * 1024)
+
+static uint64_t number_in(const struct message *answer, const char *name)
+{
+	const char *text = message_header(answer, name);
+
+	return text ? strtoull(text, NULL, 10) : 0;
+}
+
+/* The answer's text, whole and as its holder had it, or NULL; for free(). */
+static char *open_answer(const struct message *answer, size_t *len)
+{
+	uint64_t length = number_in(answer, LENGTH);
+	auto_free char *text = NULL;
+	char *whole;
+
+	if (!length || length > TEXT_MOST)
+		return NULL;
+	text = pack_open(answer->body->data, answer->body->len, length, len);
+	if (!text || *len != length ||
+	    tr_hash(text, *len) != number_in(answer, DIGEST))
+		return NULL;
+	whole = text;
+	text = NULL;
+	return whole;
+}
 
 static void got_routes(void *ctx, const struct message *answer)
 {
 	struct pull *pull = ctx;
-	const char *revision;
-	struct store_item item = { 0 };
+	struct entry *e = pull->e;
+	struct store_item item = { .key = "peer" };
+	auto_free char *text = NULL;
+	uint64_t before = e->routes ? e->routes->revision : 0;
 
-	if (!answer || answer->parser.status_code != 200)
-		return;
-	revision = message_header(answer, REVISION);
-	if (!revision)
+	if (answer && answer->parser.status_code == 200)
+		text = open_answer(answer, &item.value_len);
+	if (text) {
+		item.value = text;
+		item.revision = number_in(answer, REVISION);
+		entry_offer_routes(e, &item, "peer");
+	}
+	if (e->routes && e->routes->revision > before)
 		return;
-	item.key = "peer";
-	item.value = (char *)answer->body->data;
-	item.value_len = answer->body->len;
-	item.revision = strtoull(revision, NULL, 10);
-	entry_offer_routes(pull->e, &item, "peer");
+	e->counts.pulls_failed++;
+	tr_spread_failed(&pull->spread, pull->routes.to.sin_addr.s_addr,
+			 &e->random, entry_now(e));
 }
 
 static int read_record(json_t *row, struct tr_target_record *r)
@@ -90,43 +128,59 @@
 {
 	struct pull *pull = ctx;
 	auto_json json_t *root = NULL;
+	auto_free char *text = NULL;
+	size_t len = 0;
 
-	if (!answer || answer->parser.status_code != 200)
-		return;
-	root = json_loadb((char *)answer->body->data, answer->body->len, 0,
-			  NULL);
+	if (answer && answer->parser.status_code == 200)
+		text = open_answer(answer, &len);
+	if (text)
+		root = json_loadb(text, len, 0, NULL);
 	if (root)
 		take_list(pull->e, root);
+	else
+		pull->e->counts.pulls_failed++;
 }
 
-static void get(struct pull *pull, struct fetcher *f, uint32_t ip,
-		const char *path, apr_time_t *at, fetch_done_fn done)
+static int get(struct pull *pull, struct fetcher *f, uint32_t ip,
+	       const char *path, fetch_done_fn done)
 {
 	struct sockaddr_in to = {
 		.sin_family = AF_INET,
 		.sin_port = htons((uint16_t)pull->e->settings->peer_port),
 		.sin_addr.s_addr = ip,
 	};
-	apr_time_t now = entry_now(pull->e);
 
-	if (f->busy || now - *at < PULL_GAP)
-		return;
-	*at = now;
 	pull->e->counts.pulls++;
-	fetcher_get(f, &to, path, PULL_TIMEOUT, done, pull);
+	return fetcher_get(f, &to, path, PULL_TIMEOUT, done, pull);
 }
 
-/* Get the configuration that the VM has announced. */
-void pull_routes(struct pull *pull, uint32_t ip)
+/* Get a newer configuration, if another VM has one and it is time to ask. */
+void pull_step(struct pull *pull)
 {
-	get(pull, &pull->routes, ip, ROUTES_PATH, &pull->routes_at, got_routes);
+	struct entry *e = pull->e;
+	uint64_t held = e->routes ? e->routes->revision : 0;
+	const struct tr_node *holder;
+
+	if (pull->routes.busy)
+		return;
+	holder =
+		tr_spread_holder(&pull->spread, &e->members, held,
+				 e->refused_revision, &e->random, entry_now(e));
+	if (holder &&
+	    get(pull, &pull->routes, holder->ip, ROUTES_PATH, got_routes))
+		tr_spread_failed(&pull->spread, holder->ip, &e->random,
+				 entry_now(e));
 }
 
 /* Get the whole list of targets. */
 void pull_targets(struct pull *pull, uint32_t ip)
 {
-	get(pull, &pull->targets, ip, TARGETS_PATH, &pull->targets_at,
-	    got_targets);
+	apr_time_t now = entry_now(pull->e);
+
+	if (pull->targets.busy || now - pull->targets_at < PULL_GAP)
+		return;
+	pull->targets_at = now;
+	get(pull, &pull->targets, ip, TARGETS_PATH, got_targets);
 }
 
 static char *targets_json(const struct entry *e)
@@ -156,29 +210,70 @@
 	return json_dumps(root, JSON_COMPACT);
 }
 
+/* The routes in force, packed once a revision. */
+static GBytes *packed_routes(struct pull *pull, const struct tr_routes *routes)
+{
+	if (pull->packed && pull->packed_revision == routes->revision)
+		return pull->packed;
+	g_clear_pointer(&pull->packed, g_bytes_unref);
+	pull->packed = pack_bytes(routes->text, routes->text_len);
+	pull->packed_revision = routes->revision;
+	pull->packed_digest = tr_hash(routes->text, routes->text_len);
+	return pull->packed;
+}
+
+/* Send what was packed, or that the link is taken. */
+static void send_packed(struct pull *pull, struct caller *caller, GBytes *bytes,
+			const char *headers)
+{
+	struct caller_answer answer = { .status = 503, .close = true };
+
+	if (bytes && tr_spread_may_serve(&pull->link, g_bytes_get_size(bytes),
+					 entry_now(pull->e))) {
+		answer.status = 200;
+		answer.headers = headers;
+		answer.body = g_bytes_get_data(bytes, &answer.body_len);
+		answer.close = false;
+	}
+	caller_answer(caller, &answer);
+}
+
+static void send_routes(struct pull *pull, struct caller *caller)
+{
+	const struct tr_routes *routes = pull->e->routes;
+	GBytes *bytes = packed_routes(pull, routes);
+	g_autofree char *headers = g_strdup_printf(
+		REVISION ": %" PRIu64 "\r\n" LENGTH ": %zu\r\n" DIGEST
+			 ": %" PRIu64 "\r\n",
+		routes->revision, routes->text_len, pull->packed_digest);
+
+	send_packed(pull, caller, bytes, headers);
+}
+
+static void send_targets(struct pull *pull, struct caller *caller)
+{
+	auto_free char *text = targets_json(pull->e);
+	size_t len = strlen(text);
+	g_autoptr(GBytes) bytes = pack_bytes(text, len);
+	g_autofree char *headers =
+		g_strdup_printf(LENGTH ": %zu\r\n" DIGEST ": %" PRIu64 "\r\n",
+				len, tr_hash(text, len));
+
+	send_packed(pull, caller, bytes, headers);
+}
+
 static void handle(void *ctx, struct caller *caller)
 {
 	struct pull *pull = ctx;
-	const struct tr_routes *routes = pull->e->routes;
 	const char *path = message_target(&caller->in);
 	struct caller_answer answer = { .status = 404 };
-	auto_free char *text = NULL;
-	char revision[64];
-
-	if (!strcmp(path, ROUTES_PATH) && routes) {
-		snprintf(revision, sizeof(revision),
-			 REVISION ": %" PRIu64 "\r\n", routes->revision);
-		answer = (struct caller_answer){ .status = 200,
-						 .headers = revision,
-						 .body = routes->text,
-						 .body_len = routes->text_len };
-	} else if (!strcmp(path, TARGETS_PATH)) {
-		text = targets_json(pull->e);
-		answer = (struct caller_answer){ .status = 200,
-						 .body = text,
-						 .body_len = strlen(text) };
-	}
-	caller_answer(caller, &answer);
+
+	if (!strcmp(path, ROUTES_PATH) && pull->e->routes)
+		send_routes(pull, caller);
+	else if (!strcmp(path, TARGETS_PATH))
+		send_targets(pull, caller);
+	else
+		caller_answer(caller, &answer);
 }
 
 static const struct door_calls calls = { .handle = handle };
@@ -187,6 +282,7 @@
 int pull_open(struct pull *pull, struct entry *e, const char *address)
 {
 	pull->e = e;
+	pull->link.bytes_a_second = e->settings->link_mbps * 1e6 / 8;
 	fetcher_init(&pull->routes, e->loop, e->settings->ip);
 	fetcher_init(&pull->targets, e->loop, e->settings->ip);
 	return door_open(&pull->door, e->loop, address, &calls, pull);
@@ -197,4 +293,5 @@
 	fetcher_release(&pull->routes);
 	fetcher_release(&pull->targets);
 	door_close(&pull->door);
+	g_clear_pointer(&pull->packed, g_bytes_unref);
 }
--- a/entry/pull.h
+++ b/entry/pull.h
@@ -2,19 +2,24 @@
 #define PULL_H
 
 #include "entry.h"
+#include "spread.h"
 
-/* What is too large for a datagram, fetched from the VM that has it. */
+/* What is too large for a datagram, fetched from a VM that has it. */
 struct pull {
 	struct entry *e;
 	struct fetcher routes;
 	struct fetcher targets;
+	struct tr_spread spread;
+	struct tr_spread_link link;
 	apr_time_t targets_at;
-	apr_time_t routes_at;
+	GBytes *packed;
+	uint64_t packed_revision;
+	uint64_t packed_digest;
 	struct door door;
 };
 
 int pull_open(struct pull *pull, struct entry *e, const char *address);
-void pull_routes(struct pull *pull, uint32_t ip);
+void pull_step(struct pull *pull);
 void pull_targets(struct pull *pull, uint32_t ip);
 void pull_release(struct pull *pull);
 
