Switch mechanisms off by name, to measure what each is worth

Cause: fifteen mechanisms of the fleet's decisions were believed in; what each is worth on a workload could only be measured by editing the code.

Sending to all VMs of the own data centre and to those of the others is one function.

--- a/entry/entry_settings.c
+++ b/entry/entry_settings.c
@@ -8,6 +8,7 @@
 
 #include "cleanup.h"
 #include "error.h"
+#include "mechanism.h"
 #include "stream.h"
 #include "yamlfile.h"
 
@@ -56,6 +57,8 @@
 	CYAML_FIELD_SEQUENCE("seeds", PTR, SET, seeds, &word, 0, 64),
 	CYAML_FIELD_MAPPING("bounds", CYAML_FLAG_DEFAULT, SET, bounds,
 			    bounds_fields),
+	CYAML_FIELD_SEQUENCE("switched_off", PTR | OPT, SET, switched_off,
+			     &word, 0, TR_MECHANISMS),
 	CYAML_FIELD_IGNORE("rest", OPT),
 	CYAML_FIELD_END,
 };
@@ -90,6 +93,23 @@
 			    "expected a time such as 250ms or 2.5s");
 }
 
+/* For experiments: what is named here is switched off. */
+static int switch_off(const struct entry_settings *s, struct tr_error *err)
+{
+	g_autoptr(GString) names = g_string_new("expected one of");
+
+	for (int i = 0; i < TR_MECHANISMS; i++)
+		g_string_append_printf(names, " %s",
+				       tr_mechanism_name((enum tr_mechanism)i));
+	tr_mechanisms_all_on();
+	for (unsigned i = 0; i < s->switched_off_count; i++)
+		if (tr_mechanism_switch_off(s->switched_off[i]))
+			return tr_error_set(err, TR_OUT_OF_RANGE,
+					    "switched_off", s->switched_off[i],
+					    "%s", names->str);
+	return 0;
+}
+
 static int check(struct entry_settings *s, struct tr_error *err)
 {
 	struct in_addr ip;
@@ -145,7 +165,7 @@
 	s = yamlfile_load(text, len, &schema, err);
 	if (!s)
 		return NULL;
-	if (!check(s, err))
+	if (!check(s, err) && !switch_off(s, err))
 		return s;
 	err->line = yamlfile_line(text, len, err->field);
 	entry_settings_free(s);
--- a/entry/entry_settings.h
+++ b/entry/entry_settings.h
@@ -32,6 +32,8 @@
 	char **seeds;
 	unsigned seeds_count;
 	struct entry_bounds bounds;
+	char **switched_off;
+	unsigned switched_off_count;
 	int64_t repeat_window_us;
 	int64_t keep_most_us;
 	int64_t grace_us;
--- a/entry/exchange.c
+++ b/entry/exchange.c
@@ -8,6 +8,7 @@
 #include <string.h>
 
 #include "entry_settings.h"
+#include "mechanism.h"
 #include "mesh.h"
 #include "place.h"
 #include "exchange_internal.h"
@@ -158,6 +159,8 @@
 					  entry_now(x->e));
 	struct tr_placing p;
 
+	if (!tr_mechanism_on(TR_MECH_SECONDING))
+		return;
 	if (x->route->kind != TR_KIND_SAFE || x->runs >= x->route->attempts ||
 	    !free_try(x) || risk < SECOND_RISK)
 		return;
@@ -229,7 +232,8 @@
 	if (exchange_any_active(x))
 		return;
 	/* What never reached a target is no repeat for the fleet's bound. */
-	if (how == UPSTREAM_UNREACHED || may_repeat(x)) {
+	if (how == UPSTREAM_UNREACHED ||
+	    (tr_mechanism_on(TR_MECH_REPEAT_REFUSED) && may_repeat(x))) {
 		why = exchange_send(x);
 		if (!why)
 			return;
--- a/entry/mesh.c
+++ b/entry/mesh.c
@@ -18,6 +18,7 @@
 #include "entry_settings.h"
 #include "error.h"
 #include "eventlog.h"
+#include "mechanism.h"
 #include "mesh_internal.h"
 
 /* One datagram, without fragments on an ordinary link. */
@@ -198,16 +199,19 @@
 		send_to(mesh, ip, buf, len);
 }
 
-/* To all other VMs of this data centre. */
-static void tell_centre(struct mesh *mesh, const char *buf, size_t len,
-			apr_time_t now)
+/* To all other VMs of this data centre, or to those of the others. */
+static void tell_where(struct mesh *mesh, bool here, const char *buf,
+		       size_t len, apr_time_t now)
 {
 	const struct tr_membership *m = &mesh->e->members;
 
-	for (unsigned i = 1; i < m->count; i++)
-		if (tr_node_alive(m, &m->nodes[i], now) &&
-		    !strcmp(m->nodes[i].data_centre, m->nodes[0].data_centre))
-			send_to(mesh, m->nodes[i].ip, buf, len);
+	for (unsigned i = 1; i < m->count; i++) {
+		const struct tr_node *node = &m->nodes[i];
+		bool near = !strcmp(node->data_centre, m->nodes[0].data_centre);
+
+		if (near == here && tr_node_alive(m, node, now))
+			send_to(mesh, node->ip, buf, len);
+	}
 }
 
 /*
@@ -274,7 +278,11 @@
 	len = mesh_encode(&msg, MESH_TELL, buf, sizeof(buf));
 	if (!len)
 		return;
-	tell_centre(mesh, buf, len, now);
+	tell_where(mesh, true, buf, len, now);
+	if (!tr_mechanism_on(TR_MECH_CENTRE_RELAY)) {
+		tell_where(mesh, false, buf, len, now);
+		return;
+	}
 	len = mesh_encode(&msg, MESH_HAND_ON, buf, sizeof(buf));
 	tell_other_centres(mesh, buf, len, now);
 }
@@ -288,7 +296,7 @@
 	uint32_t procedure = htonl(MESH_TELL);
 
 	memcpy(buf + PROCEDURE_AT, &procedure, sizeof(procedure));
-	tell_centre(mesh, buf, len, entry_now(mesh->e));
+	tell_where(mesh, true, buf, len, entry_now(mesh->e));
 }
 
 /*
--- a/entry/upstream.c
+++ b/entry/upstream.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "entry_settings.h"
+#include "mechanism.h"
 #include "mesh.h"
 
 #define ANSWER_HEAD_MAX 32768
@@ -51,6 +52,7 @@
 {
 	apr_time_t now = entry_now(u->e);
 	bool is_news = symptom == TR_SYMPTOM_FAILED &&
+		       tr_mechanism_on(TR_MECH_FIRST_FAILURE_NEWS) &&
 		       tr_gray_probability(&row->gray, now) < KNOWN_GRAY;
 
 	row->own.count[symptom]++;
@@ -284,7 +286,8 @@
 	}
 	if (!u->connected)
 		return u->began + CONNECT_TIMEOUT;
-	while (u->stage < TR_STAGE_OVERDUE) {
+	while (u->stage < TR_STAGE_OVERDUE &&
+	       tr_mechanism_on(TR_MECH_RUNNING_AGE)) {
 		enum tr_stage next = (enum tr_stage)(u->stage + 1);
 		apr_time_t at =
 			u->sent_at +
--- a/lib/error.h
+++ b/lib/error.h
@@ -15,7 +15,7 @@
 	char file[128];
 	char field[96];
 	char value[64];
-	char expected[192];
+	char expected[320];
 };
 
 int tr_error_set(struct tr_error *err, enum tr_result code, const char *field,
--- /dev/null
+++ b/lib/mechanism.c
@@ -0,0 +1,54 @@
+/*
+ * Which mechanisms are switched off. For experiments: a fleet that serves
+ * callers runs with all of them on, which is how a process begins.
+ */
+#include "mechanism.h"
+
+#include <string.h>
+
+static const char *const names[TR_MECHANISMS] = {
+	[TR_MECH_RUNNING_AGE] = "running-age",
+	[TR_MECH_SERVICE_SPREAD] = "service-spread",
+	[TR_MECH_LEARNED_SHARE] = "learned-share",
+	[TR_MECH_OWN_PATH] = "own-path",
+	[TR_MECH_BLUR] = "blur",
+	[TR_MECH_COVER] = "cover",
+	[TR_MECH_SCOUTS] = "scouts",
+	[TR_MECH_CENTRE_PREFERENCE] = "centre-preference",
+	[TR_MECH_COLD_STARTS] = "cold-starts",
+	[TR_MECH_EARLY_REFUSAL] = "early-refusal",
+	[TR_MECH_SECONDING] = "seconding",
+	[TR_MECH_REPEAT_REFUSED] = "repeat-refused",
+	[TR_MECH_FIRST_FAILURE_NEWS] = "first-failure-news",
+	[TR_MECH_CENTRE_RELAY] = "centre-relay",
+	[TR_MECH_TWO_READERS] = "two-readers",
+};
+
+static bool off[TR_MECHANISMS];
+
+bool tr_mechanism_on(enum tr_mechanism mechanism)
+{
+	return !off[mechanism];
+}
+
+/* Switch one off by its name. 0, or -1 when there is none of that name. */
+int tr_mechanism_switch_off(const char *name)
+{
+	for (int i = 0; i < TR_MECHANISMS; i++) {
+		if (strcmp(names[i], name) != 0)
+			continue;
+		off[i] = true;
+		return 0;
+	}
+	return -1;
+}
+
+void tr_mechanisms_all_on(void)
+{
+	memset(off, 0, sizeof(off));
+}
+
+const char *tr_mechanism_name(enum tr_mechanism mechanism)
+{
+	return names[mechanism];
+}
--- a/lib/membership.c
+++ b/lib/membership.c
@@ -11,6 +11,7 @@
 
 #include "clock.h"
 #include "hash.h"
+#include "mechanism.h"
 
 /* Shortest time between two routine messages to one VM. */
 #define PERIOD_LEAST TR_MSEC(500)
@@ -257,7 +258,9 @@
 {
 	const struct tr_node *taken[READERS];
 
-	for (unsigned n = 0; n < READERS; n++) {
+	unsigned readers = tr_mechanism_on(TR_MECH_TWO_READERS) ? READERS : 1;
+
+	for (unsigned n = 0; n < readers; n++) {
 		taken[n] = best(m, taken, n, true, now);
 		if (!taken[n])
 			taken[n] = best(m, taken, n, false, now);
--- a/lib/place.c
+++ b/lib/place.c
@@ -11,6 +11,7 @@
 
 #include "clock.h"
 #include "cover.h"
+#include "mechanism.h"
 
 /* Costs are parts of what a request is worth that is answered within its aim.
  *
@@ -77,6 +78,8 @@
 
 	/* A path of this VM alone may be broken while all others see the
 	 * target well. */
+	if (!tr_mechanism_on(TR_MECH_OWN_PATH))
+		return fleet;
 	return own > OWN_SAYS && own > fleet ? own : fleet;
 }
 
@@ -111,22 +114,32 @@
 {
 	double again = (double)(wish->fail_age + wish->usual);
 
-	if (!wish->may_repeat)
+	if (!wish->may_repeat || !tr_mechanism_on(TR_MECH_SCOUTS))
 		return LOSS;
 	return REPEAT_COST + late_cost(wish, again) -
 	       late_cost(wish, (double)wish->usual);
 }
 
+static double away_cost(const struct tr_instance *row,
+			const struct tr_wish *wish)
+{
+	double away = AWAY_COST + (double)wish->body_bytes / AWAY_BODY;
+
+	if (!strcmp(row->data_centre, wish->data_centre) ||
+	    !tr_mechanism_on(TR_MECH_CENTRE_PREFERENCE))
+		return 0;
+	return fmin(away, AWAY_COST_MOST);
+}
+
 static double cost_of(const struct tr_instance *row, const struct tr_wish *wish,
 		      double loss, apr_time_t now, struct tr_placing *p)
 {
 	double takes = (double)wish->usual;
-	double away = AWAY_COST + (double)wish->body_bytes / AWAY_BODY;
 	double share;
 
 	p->wait = expected_wait(row, wish->usual);
 	p->risk = risk_of(row, now);
-	if (row->cold_until > now)
+	if (row->cold_until > now && tr_mechanism_on(TR_MECH_COLD_STARTS))
 		takes *= 1 + COLD_FACTOR;
 	/* Work that is under way shares the target's speed to some extent; an
 	 * idle one comes first. */
@@ -134,9 +147,7 @@
 	takes += (double)p->wait;
 	return p->risk * loss + late_cost(wish, takes) +
 	       LOSS * chance_beyond(takes, wish->time_left, wish->spread) +
-	       share * BUSY_COST +
-	       (strcmp(row->data_centre, wish->data_centre) != 0) *
-		       fmin(away, AWAY_COST_MOST);
+	       share * BUSY_COST + away_cost(row, wish);
 }
 
 /*
@@ -148,6 +159,8 @@
 {
 	apr_time_t left = wish->time_left;
 
+	if (!tr_mechanism_on(TR_MECH_EARLY_REFUSAL))
+		return true;
 	if (wish->standing_queue && wish->aim_left > wish->usual)
 		left = wish->aim_left;
 	return (double)p->wait + (double)wish->usual * LEAST_WORK <=
@@ -171,7 +184,8 @@
 	unsigned fitting = 0;
 	apr_time_t least_takes = APR_INT64_MAX;
 
-	tr_cover_init(&cover, wish->salt, wish->may_repeat);
+	tr_cover_init(&cover, wish->salt,
+		      wish->may_repeat && tr_mechanism_on(TR_MECH_SCOUTS));
 	placing->row = TR_NO_ROW;
 	placing->cost = INFINITY;
 	for (uint32_t i = 0; i < roster->count; i++) {
@@ -198,13 +212,15 @@
 		if (!fits)
 			continue;
 		fitting++;
-		p.cost -= BLUR * gumbel(random);
+		if (tr_mechanism_on(TR_MECH_BLUR))
+			p.cost -= BLUR * gumbel(random);
 		if (p.cost < placing->cost)
 			*placing = p;
 	}
-	if (tr_cover_due(&cover, wish->floor_share,
+	if (tr_mechanism_on(TR_MECH_COVER) &&
+	    tr_cover_due(&cover, wish->floor_share,
 			 tr_worked_lately(&roster->services[wish->service])) !=
-	    TR_NO_ROW) {
+		    TR_NO_ROW) {
 		*placing = due;
 		placing->due = true;
 	}
--- a/lib/worked.c
+++ b/lib/worked.c
@@ -1,11 +1,14 @@
 /* What the work of a service has been like, as this VM and its peers saw it. */
 #include "worked.h"
+#include "mechanism.h"
 
 #include <math.h>
 #include <string.h>
 
 /* Before the first answers the usual time is taken as this share of the aim. */
 #define FIRST_GUESS 4
+/* The spread of a service of which nothing is learned. */
+#define ANY_SPREAD 0.7
 /* Before the first failures they are taken to show at this share of the aim: as
  * late as a hang does. */
 #define FIRST_FAIL_AGE 2
@@ -76,6 +79,8 @@
 /* How far apart its times are; see tr_worktime_spread. */
 double tr_worked_spread(const struct tr_worked_service *s)
 {
+	if (!tr_mechanism_on(TR_MECH_SERVICE_SPREAD))
+		return ANY_SPREAD;
 	return tr_worktime_spread(&s->takes);
 }
 
@@ -129,6 +134,8 @@
  * so many seconds ago before. */
 void tr_worked_gray(struct tr_worked_service *s, double share, double passed_s)
 {
+	if (!tr_mechanism_on(TR_MECH_LEARNED_SHARE))
+		return;
 	s->gray_share += (share - s->gray_share) * fmin(1, passed_s / GRAY_S);
 	s->gray_share = fmin(GRAY_MOST, fmax(GRAY_LEAST, s->gray_share));
 }
