toucanreel losses: where requests are lost, by cause, kind and second

Cause: what bound the fleet was found by reading logs with throw-away scripts; operators have the same question after a bad hour.

A request's line gains its kind, its aim, how many of its sends the floor asked for, and whether the bound on repeats was reached. Reading a log file is one function for this and explain.

What it can't tell: requests whose VM ended leave no line.

--- a/entry/exchange.c
+++ b/entry/exchange.c
@@ -107,6 +107,7 @@
 	x->risk[x->tried_count] = p->risk;
 	x->there[x->tried_count] = row->in_flight + row->others_in_flight;
 	x->tried[x->tried_count++] = p->row;
+	x->due += p->due;
 	x->runs++;
 	res = upstream_start(free_try(x), e, p->row, &request, upstream_done,
 			     x);
@@ -145,10 +146,13 @@
 	if (x->done || x->tried_count >= TRIED_MOST || !free_try(x) ||
 	    x->ends_at - entry_now(e) < exchange_usual(x) / 2)
 		return false;
-	return tr_allowance_spend(
-		entry_allowance(e, x->service), &e->repeat_bound,
-		tr_membership_heard_share(&e->members, entry_now(e)),
-		entry_now(e));
+	if (tr_allowance_spend(
+		    entry_allowance(e, x->service), &e->repeat_bound,
+		    tr_membership_heard_share(&e->members, entry_now(e)),
+		    entry_now(e)))
+		return true;
+	x->bound_reached = true;
+	return false;
 }
 
 /* Second a running attempt whose target is probably gray. */
--- a/entry/exchange_internal.h
+++ b/entry/exchange_internal.h
@@ -29,6 +29,8 @@
 	uint32_t there[TRIED_MOST];
 	unsigned tried_count;
 	unsigned runs;
+	unsigned due;
+	bool bound_reached;
 	bool maybe_ran;
 	bool done;
 	struct loop_timer *timer;
--- a/entry/exchange_reply.c
+++ b/entry/exchange_reply.c
@@ -96,15 +96,17 @@
 
 	times_add(e, &row, now - x->arrived);
 	eventlog(status >= 500 ? EVENT_FAILURE : EVENT_REQUEST, "request",
-		 "id=%s route=%s service=%s status=%d why=%s took_ms=%ld "
-		 "left_ms=%ld usual_ms=%ld runs=%u tried=%s version=%" PRIu64
-		 " view_age_ms=%ld",
+		 "id=%s route=%s service=%s kind=%s status=%d why=%s "
+		 "took_ms=%ld aim_ms=%ld left_ms=%ld usual_ms=%ld runs=%u "
+		 "due=%u bound=%d tried=%s version=%" PRIu64 " view_age_ms=%ld",
 		 x->id, x->route->name, e->roster.services[x->service].name,
-		 status, why, (long)((now - x->arrived) / 1000),
+		 times_kind_word(x->route->kind), status, why,
+		 (long)((now - x->arrived) / 1000),
+		 (long)(x->route->latency_aim / 1000),
 		 (long)((x->ends_at - now) / 1000),
-		 (long)(exchange_usual(x) / 1000), x->runs,
-		 tried_text(x, tried, sizeof(tried)), x->routes->version,
-		 (long)(entry_view_age(e) / 1000));
+		 (long)(exchange_usual(x) / 1000), x->runs, x->due,
+		 x->bound_reached, tried_text(x, tried, sizeof(tried)),
+		 x->routes->version, (long)(entry_view_age(e) / 1000));
 }
 
 /* Answer for this VM itself. 503 says when to come back. */
--- a/entry/times.c
+++ b/entry/times.c
@@ -14,6 +14,12 @@
 	[TR_KIND_UPLOAD] = "upload",
 };
 
+/* How logs and metrics name a kind of request. */
+const char *times_kind_word(enum tr_kind kind)
+{
+	return kind_words[kind];
+}
+
 /* What the end was for the caller. */
 static const char *outcome_word(const struct times_row *row)
 {
--- a/src/cmd_explain.c
+++ b/src/cmd_explain.c
@@ -1,28 +1,10 @@
 #include <argtable2.h>
-#include <errno.h>
 #include <stdio.h>
 #include <stdlib.h>
-#include <string.h>
 
 #include "command.h"
 #include "explain.h"
 
-/* "-" is the standard input. 0, or -1 after saying why. */
-static int read_file(GPtrArray *lines, const char *path)
-{
-	FILE *in = strcmp(path, "-") ? fopen(path, "r") : stdin;
-
-	if (!in) {
-		fprintf(stderr, "explain: %s: %s\n", path, strerror(errno));
-		return -1;
-	}
-	if (!loglines_read(lines, in))
-		fprintf(stderr, "explain: %s: no line of a VM's log\n", path);
-	if (in != stdin)
-		fclose(in);
-	return 0;
-}
-
 static int explain_all(const GPtrArray *lines, struct arg_str *ids)
 {
 	int code = EXIT_SUCCESS;
@@ -57,7 +39,8 @@
 
 	if (command_parse(argc, argv, table, "explain", &code)) {
 		for (int i = 0; i < logs->count && !code; i++)
-			if (read_file(lines, logs->filename[i]))
+			if (loglines_read_file(lines, logs->filename[i],
+					       "explain"))
 				code = EXIT_USAGE;
 		loglines_sort(lines);
 		if (!code)
--- a/src/command.h
+++ b/src/command.h
@@ -14,6 +14,7 @@
 #define EXIT_USAGE	 2
 
 int command_explain(int argc, char **argv);
+int command_losses(int argc, char **argv);
 int command_check(int argc, char **argv);
 int command_status(int argc, char **argv);
 int command_lookup(int argc, char **argv);
--- a/src/logline.c
+++ b/src/logline.c
@@ -1,5 +1,6 @@
 #include "logline.h"
 
+#include <errno.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -83,6 +84,24 @@
 	return n;
 }
 
+/* Append those of the file at the path, where "-" is the standard input. 0, or
+ * -1 after saying why for the command. */
+int loglines_read_file(GPtrArray *lines, const char *path, const char *command)
+{
+	FILE *in = strcmp(path, "-") ? fopen(path, "r") : stdin;
+
+	if (!in) {
+		fprintf(stderr, "%s: %s: %s\n", command, path, strerror(errno));
+		return -1;
+	}
+	if (!loglines_read(lines, in))
+		fprintf(stderr, "%s: %s: no line of a VM's log\n", command,
+			path);
+	if (in != stdin)
+		fclose(in);
+	return 0;
+}
+
 static gint compare(gconstpointer a, gconstpointer b)
 {
 	const struct logline *x = *(struct logline *const *)a;
--- a/src/logline.h
+++ b/src/logline.h
@@ -14,6 +14,7 @@
 /* The lines of several VMs, merged; elements are struct logline. */
 GPtrArray *loglines_new(void);
 unsigned loglines_read(GPtrArray *lines, FILE *in);
+int loglines_read_file(GPtrArray *lines, const char *path, const char *command);
 void loglines_sort(GPtrArray *lines);
 const char *logline_get(const struct logline *line, const char *field);
 double logline_number(const struct logline *line, const char *field);
--- a/src/toucanreel.c
+++ b/src/toucanreel.c
@@ -15,6 +15,8 @@
 	  command_timeline },
 	{ "explain", "the story of a request, by the logs of all VMs",
 	  command_explain },
+	{ "losses", "where requests are lost, by the logs of all VMs",
+	  command_losses },
 	{ "capacity", "what a fleet of a given size costs", command_capacity },
 };
 
