--- a/entry/upstream.c
+++ b/entry/upstream.c
@@ -58,7 +58,6 @@
 	row->own.count[symptom]++;
 	row->dirty = true;
 	tr_roster_outcome(&u->e->roster, row, symptom, 1, now);
-	tr_gray_add(&row->own_path, symptom, 1, now);
 	if (symptom == TR_SYMPTOM_FAILED || symptom == TR_SYMPTOM_OVERDUE)
 		tr_worked_failed(&u->e->roster.services[row->service],
 				 now - u->sent_at);
--- a/lib/place.c
+++ b/lib/place.c
@@ -48,10 +48,9 @@
  * not known yet, and if all took the one cheapest target it would get six
  * requests at once, all of which a sudden hang takes with it. */
 #define BLUR 0.02
-/* A target that has just started works at about half its speed. */
-#define COLD_FACTOR 1.0
-/* From here on what this VM alone has seen outweighs the fleet's view. */
-#define OWN_SAYS 0.5
+/* From here on a target counts as a suspect, whose queue says nothing of how
+ * long work takes. */
+#define SUSPECT 0.5
 /* A wait that ends with less than this part of the usual time left for the
  * work is hopeless. */
 #define LEAST_WORK 1.0
@@ -71,18 +70,6 @@
 	return false;
 }
 
-static double risk_of(const struct tr_instance *row, apr_time_t now)
-{
-	double fleet = tr_gray_probability(&row->gray, now);
-	double own = tr_gray_probability(&row->own_path, now);
-
-	/* A path of this VM alone may be broken while all others see the
-	 * target well. */
-	if (!tr_mechanism_on(TR_MECH_OWN_PATH))
-		return fleet;
-	return own > OWN_SAYS && own > fleet ? own : fleet;
-}
-
 /* How long until a slot is free, as far as the fleet's numbers tell. */
 static apr_time_t expected_wait(const struct tr_instance *row, apr_time_t usual)
 {
@@ -138,9 +125,7 @@
 	double share;
 
 	p->wait = expected_wait(row, wish->usual);
-	p->risk = risk_of(row, now);
-	if (row->cold_until > now && tr_mechanism_on(TR_MECH_COLD_STARTS))
-		takes *= 1 + COLD_FACTOR;
+	p->risk = tr_gray_probability(&row->gray, now);
 	/* Work that is under way shares the target's speed to some extent; an
 	 * idle one comes first. */
 	share = (double)(row->in_flight + row->others_in_flight) / row->slots;
@@ -204,7 +189,7 @@
 		untried++;
 		p.cost = cost_of(row, wish, loss, now, &p);
 		takes = p.wait + wish->usual;
-		if (p.risk < OWN_SAYS && takes < least_takes)
+		if (p.risk < SUSPECT && takes < least_takes)
 			least_takes = takes;
 		fits = row->full_until <= now && in_time(wish, &p);
 		tr_cover_see(&cover, row, i, p.risk, fits, now);
--- a/lib/roster.h
+++ b/lib/roster.h
@@ -52,7 +52,6 @@
 	uint64_t revision;
 	uint64_t born;
 	struct tr_gray gray;
-	struct tr_gray own_path;
 	apr_time_t full_until;
 	apr_time_t unreachable_until;
 	uint32_t in_flight;
--- a/src/cmd_losses.c
+++ b/src/cmd_losses.c
@@ -59,9 +59,8 @@
 			code = EXIT_FOUND_FAULT;
 		}
 		if (!code)
-			code = print_as(&losses, format->count
-							 ? format->sval[0]
-							 : "text");
+			code = print_as(&losses, format->count ? format->sval[0]
+							       : "text");
 		losses_free(&losses);
 	}
 	g_ptr_array_free(lines, TRUE);
--- a/src/losses_svg.c
+++ b/src/losses_svg.c
@@ -60,8 +60,7 @@
 			s->lost[c], s->asked, loss_cause_text(c));
 	}
 	if (at % MARK_S == 0)
-		g_string_append_printf(out,
-				       "<text x='%u' y='%d'>%u s</text>\n",
+		g_string_append_printf(out, "<text x='%u' y='%d'>%u s</text>\n",
 				       LEFT + at * BAR, TOP + HEIGHT + 14, at);
 }
 
@@ -85,8 +84,8 @@
 			out,
 			"<rect x='%u' y='%d' width='10' height='10' "
 			"fill='%s'/><text x='%u' y='%d'>%s</text>\n",
-			x, TOP + c * ROW, colours[c], x + 16,
-			TOP + c * ROW + 9, loss_cause_text(c));
+			x, TOP + c * ROW, colours[c], x + 16, TOP + c * ROW + 9,
+			loss_cause_text(c));
 }
 
 /* The picture, for g_free. */
