Don't look up the first of no services

Cause: a row that is gone when it is first heard of has no service; learning the share of gray targets looked up service 0 of an empty table. A VM that hears of a gone target before any list would have ended.

Change: such rows are passed over.

--- a/lib/roster.c
+++ b/lib/roster.c
@@ -349,9 +349,14 @@
 			tr_worked_gray(&roster->services[s], share,
 				       (double)passed / 1e6);
 	}
-	for (unsigned i = 0; i < roster->count; i++)
-		roster->rows[i].gray.prior =
-			roster->services[roster->rows[i].service].gray_share;
+	for (unsigned i = 0; i < roster->count; i++) {
+		struct tr_instance *row = &roster->rows[i];
+
+		/* A row that was gone when it was first heard of has none. */
+		if (row->service < roster->services_count)
+			row->gray.prior =
+				roster->services[row->service].gray_share;
+	}
 	roster->learned_at = now;
 }
 
--- a/tests/roster_test.cc
+++ b/tests/roster_test.cc
@@ -379,6 +379,21 @@
 	EXPECT_LT(tr_gray_probability(&roster.rows[8].gray, now), 0.1);
 }
 
+/*
+ * Symptom: a VM that has just started ends with a fault. Sequence: the first
+ * that it hears of any target is that one is gone. Cause: the row had no
+ * service, and the first of no services was looked up.
+ */
+TEST_F(Roster, AGoneTargetBeforeAnyServiceIsNoFault)
+{
+	apply("a", 5, false, true);
+	tr_roster_step(&roster, now);
+	now += TR_SEC(1);
+	tr_roster_step(&roster, now);
+	EXPECT_EQ(roster.services_count, 0u);
+	EXPECT_FALSE(tr_instance_usable(row("a"), now));
+}
+
 TEST(Worked, TheAgeOfFailuresIsLearned)
 {
 	tr_worked_service s;
