While many fail, keep all targets at work that have not just failed

Cause: which targets operators count is not told. The share was kept for a random third of them; 15 of 201 is a smaller part.

Ruled out: a still smaller part, which is the same guess again.

Change: from the failing share on at which operators are about to look, all targets that have not failed within two seconds have to be at work. The arithmetic of parts is gone. The test of random thirds goes with it; what takes its place asks for more: one idle target of 201 is due.

--- a/lib/cover.c
+++ b/lib/cover.c
@@ -7,8 +7,6 @@
  */
 #include "cover.h"
 
-#include <math.h>
-
 #include "clock.h"
 #include "hash.h"
 
@@ -36,12 +34,6 @@
  * room for what they see and this VM does not yet. From half of it on, small
  * services, which often are there by chance, lose 0.002 of worth more. */
 #define FAILING 0.075
-/* Operators leave out the targets that are disturbed, which are not told apart
- * from here. Of a third of the targets, drawn at random, the share is at work
- * with 98 chances in 100 when so many standard deviations are added: with 4% of
- * the targets instead, 6 of 9 of 28 were, and 36 of 53 of 201. */
-#define COUNTED_PART 3.0
-#define DEVIATIONS   2.0
 /* Requests a target within the last seconds from which on each can have its
  * own: below it chance leaves some out, and that says nothing. */
 #define LEAST_WORK 2.5
@@ -93,26 +85,14 @@
 	}
 }
 
-/*
- * The share of all targets that has to be at work so that the share of any part
- * that may be counted is: the solution in u of u + c sqrt(u (1 - u)) = 1 -
- * share for the share u that is not at work.
- */
-static double share_of_all(double share, double sound)
-{
-	double c = DEVIATIONS / sqrt(fmax(1, sound / COUNTED_PART));
-	double idle = 1 - share;
-	double a = 1 + 1 / (c * c);
-	double b = 1 + 2 * idle / (c * c);
-	double u = (b - sqrt(b * b - 4 * a * idle * idle / (c * c))) / (2 * a);
-
-	return 1 - u;
-}
-
 /*
  * The target that is due for a request so that the share is at work, or
  * TR_NO_ROW. outcomes is how many of the service's requests ended lately,
  * failing the part of them that failed.
+ *
+ * Operators leave out the targets that are disturbed, and nobody tells which
+ * they are: with seven in ten of all at work, 10 of 15 of 201 were, and 6 of 9
+ * of 28. So while they look, all that have not just failed have to be.
  */
 uint32_t tr_cover_due(const struct tr_cover *cover, double share,
 		      double outcomes, double failing)
@@ -120,8 +100,7 @@
 	double wanted = share * cover->sound + MARGIN_LEAST;
 
 	if (failing >= FAILING)
-		wanted = fmax(wanted,
-			      share_of_all(share, cover->sound) * cover->sound);
+		wanted = cover->sound;
 	if (outcomes < LEAST_WORK * cover->sound || cover->used >= wanted)
 		return TR_NO_ROW;
 	return cover->row;
--- a/tests/cover_test.cc
+++ b/tests/cover_test.cc
@@ -1,7 +1,4 @@
-#include <algorithm>
 #include <gtest/gtest.h>
-#include <numeric>
-#include <random>
 #include <set>
 #include <vector>
 
@@ -145,31 +142,18 @@
 	EXPECT_NE(due(1, 1000, false, 0.19), TR_NO_ROW);
 }
 
-/* Over random parts of a third, the share is kept 98 times in 100. */
-TEST_F(Cover, TheShareOfARandomThirdIsKept)
+/*
+ * Symptom: operators count 10 of 15 sound targets at work. Sequence: 186 of 201
+ * targets are disturbed, a sixth of the requests fails, eight in ten of all are
+ * at work. Cause: the share was kept for a random third, and the part that was
+ * counted was smaller.
+ */
+TEST_F(Cover, WhileManyFailAnyPartMayBeCounted)
 {
-	for (unsigned n : { 12U, 28U, 60U, 200U }) {
-		std::mt19937 random(n);
-		unsigned at_work = 0;
-		int kept = 0;
-
-		do {
-			rows.clear();
-			add(++at_work, TR_MSEC(100));
-			add(n - at_work, TR_SEC(5));
-		} while (at_work < n && due(1, 1e6, false, 0.2) != TR_NO_ROW);
-		for (int run = 0; run < 2000; run++) {
-			std::vector<unsigned> of(n);
-			unsigned used = 0;
-
-			std::iota(of.begin(), of.end(), 0);
-			std::shuffle(of.begin(), of.end(), random);
-			for (unsigned i = 0; i < n / 3; i++)
-				used += of[i] < at_work;
-			kept += used >= 0.7 * (n / 3);
-		}
-		EXPECT_GT(kept, 1900) << n << " " << at_work;
-	}
+	add(200, TR_MSEC(100));
+	add(1, TR_SEC(5));
+	EXPECT_EQ(due(1, 1e6, false, 0.01), TR_NO_ROW);
+	EXPECT_EQ(due(1, 1e6, false, 0.17), 200u);
 }
 
 } // namespace
