Come back together: call the seeds often, hold requests until ready

A VM called them once a second, so it read the store by itself after its wait; VMs were ready 0.4 s after their start, and 462 requests were refused that nobody else could have served.

Ruled out: reading at once on every VM (18 calls each before 819 targets, 8,000 in all); shorter waits (the seeds are not there yet).

Change: until it has heard anybody a VM calls the seeds each 100 ms, steps each 5 ms until it is ready, tells its group when it has its first list; others wait 0.7 to 2.7 s before they read by themselves; requests wait up to a second.

--- a/entry/exchange_arrive.c
+++ b/entry/exchange_arrive.c
@@ -18,9 +18,10 @@
 /* Golden ratio: steps of it spread weights evenly over any span of draws. */
 #define GOLDEN 0.6180339887498949
 /* How long requests wait after the start of the process for the list and the
- * configuration, which come from another VM in a quarter of that; refused they
- * would be lost to callers that do not ask again. Half of a short aim. */
-#define HELD_AT_START TR_MSEC(500)
+ * configuration, which come from another VM in a third of that; refused they
+ * would be lost to callers that do not ask again, and after the loss of all VMs
+ * there is no other to go to. */
+#define HELD_AT_START TR_MSEC(1000)
 /* How old the list may be without holding requests after a pause. */
 #define HELD_AGE TR_MSEC(1500)
 
--- a/entry/pull.c
+++ b/entry/pull.c
@@ -140,7 +140,12 @@
 	if (text)
 		root = json_loadb(text, len, 0, NULL);
 	if (root) {
+		bool first = !pull->e->roster.as_of;
+
 		take_list(pull->e, root);
+		/* So that others of the group can ask this VM. */
+		if (first)
+			mesh_tell_now(pull->e->mesh);
 		return;
 	}
 	pull->e->counts.pulls_failed++;
--- a/entry/reader.c
+++ b/entry/reader.c
@@ -33,10 +33,10 @@
  * part, unless it is one of the seeds, by which all find each other: they read
  * at once. Of 442 VMs that start together the others then need no call; each
  * made 18, for 819 targets. */
-#define START_WAIT_LEAST TR_MSEC(150)
-#define START_WAIT_MS	 600
+#define START_WAIT_LEAST TR_MSEC(700)
+#define START_WAIT_MS	 2000
 /* How long at its start a VM leaves it to others that have what it lacks. */
-#define START_LEFT TR_MSEC(2000)
+#define START_LEFT TR_MSEC(3000)
 /* How often a VM that does not read looks at whether it should. */
 #define LOOK_EVERY TR_MSEC(100)
 /* Answers take milliseconds, and in bad times some 60 times as long. */
--- a/entry/toucanreel_entry.c
+++ b/entry/toucanreel_entry.c
@@ -25,6 +25,8 @@
 #define EXIT_USAGE 2
 /* How often what is due is looked at: a third of the shortest period. */
 #define STEP TR_MSEC(25)
+/* The same until this VM can serve: callers wait for that. */
+#define STEP_AT_START TR_MSEC(5)
 /* How often the settings file is looked at for a change without a signal. */
 #define SETTINGS_PERIOD TR_SEC(1)
 /* Of the time between the signal to stop and the kill: when idle connections
@@ -152,7 +154,7 @@
 	}
 	if (d->stop_since)
 		step_stop(d, now);
-	loop_after(e->loop, STEP, step, d);
+	loop_after(e->loop, e->ready ? STEP : STEP_AT_START, step, d);
 }
 
 static void before_poll(void *ctx)
--- a/lib/membership.c
+++ b/lib/membership.c
@@ -33,6 +33,9 @@
 /* Time between two calls to one lost address. Survivors go on calling: a VM
  * that restarts with dead seeds is found only so. */
 #define CALL_LOST TR_SEC(1)
+/* The same while this VM has heard nobody: after the loss of all VMs the seeds
+ * may start half a second later than it does. */
+#define CALL_FIRST TR_MSEC(100)
 /* A VM whose first message heard was one of its first so many, some seconds of
  * its life, and how long a VM tells its totals in turn: from either on, what it
  * tells of a target for the first time is new. */
@@ -173,6 +176,7 @@
 	node->cannot_read = news->cannot_read;
 	memcpy(node->held, news->held, sizeof(node->held));
 	node->heard_at = now;
+	m->heard_any = true;
 	set_centre(m, node, news->data_centre);
 	set_size(m, news->fleet_size);
 	return node;
@@ -283,10 +287,12 @@
  */
 struct tr_node *tr_membership_lost(struct tr_membership *m, apr_time_t now)
 {
+	apr_time_t gap = m->heard_any ? CALL_LOST : CALL_FIRST;
+
 	for (unsigned i = 1; i < m->count; i++) {
 		struct tr_node *node = &m->nodes[i];
 
-		if (now - node->called_at < CALL_LOST ||
+		if (now - node->called_at < gap ||
 		    (!node->near && *node->data_centre) ||
 		    tr_node_alive(m, node, now))
 			continue;
--- a/lib/membership.h
+++ b/lib/membership.h
@@ -101,6 +101,7 @@
 	unsigned groups_count;
 	unsigned near_count;
 	unsigned size_told;
+	bool heard_any;
 	uint32_t generation;
 	apr_time_t counted_at;
 };
