--- a/entry/desk.c
+++ b/entry/desk.c
@@ -150,6 +150,9 @@
 		  tr_spread_newest(&e->members, TR_HOLDS_ROUTES, entry_now(e)) >
 			  (e->routes ? e->routes->revision : 0) },
 		{ "store_targets_refused_total", c->targets_refused },
+		{ "fleet_vms", tr_membership_size(&e->members) },
+		{ "groups", e->members.groups_count },
+		{ "group_vms", e->members.near_count },
 		{ "in_hand", e->exchanges_count },
 		{ "view_age_ms", (uint64_t)entry_view_age(e) / 1000 },
 		{ "routes_version", e->routes ? e->routes->version : 0 },
--- a/entry/mesh.c
+++ b/entry/mesh.c
@@ -484,6 +484,19 @@
 	}
 }
 
+/* Another set of groups lives than before: their targets have other homes. */
+static void log_groups(const struct tr_membership *m)
+{
+	unsigned alive = 0;
+
+	for (unsigned g = 0; g < m->groups_count; g++)
+		alive += m->groups[g].alive > 0;
+	eventlog(EVENT_BELIEF, "groups",
+		 "groups=%u alive=%u near=%u near_alive=%u fleet=%u",
+		 m->groups_count, alive, m->near_count,
+		 m->groups[m->nodes[0].group].alive, tr_membership_size(m));
+}
+
 /* Send what is due; call every 25 ms or so. */
 void mesh_step(struct mesh *mesh)
 {
@@ -494,7 +507,8 @@
 
 	if ((apr_time_t)m->near_count * URGENT_GAP_A_VM > gap)
 		gap = (apr_time_t)m->near_count * URGENT_GAP_A_VM;
-	tr_group_count(m, now);
+	if (tr_group_count(m, now) && m->groups_count > 1)
+		log_groups(m);
 	find_homes(mesh);
 	call_lost(mesh, now);
 	mesh_forget_lost(mesh, now);
--- a/lib/group.c
+++ b/lib/group.c
@@ -148,7 +148,7 @@
 	static const char nowhere[TR_ID_MAX + 1];
 
 	m->groups_count = 0;
-	if (tr_membership_size(m) <= GROUP_MOST ||
+	if (tr_membership_size(m) <= GROUP_MOST || !*m->nodes[0].data_centre ||
 	    !tr_mechanism_on(TR_MECH_GROUPS)) {
 		add_group(m, nowhere, 0);
 	} else {
--- a/lib/membership.c
+++ b/lib/membership.c
@@ -41,6 +41,8 @@
  * tells of a target for the first time is new. */
 #define FIRST_MESSAGES 50
 #define TOLD_ALL_AFTER TR_SEC(5)
+/* A larger size of the fleet is nonsense: 18 times the plan's. */
+#define FLEET_MOST 100000
 /* VMs that watch the platform, in different data centres where there are
  * several: with two, news flows on while one is frozen or cut off. */
 #define READERS 2
@@ -132,7 +134,7 @@
 
 static void set_size(struct tr_membership *m, unsigned told)
 {
-	if (told <= tr_membership_size(m))
+	if (told <= tr_membership_size(m) || told > FLEET_MOST)
 		return;
 	m->size_told = told;
 	tr_group_all(m);
--- a/tests/group_test.cc
+++ b/tests/group_test.cc
@@ -129,6 +129,10 @@
 	tr_membership_heard(&view.m, &news, view.now, &restarted);
 	EXPECT_GT(view.m.groups_count, 1u);
 	EXPECT_LT(view.m.near_count, 10u);
+	news.sequence = 3;
+	news.fleet_size = UINT32_MAX;
+	tr_membership_heard(&view.m, &news, view.now, &restarted);
+	EXPECT_EQ(tr_membership_size(&view.m), 442u);
 }
 
 /*
