--- a/entry/mesh.c
+++ b/entry/mesh.c
@@ -46,11 +46,6 @@
 #define CALL_EVERY   TR_MSEC(100)
 #define CALLS_A_STEP 20
 
-struct node_lists {
-	struct mesh_centre centres[MESH_MAX_CENTRES];
-	uint32_t nodes[MESH_MAX_NODES];
-};
-
 static void add_rows(struct mesh *mesh, struct mesh_message *msg,
 		     struct mesh_row *rows, size_t room)
 {
@@ -100,62 +95,6 @@
 	}
 }
 
-static void add_nodes_of(const struct tr_membership *m,
-			 struct mesh_centre *centre, uint32_t *nodes,
-			 unsigned start, unsigned most, apr_time_t now)
-{
-	centre->nodes.nodes_val = nodes;
-	for (unsigned i = 0; i < m->count && centre->nodes.nodes_len < most;
-	     i++) {
-		const struct tr_node *node = &m->nodes[(start + i) % m->count];
-
-		if (!strcmp(node->data_centre, centre->name) &&
-		    tr_node_alive(m, node, now))
-			nodes[centre->nodes.nodes_len++] = node->ip;
-	}
-}
-
-static bool is_listed(const struct node_lists *lists, unsigned count,
-		      const char *centre)
-{
-	for (unsigned i = 0; i < count; i++)
-		if (!strcmp(lists->centres[i].name, centre))
-			return true;
-	return false;
-}
-
-/* So many VMs of this group that are heard, from a random one on; or of the
- * data centre, if one is named. */
-static void add_nodes(struct mesh *mesh, struct mesh_message *msg,
-		      struct node_lists *lists, const char *centre,
-		      unsigned most, apr_time_t now)
-{
-	const struct tr_membership *m = &mesh->e->members;
-	unsigned start = tr_random_below(&mesh->e->random, m->count);
-	unsigned told = 0;
-	unsigned n = 0;
-
-	for (unsigned i = 0; i < m->count; i++) {
-		const struct tr_node *node = &m->nodes[(start + i) % m->count];
-
-		if (told == most || n == MESH_MAX_CENTRES)
-			break;
-		if (!*node->data_centre ||
-		    (centre ? strcmp(node->data_centre, centre) != 0
-			    : !node->near) ||
-		    is_listed(lists, n, node->data_centre))
-			continue;
-		lists->centres[n] = (struct mesh_centre){
-			.name = (char *)node->data_centre,
-		};
-		add_nodes_of(m, &lists->centres[n], lists->nodes + told, start,
-			     most - told, now);
-		told += lists->centres[n++].nodes.nodes_len;
-	}
-	msg->centres.centres_val = lists->centres;
-	msg->centres.centres_len = n;
-}
-
 static uint32_t own_flags(const struct entry *e, const struct mesh *mesh)
 {
 	return (e->ready ? MESH_READY : 0) | (e->leaving ? MESH_LEAVING : 0) |
@@ -211,13 +150,14 @@
 void mesh_call_one(struct mesh *mesh, uint32_t ip, bool answer)
 {
 	const struct tr_node *node = tr_membership_learn(&mesh->e->members, ip);
-	struct node_lists lists;
+	struct mesh_nodes lists;
 	struct mesh_message msg;
 
 	mesh_fill_head(mesh, &msg);
 	msg.flags |= answer ? MESH_ANSWER : 0;
-	add_nodes(mesh, &msg, &lists, node->near ? NULL : node->data_centre,
-		  MESH_MAX_NODES, entry_now(mesh->e));
+	mesh_add_nodes(mesh, &msg, &lists,
+		       node->near ? NULL : node->data_centre, MESH_MAX_NODES,
+		       entry_now(mesh->e));
 	mesh_send_message(mesh, ip, &msg, MESH_TELL);
 }
 
@@ -311,7 +251,7 @@
 	struct mesh_changes changes;
 	struct mesh_row rows[MESH_MAX_ROWS];
 	struct mesh_work work[MESH_MAX_WORK];
-	struct node_lists nodes;
+	struct mesh_nodes nodes;
 	apr_time_t now = entry_now(mesh->e);
 	struct mesh_message msg;
 	bool lists = mesh->lists;
@@ -321,7 +261,7 @@
 	mesh_fill_head(mesh, &msg);
 	if (lists)
 		mesh_add_changes(mesh, &msg, &changes, &next, now);
-	add_nodes(mesh, &msg, &nodes, NULL, NODES_TOLD, now);
+	mesh_add_nodes(mesh, &msg, &nodes, NULL, NODES_TOLD, now);
 	add_work(mesh, &msg, work);
 	used = BYTES_HEAD + mesh_bytes_of_changes(&msg);
 	if (used < DATAGRAM_MOST)
--- a/entry/mesh_internal.h
+++ b/entry/mesh_internal.h
@@ -23,6 +23,12 @@
 	struct mesh_mark marks[MESH_MAX_MARKS];
 };
 
+/* Room for the VMs that one message names. */
+struct mesh_nodes {
+	struct mesh_centre centres[MESH_MAX_CENTRES];
+	uint32_t nodes[MESH_MAX_NODES];
+};
+
 struct mesh {
 	struct entry *e;
 	int fd;
@@ -50,6 +56,9 @@
 void mesh_fill_row(struct mesh_row *out, const struct tr_instance *row);
 void mesh_read_row(const struct mesh_row *in, struct tr_symptom_totals *t);
 uint32_t mesh_service_hash(const struct entry *e, unsigned service);
+void mesh_add_nodes(struct mesh *mesh, struct mesh_message *msg,
+		    struct mesh_nodes *lists, const char *centre, unsigned most,
+		    apr_time_t now);
 void mesh_add_changes(const struct mesh *mesh, struct mesh_message *msg,
 		      struct mesh_changes *lists, uint32_t *next,
 		      apr_time_t now);
--- /dev/null
+++ b/entry/mesh_nodes.c
@@ -0,0 +1,60 @@
+/* Which VMs a message names, by which others find each other. */
+#include <string.h>
+
+#include "mesh_internal.h"
+
+static void add_nodes_of(const struct tr_membership *m,
+			 struct mesh_centre *centre, uint32_t *nodes,
+			 unsigned start, unsigned most, apr_time_t now)
+{
+	centre->nodes.nodes_val = nodes;
+	for (unsigned i = 0; i < m->count && centre->nodes.nodes_len < most;
+	     i++) {
+		const struct tr_node *node = &m->nodes[(start + i) % m->count];
+
+		if (!strcmp(node->data_centre, centre->name) &&
+		    tr_node_alive(m, node, now))
+			nodes[centre->nodes.nodes_len++] = node->ip;
+	}
+}
+
+static bool is_listed(const struct mesh_nodes *lists, unsigned count,
+		      const char *centre)
+{
+	for (unsigned i = 0; i < count; i++)
+		if (!strcmp(lists->centres[i].name, centre))
+			return true;
+	return false;
+}
+
+/* So many VMs of this group that are heard, from a random one on; or of the
+ * data centre, if one is named. */
+void mesh_add_nodes(struct mesh *mesh, struct mesh_message *msg,
+		    struct mesh_nodes *lists, const char *centre, unsigned most,
+		    apr_time_t now)
+{
+	const struct tr_membership *m = &mesh->e->members;
+	unsigned start = tr_random_below(&mesh->e->random, m->count);
+	unsigned told = 0;
+	unsigned n = 0;
+
+	for (unsigned i = 0; i < m->count; i++) {
+		const struct tr_node *node = &m->nodes[(start + i) % m->count];
+
+		if (told == most || n == MESH_MAX_CENTRES)
+			break;
+		if (!*node->data_centre ||
+		    (centre ? strcmp(node->data_centre, centre) != 0
+			    : !node->near) ||
+		    is_listed(lists, n, node->data_centre))
+			continue;
+		lists->centres[n] = (struct mesh_centre){
+			.name = (char *)node->data_centre,
+		};
+		add_nodes_of(m, &lists->centres[n], lists->nodes + told, start,
+			     most - told, now);
+		told += lists->centres[n++].nodes.nodes_len;
+	}
+	msg->centres.centres_val = lists->centres;
+	msg->centres.centres_len = n;
+}
