Try suspects again from a chance of 0.6 on

Ruled out by the load test: a larger margin (two deviations: 0.076 of windows short at 22 targets, 0.071 with one), no limit (feeds itself).

--- a/lib/cover.c
+++ b/lib/cover.c
@@ -40,11 +40,13 @@
  * operators look from there. */
 #define FAILING 0.1
 /* Targets that are gray with more than this chance are let idle: hardly one in
- * two of them is sound, and three in four requests at a gray one are lost. The
- * second holds while many fail; without it what fails there keeps the failing
- * share up by itself (0.070 instead of 0.032 of a quiet day's requests failed,
- * 96 VMs before 183 targets). */
-#define RISKIEST	 0.5
+ * two of them is sound, and three in four requests at a gray one are lost. With
+ * 0.5 one window in 14 is short at a service of 22 targets, one in 50 with 0.6,
+ * for 0.004 of its requests; at 82 targets neither makes a difference (the load
+ * test). The second holds while many fail; without it what fails there keeps
+ * the failing share up by itself (0.070 instead of 0.032 of a quiet day's
+ * requests failed, 96 VMs before 183 targets). */
+#define RISKIEST	 0.6
 #define RISKIEST_FAILING 0.7
 /* Requests a target within the last seconds from which on each can have its
  * own: below it chance leaves some out, and that says nothing. */
--- a/tests/floor_load_test.cc
+++ b/tests/floor_load_test.cc
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <cmath>
 #include <gtest/gtest.h>
+#include <memory>
 #include <string>
 #include <vector>
 
@@ -50,13 +51,16 @@
 	unsigned vms = 20;
 	unsigned asked = 0;
 	unsigned lost = 0;
+	unsigned sound = 0;
+	unsigned used = 0;
 	unsigned windows = 0;
 	unsigned short_windows = 0;
 
-	explicit Service(unsigned n)
+	explicit Service(unsigned n, unsigned away = 0, uint64_t seed = 5)
 	{
+		random.state = seed;
 		tr_roster_service(&roster, "svc");
-		for (unsigned i = 0; i < n; i++) {
+		for (unsigned i = 0; i < n + away; i++) {
 			tr_target_record r{};
 
 			snprintf(r.id, sizeof(r.id), "t%u", i);
@@ -67,6 +71,11 @@
 			r.revision = 1;
 			tr_roster_apply(&roster, &r, now - TR_SEC(60));
 			roster.rows[i].used_at = now;
+			if (i < n)
+				continue;
+			/* Of another group, which uses it up. */
+			roster.rows[i].away = true;
+			roster.rows[i].full_until = APR_INT64_MAX;
 		}
 		targets.resize(n);
 		for (Target &t : targets) {
@@ -163,9 +172,8 @@
 	 * of them that nobody tells. */
 	void look(double counted)
 	{
-		unsigned sound = 0;
-		unsigned used = 0;
-
+		sound = 0;
+		used = 0;
 		for (Target &t : targets) {
 			bool disturbed = tr_random_unit(&random) > counted;
 
@@ -227,4 +235,36 @@
 	EXPECT_LE((double)svc.short_windows / svc.windows, 0.03);
 }
 
+/*
+ * Symptom: 3 of 8 sound targets of a service of 22 are idle. Sequence: the
+ * fleet has split into groups with three or four of them each; operators count
+ * two in five. Cause: suspects were let idle from a chance of 0.5 on, too soon
+ * where few are counted. One window in 17 was short, one in 100 is now.
+ */
+TEST(FloorLoad, GroupsKeepTheFloorOfASmallServiceTogether)
+{
+	const unsigned groups = 6;
+	unsigned windows = 0;
+	unsigned short_windows = 0;
+	std::vector<std::unique_ptr<Service>> parts;
+
+	for (unsigned i = 0; i < groups; i++)
+		parts.push_back(std::make_unique<Service>(4, 4 * (groups - 1),
+							  5 + i * 7919));
+	for (int second = 0; second < 1500; second++) {
+		unsigned sound = 0;
+		unsigned used = 0;
+
+		for (auto &part : parts) {
+			part->play(TR_SEC(1), 13, 1);
+			part->look(0.4);
+			sound += part->sound;
+			used += part->used;
+		}
+		windows++;
+		short_windows += used < 0.7 * sound;
+	}
+	EXPECT_LE((double)short_windows / windows, 0.03);
+}
+
 } // namespace
