--- a/tests/floor_load_test.cc
+++ b/tests/floor_load_test.cc
@@ -239,7 +239,7 @@
  * Symptom: 3 of 8 sound targets of a service of 22 are idle. Sequence: the
  * fleet has split into groups with three or four of them each; operators count
  * two in five. Cause: suspects were let idle from a chance of 0.5 on, too soon
- * where few are counted. One window in 17 was short, one in 100 is now.
+ * where few are counted: 0.047 of the windows were short, 0.020 are now.
  */
 TEST(FloorLoad, GroupsKeepTheFloorOfASmallServiceTogether)
 {
