--- a/entry/pull.c
+++ b/entry/pull.c
@@ -22,8 +22,8 @@
 /* Of a list: how long ago it was packed, in us. */
 #define SINCE "Toucanreel-Since"
 /* How long a packed list is handed out. With 442 VMs back at once each copy was
- * packed anew, 809 targets each time on a tenth of a core, and VMs were ready
- * over a second after the first of them had the list. */
+ * packed anew, 809 targets each time on a tenth of a core: 5,900 requests were
+ * refused within four seconds, 90 with it. */
 #define LIST_KEPT TR_MSEC(300)
 /* A peer answers from memory; longer without a byte is a dead path. */
 #define PULL_TIMEOUT TR_MSEC(1000)
--- a/lib/index.c
+++ b/lib/index.c
@@ -4,8 +4,9 @@
  * change to those that use it.
  *
  * What goes wrong without it: each row of each message looked through all
- * targets. With 442 VMs before 819 targets that and its like took 1.3 of every
- * 1.5 s of processor time.
+ * targets, each message through all VMs. One would notice by processor time
+ * that grows with their product: 442 VMs before 819 targets took 0.034 cores
+ * each where 100 before 345 took 0.008.
  */
 #include "index.h"
 
--- a/lib/spread.c
+++ b/lib/spread.c
@@ -12,9 +12,8 @@
  * were queued in nine seconds on links of 10 to 200 Mbit/s, not one copy
  * arrived, and the readers lost the store behind their own answers. One would
  * notice by a fleet whose revision stays behind that of its readers. Of 442 VMs
- * 430 were turned away by the reader within the same 60 ms, which cost it as
- * much as half a second of its tenth of a core; when configurations came every
- * 0.3 s some VMs were three versions behind for over three seconds.
+ * all asked the one that had it first; while configurations came in quick
+ * succession two still went by the last but two 3 s after it was accepted.
  */
 #include "spread.h"
 
