An equal old list proves nothing: fetch a newer one all the same

A VM that hears of a newer list that differs waits a while for what is on its way; an equal digest ended that wait, also when it was told by another VM that had missed the same. So those that had missed the same kept each other from fetching.

Ruled out: lost marks alone (the next fetch mends that), the reading of the store (the VMs were not cut off).

Change: lib/list_check decides, without I/O; only an equal list as new as the one that differed ends the wait. Its test failed before.

--- a/entry/mesh_internal.h
+++ b/entry/mesh_internal.h
@@ -1,6 +1,7 @@
 #ifndef MESH_INTERNAL_H
 #define MESH_INTERNAL_H
 
+#include "list_check.h"
 #include "mesh.h"
 #include "mesh_xdr.h"
 #include "pull.h"
@@ -44,7 +45,7 @@
 	apr_time_t called_at;
 	apr_time_t away_told_at;
 	apr_time_t summary_at;
-	apr_time_t differs_since;
+	struct tr_list_check list_check;
 	struct pull pull;
 	struct tr_pacer refusal_lines;
 };
--- a/entry/mesh_take.c
+++ b/entry/mesh_take.c
@@ -11,9 +11,6 @@
 /* Outcomes of a VM of another group at one target that can be its first: it
  * sends here only while its own group is full, seldom twice to one target. */
 #define FIRST_TOTALS 3
-/* How long two lists may differ before one is fetched whole: changes are told
- * again for a second, and what is on its way mends most differences. */
-#define DIFFERS_FOR TR_MSEC(700)
 
 /* What the VM told is void: it restarted, or is lost with its requests. */
 void mesh_forget_told(struct mesh *mesh, struct tr_node *node)
@@ -174,27 +171,17 @@
 	entry_target(e, &r, "peer");
 }
 
-/* Is the sender's list newer, or equal and so a proof that ours is current? */
 static void take_list(struct mesh *mesh, const struct tr_node *node,
 		      const struct mesh_message *msg, apr_time_t now)
 {
-	struct tr_roster *roster = &mesh->e->roster;
-	apr_time_t age = TR_MSEC(msg->age_ms);
+	const struct tr_list_told told = {
+		.as_of = msg->as_of,
+		.digest = msg->digest,
+		.age = TR_MSEC(msg->age_ms),
+	};
 
-	if (!msg->as_of)
-		return;
-	if (msg->digest == tr_roster_digest(roster)) {
-		tr_roster_vouched(roster, msg->as_of, age, now);
-		mesh->differs_since = 0;
-		return;
-	}
-	if (!roster->as_of || msg->as_of < roster->as_of ||
-	    (msg->as_of == roster->as_of && now - age <= roster->current_at))
-		return;
-	if (!mesh->differs_since)
-		mesh->differs_since =
-			now + tr_random_below(&mesh->e->random, DIFFERS_FOR);
-	if (now - mesh->differs_since > DIFFERS_FOR)
+	if (tr_list_check_told(&mesh->list_check, &mesh->e->roster, &told,
+			       &mesh->e->random, now))
 		pull_targets(&mesh->pull, node->ip);
 }
 
--- /dev/null
+++ b/lib/list_check.h
@@ -0,0 +1,25 @@
+#ifndef TR_LIST_CHECK_H
+#define TR_LIST_CHECK_H
+
+#include "hash.h"
+#include "roster.h"
+
+/* What another VM tells of its list of targets. */
+struct tr_list_told {
+	uint64_t as_of;
+	uint64_t digest;
+	apr_time_t age;
+};
+
+/* Since when a newer list is known to differ from this VM's, 0 when none is,
+ * and as of which revision of the store. */
+struct tr_list_check {
+	apr_time_t since;
+	uint64_t as_of;
+};
+
+bool tr_list_check_told(struct tr_list_check *c, struct tr_roster *roster,
+			const struct tr_list_told *told,
+			struct tr_random *random, apr_time_t now);
+
+#endif
--- a/tests/roster_test.cc
+++ b/tests/roster_test.cc
@@ -4,6 +4,7 @@
 extern "C" {
 #include "clock.h"
 #include "hash.h"
+#include "list_check.h"
 #include "roster.h"
 }
 
@@ -466,4 +467,62 @@
 	}
 }
 
+struct ListCheck : Roster {
+	tr_random random{ 3 };
+	tr_list_check check{};
+
+	/* Another VM tells its list, which differs unless equal. */
+	bool told(uint64_t as_of, bool equal)
+	{
+		tr_list_told t{};
+
+		t.as_of = as_of;
+		t.digest = tr_roster_digest(&roster) + !equal;
+		return tr_list_check_told(&check, &roster, &t, &random, now);
+	}
+
+	void SetUp() override
+	{
+		apply("a", 1);
+		tr_roster_current(&roster, 10, 0, now);
+	}
+};
+
+/*
+ * Symptom: a target gets requests from a VM 9.7 s after it began to leave; the
+ * VM's list is as old as its start. Sequence: several VMs miss the same
+ * changes; each hears newer lists that differ, and the others' old ones that
+ * are equal. Cause: an equal list was taken for a proof that nothing was
+ * missed, however old it was.
+ */
+TEST_F(ListCheck, AnEqualOldListIsNoProof)
+{
+	bool fetch = false;
+
+	for (int i = 0; i < 20 && !fetch; i++) {
+		now += TR_MSEC(100);
+		fetch = told(20, false);
+		EXPECT_FALSE(told(10, true));
+	}
+	EXPECT_TRUE(fetch);
+}
+
+TEST_F(ListCheck, WhatIsOnItsWayIsWaitedFor)
+{
+	for (int i = 0; i < 50; i++) {
+		now += TR_MSEC(300);
+		EXPECT_FALSE(told(20 + i, false));
+		now += TR_MSEC(300);
+		EXPECT_FALSE(told(20 + i, true));
+	}
+}
+
+TEST_F(ListCheck, AnOlderListIsNotFetched)
+{
+	for (int i = 0; i < 50; i++) {
+		now += TR_MSEC(300);
+		EXPECT_FALSE(told(9, false));
+	}
+}
+
 } // namespace
