--- a/entry/desk.c
+++ b/entry/desk.c
@@ -9,6 +9,7 @@
 #include "cleanup.h"
 #include "entry_settings.h"
 #include "eventlog.h"
+#include "mesh.h"
 #include "spread.h"
 #include "times.h"
 
@@ -118,7 +119,7 @@
 
 	if (!path_is(caller, e->dialect->ready_path))
 		answer_text(caller, 404, "text/plain", "no such call\n");
-	else if (e->ready && !e->leaving)
+	else if (entry_takes_callers(e))
 		answer_text(caller, 200, "text/plain", "ready\n");
 	else
 		answer_text(caller, 503, "text/plain", "not ready\n");
@@ -156,6 +157,10 @@
 		{ "in_hand", e->exchanges_count },
 		{ "view_age_ms", (uint64_t)entry_view_age(e) / 1000 },
 		{ "routes_version", e->routes ? e->routes->version : 0 },
+		{ "keys_refused_total", c->keys_refused },
+		{ "unproven_total", c->unproven },
+		{ "over_limit_total", c->over_limit },
+		{ "proof_age_ms", mesh_proof_age(e) },
 		{ "log_lines_left_out_total",
 		  eventlog_left_out(EVENT_REQUEST) },
 	};
--- a/entry/dialect.h
+++ b/entry/dialect.h
@@ -38,6 +38,8 @@
 	const char *expected_instance;
 	const char *not_run;
 	const char *load;
+	const char *api_key;
+	const char *organisation;
 
 	/* Calls from callers and from the platform. */
 	const char *lookup_path;
--- a/entry/entry.c
+++ b/entry/entry.c
@@ -7,6 +7,7 @@
 #include "entry_settings.h"
 #include "error.h"
 #include "eventlog.h"
+#include "organisation.h"
 
 /* The loop steps every 25 ms; one that comes so late tells of a pause of the
  * process or its VM. */
@@ -36,6 +37,11 @@
 		.slack = s->bounds.repeat_slack,
 		.window = s->repeat_window_us,
 	};
+	e->limit_bound = (struct tr_limit_bound){
+		.window = s->limit_window_us,
+		.over = s->bounds.limit_over,
+		.slack = s->bounds.limit_slack,
+	};
 }
 
 /* How long ago the list of targets was last known to be current. */
@@ -44,6 +50,34 @@
 	return entry_now(e) - e->roster.current_at;
 }
 
+/* May this VM use callers' keys? Where operators don't ask for a proof it may.
+ */
+bool entry_vouches(const struct entry *e)
+{
+	const struct entry_settings *s = e->settings;
+
+	if (!e->routes || !e->routes->organisations || !s->bounds.fail_closed)
+		return true;
+	return tr_proof_holds(&e->proof, s->key_proof_us, entry_now(e));
+}
+
+/* Is this VM ready for callers, whichever way they come? */
+bool entry_takes_callers(const struct entry *e)
+{
+	return e->ready && !e->leaving && entry_vouches(e);
+}
+
+static void set_limits(struct entry *e, struct tr_organisations *o)
+{
+	for (unsigned i = 0; o && i < o->count; i++) {
+		struct tr_organisation *row = &o->rows[i];
+
+		row->known_as = tr_limits_place(&e->limits, row->name);
+		tr_limit_set(&e->limits.rows[row->known_as], row->rate,
+			     row->burst, entry_now(e));
+	}
+}
+
 static void put_in_force(struct entry *e, struct tr_routes *routes,
 			 const char *from)
 {
@@ -55,6 +89,7 @@
 		 " routes=%u from=%s",
 		 (guint64)routes->version, (guint64)routes->revision,
 		 routes->routes_count, from);
+	set_limits(e, routes->organisations);
 	tr_routes_drop(e->routes);
 	e->routes = routes;
 	e->members.nodes[0].held[TR_HOLDS_ROUTES] = routes->revision;
--- a/entry/entry.h
+++ b/entry/entry.h
@@ -6,10 +6,12 @@
 #include "clock.h"
 #include "dialect.h"
 #include "fetch.h"
+#include "limit.h"
 #include "hash.h"
 #include "loop.h"
 #include "membership.h"
 #include "pacer.h"
+#include "proof.h"
 #include "roster.h"
 #include "route.h"
 
@@ -34,12 +36,15 @@
 	uint64_t pulls_failed;
 	uint64_t targets_refused;
 	uint64_t messages_refused;
+	uint64_t keys_refused;
+	uint64_t unproven;
+	uint64_t over_limit;
 };
 
 /*
  * The blackboard of an entry VM. Writers: reader.c and mesh.c the roster's
- * listing, the routes and the members; upstream.c the rows' work and evidence;
- * exchange.c the allowances.
+ * listing, the routes, their proof and the members; upstream.c the rows' work
+ * and evidence; exchange.c the allowances; exchange_identify.c the limits.
  */
 struct entry {
 	struct loop *loop;
@@ -52,6 +57,9 @@
 	struct tr_repeat_bound repeat_bound;
 	struct tr_allowance *allowances;
 	unsigned allowances_count;
+	struct tr_limit_bound limit_bound;
+	struct tr_limits limits;
+	struct tr_proof proof;
 	uint64_t refused_revision;
 	double draw;
 	bool leaving;
@@ -87,6 +95,8 @@
 bool entry_paused(struct entry *e, apr_time_t now);
 void entry_set_bounds(struct entry *e);
 apr_time_t entry_view_age(const struct entry *e);
+bool entry_vouches(const struct entry *e);
+bool entry_takes_callers(const struct entry *e);
 struct tr_allowance *entry_allowance(struct entry *e, uint32_t service);
 
 #endif
--- a/entry/entry_settings.c
+++ b/entry/entry_settings.c
@@ -16,10 +16,13 @@
 /* A VM whose link is not told is taken for one on the thinnest of those that
  * fleets run on. */
 #define LINK_MBPS 10
-#define OPT	  CYAML_FLAG_OPTIONAL
-#define PTR	  CYAML_FLAG_POINTER
-#define SET	  struct entry_settings
-#define BOUNDS	  struct entry_bounds
+/* Where they are not set: the window and the bound that platforms set. */
+#define LIMIT_WINDOW 5000000
+#define KEY_PROOF    5000000
+#define OPT	     CYAML_FLAG_OPTIONAL
+#define PTR	     CYAML_FLAG_POINTER
+#define SET	     struct entry_settings
+#define BOUNDS	     struct entry_bounds
 
 static const cyaml_schema_value_t word = {
 	CYAML_VALUE_STRING(PTR, char, 1, TEXT_CHARS),
@@ -32,6 +35,13 @@
 			 repeat_slack),
 	CYAML_FIELD_FLOAT("floor_share", CYAML_FLAG_DEFAULT, BOUNDS,
 			  floor_share),
+	CYAML_FIELD_BOOL("fail_closed", OPT, BOUNDS, fail_closed),
+	CYAML_FIELD_FLOAT("limit_over", OPT, BOUNDS, limit_over),
+	CYAML_FIELD_UINT("limit_slack", OPT, BOUNDS, limit_slack),
+	CYAML_FIELD_STRING_PTR("limit_window", PTR | OPT, BOUNDS, limit_window,
+			       1, TEXT_CHARS),
+	CYAML_FIELD_STRING_PTR("key_proof", PTR | OPT, BOUNDS, key_proof, 1,
+			       TEXT_CHARS),
 	CYAML_FIELD_STRING_PTR("repeat_window", PTR, BOUNDS, repeat_window, 1,
 			       TEXT_CHARS),
 	CYAML_FIELD_STRING_PTR("keep_most", PTR, BOUNDS, keep_most, 1,
@@ -110,6 +120,26 @@
 	return 0;
 }
 
+/* Bounds of callers' keys and of limits, which may be left out. */
+static int check_keys(struct entry_settings *s, struct tr_error *err)
+{
+	struct entry_bounds *b = &s->bounds;
+
+	s->limit_window_us = LIMIT_WINDOW;
+	s->key_proof_us = KEY_PROOF;
+	if (b->limit_window &&
+	    check_time("bounds.limit_window", b->limit_window,
+		       &s->limit_window_us, err))
+		return -1;
+	if (b->key_proof &&
+	    check_time("bounds.key_proof", b->key_proof, &s->key_proof_us, err))
+		return -1;
+	if (b->limit_over >= 0)
+		return 0;
+	return tr_error_set(err, TR_OUT_OF_RANGE, "bounds.limit_over", "",
+			    "expected a share of 0 or more");
+}
+
 static int check(struct entry_settings *s, struct tr_error *err)
 {
 	struct in_addr ip;
@@ -139,6 +169,8 @@
 	if (s->bounds.floor_share < 0 || s->bounds.floor_share > 1)
 		return tr_error_set(err, TR_OUT_OF_RANGE, "bounds.floor_share",
 				    "", "expected a share from 0 to 1");
+	if (check_keys(s, err))
+		return -1;
 	return check_time("bounds.repeat_window", s->bounds.repeat_window,
 			  &s->repeat_window_us, err) ||
 			       check_time("bounds.keep_most",
--- a/entry/entry_settings.h
+++ b/entry/entry_settings.h
@@ -1,15 +1,26 @@
 #ifndef ENTRY_SETTINGS_H
 #define ENTRY_SETTINGS_H
 
+#include <stdbool.h>
 #include <stdint.h>
 
 struct tr_error;
 
-/* Bounds that the operator of the platform sets for the whole fleet. */
+/*
+ * Bounds that the operator of the platform sets for the whole fleet. Of
+ * callers' keys: for how long one may be used after it was taken away
+ * (key_proof), and whether a VM that can't tell must refuse it then; of
+ * organisations' limits: by how much one may be overrun in which window.
+ */
 struct entry_bounds {
 	double repeat_ratio;
 	uint32_t repeat_slack;
 	double floor_share;
+	bool fail_closed;
+	double limit_over;
+	uint32_t limit_slack;
+	char *limit_window;
+	char *key_proof;
 	char *repeat_window;
 	char *keep_most;
 	char *grace;
@@ -38,6 +49,8 @@
 	int64_t keep_most_us;
 	int64_t grace_us;
 	int64_t drain_us;
+	int64_t limit_window_us;
+	int64_t key_proof_us;
 };
 
 struct entry_settings *entry_settings_load(const char *path,
--- a/entry/exchange.c
+++ b/entry/exchange.c
@@ -125,6 +125,9 @@
 {
 	struct tr_placing p;
 
+	/* The proof may have ended while the request waited. */
+	if (x->keyed && !entry_vouches(x->e))
+		return "unproven";
 	while (x->tried_count < TRIED_MOST) {
 		enum tr_place_result res = choose(x, &p);
 
--- a/entry/exchange_arrive.c
+++ b/entry/exchange_arrive.c
@@ -1,12 +1,14 @@
 /* How a request begins: its route, its deadline, the head that is passed on. */
 #include <inttypes.h>
 #include <math.h>
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 #include <strings.h>
 
 #include "eventlog.h"
 #include "exchange_internal.h"
+#include "organisation.h"
 #include "spread.h"
 
 /* What is left of the caller's own time when a request is given up, as a part
@@ -24,16 +26,29 @@
 #define HELD_AT_START TR_MSEC(1000)
 /* How old the list may be without holding requests after a pause. */
 #define HELD_AGE TR_MSEC(1500)
+/* When a caller that is refused for what this VM lacks should come back: others
+ * have it, or it is here after some messages. */
+#define RETURN_AFTER TR_MSEC(300)
 
-static void refuse(struct caller *caller, int status)
+/* Answer for this VM itself before a request has begun; after says when to come
+ * back, 0 that coming back is of no use. */
+void exchange_refuse(struct caller *caller, int status, apr_time_t after)
 {
 	struct caller_answer answer = { .status = status };
+	char headers[64];
 
-	if (status == 503)
-		answer.headers = "Retry-After: 0.300\r\n";
+	snprintf(headers, sizeof(headers), "Retry-After: %.3f\r\n",
+		 (double)after / 1e6);
+	if (after)
+		answer.headers = headers;
 	caller_answer(caller, &answer);
 }
 
+static void refuse(struct caller *caller, int status)
+{
+	exchange_refuse(caller, status, status == 503 ? RETURN_AFTER : 0);
+}
+
 /* Does the Connection header name this one as its connection's own? */
 static bool named_by_connection(const struct message *in, const char *name)
 {
@@ -64,6 +79,8 @@
 		if (message_is_connection_header(name) ||
 		    !strcasecmp(name, d->deadline_ms) ||
 		    !strcasecmp(name, d->expected_instance) ||
+		    !strcasecmp(name, d->api_key) ||
+		    !strcasecmp(name, d->organisation) ||
 		    named_by_connection(in, name))
 			continue;
 		g_string_append_printf(head, "%s: %s\r\n", name,
@@ -72,6 +89,9 @@
 	if (in->body->len || in->framed)
 		g_string_append_printf(head, "Content-Length: %u\r\n",
 				       in->body->len);
+	if (x->organisation)
+		g_string_append_printf(head, "%s: %s\r\n", d->organisation,
+				       x->organisation->name);
 	g_string_append(head, "Connection: close\r\n");
 	return head;
 }
@@ -91,7 +111,8 @@
 }
 
 static void start(struct entry *e, struct caller *caller,
-		  const struct tr_path_route *route)
+		  const struct tr_path_route *route,
+		  const struct tr_organisation *organisation)
 {
 	struct exchange *x = calloc(1, sizeof(*x));
 	struct message *in = &caller->in;
@@ -102,6 +123,8 @@
 	caller->work = x;
 	x->routes = tr_routes_hold(e->routes);
 	x->route = route;
+	x->organisation = organisation;
+	x->keyed = x->routes->organisations && !route->open;
 	x->next = e->exchanges;
 	if (x->next)
 		x->next->prev = x;
@@ -132,7 +155,7 @@
 
 /* Has another VM a newer configuration? A route that is not known here may
  * stand in it; a caller that is told 404 would not come back. */
-static bool is_late(const struct entry *e)
+bool exchange_is_late(const struct entry *e)
 {
 	uint64_t newest =
 		tr_spread_newest(&e->members, TR_HOLDS_ROUTES, entry_now(e));
@@ -144,6 +167,7 @@
 {
 	const struct message *in = &caller->in;
 	const char *host = message_header(in, "Host");
+	const struct tr_organisation *organisation;
 	const struct tr_path_route *route;
 
 	if (!e->routes || !e->roster.current_at) {
@@ -158,7 +182,7 @@
 	}
 	route = tr_routes_match(e->routes, host, strcspn(host, ":"),
 				message_target(in));
-	if (!route && is_late(e)) {
+	if (!route && exchange_is_late(e)) {
 		refuse(caller, 503);
 		return;
 	}
@@ -171,7 +195,8 @@
 		refuse(caller, 404);
 		return;
 	}
-	start(e, caller, route);
+	if (exchange_identify(e, caller, route, &organisation))
+		start(e, caller, route, organisation);
 }
 
 /*
@@ -184,9 +209,10 @@
 {
 	apr_time_t now = entry_now(e);
 
-	if (!e->routes || !e->roster.current_at)
-		return now - e->started_at < HELD_AT_START;
 	entry_paused(e, now);
+	if (!e->routes || !e->roster.current_at || !entry_vouches(e))
+		return now - e->started_at < HELD_AT_START ||
+		       now < e->hold_until;
 	return now < e->hold_until && entry_view_age(e) > HELD_AGE;
 }
 
--- /dev/null
+++ b/entry/exchange_identify.c
@@ -0,0 +1,77 @@
+/* Whose request it is, and whether that may send one now. */
+#include <inttypes.h>
+
+#include "eventlog.h"
+#include "exchange_internal.h"
+#include "organisation.h"
+
+/* When a caller whose key can't be judged here should come back: to another VM,
+ * which it finds by its next connection. */
+#define UNPROVEN_RETURN TR_MSEC(300)
+
+/* Lines name organisations and never keys. */
+static void log_refused(const struct entry *e, const struct caller *caller,
+			int status, const char *why, const char *organisation)
+{
+	eventlog(EVENT_REQUEST, "request",
+		 "id=%s status=%d why=%s organisation=%s version=%" PRIu64,
+		 message_header(&caller->in, e->dialect->request_id), status,
+		 why, organisation, e->routes->version);
+}
+
+/* Has the organisation anything left of its limit? */
+static bool is_within_limit(struct entry *e, struct caller *caller,
+			    const struct tr_organisation *organisation)
+{
+	struct tr_limit *l = &e->limits.rows[organisation->known_as];
+	apr_time_t now = entry_now(e);
+	const struct tr_limit_fleet heard = {
+		.share = tr_membership_heard_lately(&e->members, now),
+		.groups = e->members.groups_count,
+	};
+
+	if (tr_limit_admit(l, &e->limit_bound, &heard, &e->random, now))
+		return true;
+	e->counts.over_limit++;
+	log_refused(e, caller, 429, "over-limit", organisation->name);
+	exchange_refuse(caller, 429, tr_limit_return_after(l, &e->random));
+	return false;
+}
+
+/*
+ * The organisation whose key the request bears, if it must bear one or does.
+ * False when the caller was refused. A key that is not known here may stand in
+ * a newer configuration; 401 is final for callers, so it is said only by a VM
+ * that knows of none.
+ */
+bool exchange_identify(struct entry *e, struct caller *caller,
+		       const struct tr_path_route *route,
+		       const struct tr_organisation **organisation)
+{
+	const struct tr_organisations *all = e->routes->organisations;
+	const char *name = e->dialect->api_key;
+
+	*organisation = NULL;
+	if (!all)
+		return true;
+	if (message_count(&caller->in, name) > 1) {
+		exchange_refuse(caller, 400, 0);
+		return false;
+	}
+	*organisation =
+		tr_organisations_find(all, message_header(&caller->in, name));
+	if (route->open)
+		return true;
+	if (!entry_vouches(e) || (!*organisation && exchange_is_late(e))) {
+		e->counts.unproven++;
+		log_refused(e, caller, 503, "unproven", "-");
+		exchange_refuse(caller, 503, UNPROVEN_RETURN);
+		return false;
+	}
+	if (*organisation)
+		return is_within_limit(e, caller, *organisation);
+	e->counts.keys_refused++;
+	log_refused(e, caller, 401, "unknown-key", "-");
+	exchange_refuse(caller, 401, 0);
+	return false;
+}
--- a/entry/exchange_internal.h
+++ b/entry/exchange_internal.h
@@ -16,6 +16,7 @@
 	struct caller *caller;
 	struct tr_routes *routes;
 	const struct tr_path_route *route;
+	const struct tr_organisation *organisation;
 	uint32_t service;
 	char *id;
 	char *method;
@@ -30,6 +31,7 @@
 	unsigned tried_count;
 	unsigned runs;
 	unsigned due;
+	bool keyed;
 	bool bound_reached;
 	bool maybe_ran;
 	bool done;
@@ -46,5 +48,10 @@
 bool exchange_promises_not_run(int status);
 bool exchange_any_active(const struct exchange *x);
 const char *exchange_send(struct exchange *x);
+bool exchange_identify(struct entry *e, struct caller *caller,
+		       const struct tr_path_route *route,
+		       const struct tr_organisation **organisation);
+bool exchange_is_late(const struct entry *e);
+void exchange_refuse(struct caller *caller, int status, apr_time_t after);
 
 #endif
--- a/entry/mesh.c
+++ b/entry/mesh.c
@@ -97,7 +97,8 @@
 
 static uint32_t own_flags(const struct entry *e, const struct mesh *mesh)
 {
-	return (e->ready ? MESH_READY : 0) | (e->leaving ? MESH_LEAVING : 0) |
+	return (e->ready && entry_vouches(e) ? MESH_READY : 0) |
+	       (e->leaving ? MESH_LEAVING : 0) |
 	       (e->members.nodes[0].cannot_read ? MESH_CANNOT_READ : 0) |
 	       (mesh->lists ? MESH_LISTS : 0);
 }
@@ -119,6 +120,7 @@
 	msg->age_ms = (uint32_t)(entry_view_age(e) / 1000);
 	msg->digest = tr_roster_digest(&e->roster);
 	msg->fleet_size = tr_membership_size(&e->members);
+	msg->proof_age_ms = mesh_proof_age(e);
 }
 
 /* A datagram that can't be sent is one that is lost. */
@@ -251,6 +253,7 @@
 	struct mesh_changes changes;
 	struct mesh_row rows[MESH_MAX_ROWS];
 	struct mesh_work work[MESH_MAX_WORK];
+	struct mesh_use uses[MESH_MAX_USES];
 	struct mesh_nodes nodes;
 	apr_time_t now = entry_now(mesh->e);
 	struct mesh_message msg;
@@ -263,7 +266,9 @@
 		mesh_add_changes(mesh, &msg, &changes, &next, now);
 	mesh_add_nodes(mesh, &msg, &nodes, NULL, NODES_TOLD, now);
 	add_work(mesh, &msg, work);
-	used = BYTES_HEAD + mesh_bytes_of_changes(&msg);
+	mesh_add_uses(mesh, &msg, uses);
+	used = BYTES_HEAD + mesh_bytes_of_changes(&msg) +
+	       msg.uses.uses_len * sizeof(*uses);
 	if (used < DATAGRAM_MOST)
 		add_rows(mesh, &msg, rows, DATAGRAM_MOST - used);
 	mesh->lists = false;
@@ -420,6 +425,7 @@
 		mesh_forget_lost(mesh, now);
 	}
 	pull_step(&mesh->pull);
+	mesh_ask_proof(mesh, now);
 	if ((mesh->soon && since >= gap) ||
 	    since >= tr_membership_period(m, now))
 		tell_all(mesh);
--- a/entry/mesh.x
+++ b/entry/mesh.x
@@ -10,6 +10,8 @@
 const MESH_MAX_CENTRES = 32;
 const MESH_MAX_MEMBERS = 160;
 const MESH_MAX_STATES = 160;
+const MESH_MAX_USES = 48;
+const MESH_MAX_DEMANDS = 64;
 
 /* Running totals of the sender's outcomes at a target, two a word. */
 struct mesh_row {
@@ -62,6 +64,22 @@
 	unsigned int risk_and_there;
 };
 
+/* An organisation's requests at the sender: those that came, in the upper half
+ * of the word, and those that it let through, as running totals. */
+struct mesh_use {
+	unsigned int organisation;
+	unsigned int totals;
+};
+
+/* An organisation's requests at the sender's group, in hundredths a second. */
+struct mesh_demand {
+	unsigned int organisation;
+	unsigned int rate;
+};
+
+/* proof_age_ms: how old the configuration is proven to be at most, or
+ * UINT32_MAX. question and answers are numbers: one that asks for such a proof,
+ * and the one that this message answers. */
 struct mesh_message {
 	unsigned int fleet;
 	unsigned int sender;
@@ -73,12 +91,17 @@
 	unsigned hyper as_of;
 	unsigned int age_ms;
 	unsigned hyper digest;
+	unsigned int proof_age_ms;
+	unsigned hyper question;
+	unsigned hyper answers;
 	unsigned int fleet_size;
 	mesh_centre centres<MESH_MAX_CENTRES>;
 	unsigned int members<MESH_MAX_MEMBERS>;
 	mesh_member others<MESH_MAX_MEMBERS>;
 	mesh_state states<MESH_MAX_STATES>;
 	mesh_work work<MESH_MAX_WORK>;
+	mesh_use uses<MESH_MAX_USES>;
+	mesh_demand demands<MESH_MAX_DEMANDS>;
 	mesh_row rows<MESH_MAX_ROWS>;
 	mesh_record records<MESH_MAX_RECORDS>;
 	mesh_mark marks<MESH_MAX_MARKS>;
@@ -89,5 +112,5 @@
 		void MESH_TELL(mesh_message) = 1;
 		/* The same, to be handed on in the receiver's data centre. */
 		void MESH_HAND_ON(mesh_message) = 2;
-	} = 3;
+	} = 4;
 } = 0x20544353;
--- a/entry/mesh_away.c
+++ b/entry/mesh_away.c
@@ -145,6 +145,7 @@
 	const struct tr_membership *m = &mesh->e->members;
 	struct mesh_member others[MESH_MAX_MEMBERS];
 	struct mesh_state states[MESH_MAX_STATES];
+	struct mesh_demand demands[MESH_MAX_DEMANDS];
 	uint32_t members[MESH_MAX_MEMBERS];
 	uint32_t nodes[NODES_NAMED];
 	struct mesh_centre centre;
@@ -156,6 +157,10 @@
 	used = BYTES_HEAD + BYTES_CENTRE + NODES_NAMED * BYTES_A_MEMBER +
 	       msg.members.members_len * BYTES_A_MEMBER +
 	       msg.others.others_len * sizeof(struct mesh_member);
+	if (used < DATAGRAM_MOST)
+		mesh_add_demands(mesh, &msg, demands,
+				 (DATAGRAM_MOST - used) / 2, now);
+	used += msg.demands.demands_len * sizeof(*demands);
 	if (used < DATAGRAM_MOST)
 		add_states(mesh, &msg, states, DATAGRAM_MOST - used, now);
 	for (unsigned g = 0; g < m->groups_count; g++) {
--- a/entry/mesh_internal.h
+++ b/entry/mesh_internal.h
@@ -13,7 +13,7 @@
 #define MESH_ANSWER	 16U
 /* One datagram, without fragments on an ordinary link. */
 #define DATAGRAM_MOST  1400
-#define BYTES_HEAD     220
+#define BYTES_HEAD     260
 #define RECORD_LEAVING 1U
 #define RECORD_GONE    2U
 
@@ -76,6 +76,15 @@
 void mesh_away_tell(struct mesh *mesh, apr_time_t now);
 void mesh_take_summary(struct mesh *mesh, const struct mesh_message *msg,
 		       apr_time_t now);
+void mesh_ask_proof(struct mesh *mesh, apr_time_t now);
+void mesh_take_proof(struct mesh *mesh, const struct mesh_message *msg,
+		     uint32_t ip);
+void mesh_add_uses(struct mesh *mesh, struct mesh_message *msg,
+		   struct mesh_use *uses);
+void mesh_add_demands(struct mesh *mesh, struct mesh_message *msg,
+		      struct mesh_demand *demands, size_t room, apr_time_t now);
+void mesh_take_limits(struct mesh *mesh, struct tr_node *node,
+		      const struct mesh_message *msg, apr_time_t now);
 void mesh_call_one(struct mesh *mesh, uint32_t ip, bool answer);
 void mesh_forget_lost(struct mesh *mesh, apr_time_t now);
 void mesh_forget_told(struct mesh *mesh, struct tr_node *node);
--- /dev/null
+++ b/entry/mesh_proof.c
@@ -0,0 +1,61 @@
+/* Questions for the proof that a configuration is the newest; see lib/proof.c.
+ */
+#include "entry_settings.h"
+#include "mesh_internal.h"
+#include "proof.h"
+
+/* In ms, rounded up, since a proof must never look younger than it is;
+ * UINT32_MAX is none. */
+uint32_t mesh_proof_age(const struct entry *e)
+{
+	apr_time_t age = tr_proof_age(&e->proof, entry_now(e));
+
+	if (!e->routes || age > TR_MSEC((apr_time_t)UINT32_MAX - 1))
+		return UINT32_MAX;
+	return (uint32_t)((age + 999) / 1000);
+}
+
+/* Ask another VM for a younger proof, where this one's has grown old. */
+void mesh_ask_proof(struct mesh *mesh, apr_time_t now)
+{
+	struct entry *e = mesh->e;
+	const struct tr_node *node;
+	struct mesh_message msg;
+
+	if (!e->routes || !e->routes->organisations ||
+	    !e->settings->bounds.fail_closed)
+		return;
+	node = tr_proof_ask(&e->proof, &e->members, e->settings->key_proof_us,
+			    &e->random, now);
+	if (!node)
+		return;
+	mesh_fill_head(mesh, &msg);
+	msg.question = e->proof.question;
+	mesh_send_message(mesh, node->ip, &msg, MESH_TELL);
+}
+
+static void answer(struct mesh *mesh, uint64_t question, uint32_t ip)
+{
+	struct mesh_message msg;
+
+	mesh_fill_head(mesh, &msg);
+	msg.answers = question;
+	mesh_send_message(mesh, ip, &msg, MESH_TELL);
+}
+
+/*
+ * Answer the VM's question, or take its answer. What it holds was the newest
+ * when its proof says; so what this VM holds was too, if it is not older.
+ */
+void mesh_take_proof(struct mesh *mesh, const struct mesh_message *msg,
+		     uint32_t ip)
+{
+	struct entry *e = mesh->e;
+
+	if (msg->question)
+		answer(mesh, msg->question, ip);
+	if (!msg->answers || msg->proof_age_ms == UINT32_MAX || !e->routes ||
+	    msg->config_revision > e->routes->revision)
+		return;
+	tr_proof_answered(&e->proof, msg->answers, TR_MSEC(msg->proof_age_ms));
+}
--- a/entry/mesh_take.c
+++ b/entry/mesh_take.c
@@ -30,6 +30,10 @@
 	free(node->work);
 	node->work = NULL;
 	node->work_count = 0;
+	free(node->limits);
+	node->limits = NULL;
+	node->limits_count = 0;
+	node->limits_room = 0;
 }
 
 /* Forget what VMs told that are lost since; a few at each step. */
@@ -40,7 +44,8 @@
 	for (int i = 0; i < FORGOTTEN_A_STEP; i++) {
 		struct tr_node *node = &m->nodes[mesh->node_next++ % m->count];
 
-		if ((node->told_count || node->work_count) &&
+		if ((node->told_count || node->work_count ||
+		     node->limits_count) &&
 		    !tr_node_alive(m, node, now))
 			mesh_forget_told(mesh, node);
 	}
@@ -213,6 +218,9 @@
 		.cannot_read = msg->flags & MESH_CANNOT_READ,
 		.held = { msg->config_revision, msg->as_of > 0 },
 		.fleet_size = msg->fleet_size,
+		.proof_age = msg->proof_age_ms == UINT32_MAX
+				     ? -1
+				     : TR_MSEC(msg->proof_age_ms),
 	};
 	apr_time_t now = entry_now(e);
 	struct tr_node *node;
@@ -235,6 +243,8 @@
 		take_work(mesh, node, &msg->work.work_val[i], now);
 	for (u_int i = 0; i < msg->rows.rows_len; i++)
 		take_row(mesh, node, &msg->rows.rows_val[i], now);
+	mesh_take_limits(mesh, node, msg, now);
+	mesh_take_proof(mesh, msg, ip);
 	take_list(mesh, node, msg, now);
 	/* From here on the VM's row may move. */
 	take_nodes(mesh, msg);
--- a/entry/mesh_xdr.c
+++ b/entry/mesh_xdr.c
@@ -218,6 +218,30 @@
 	return TRUE;
 }
 
+bool_t
+xdr_mesh_use (XDR *xdrs, mesh_use *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_int (xdrs, &objp->organisation))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->totals))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_mesh_demand (XDR *xdrs, mesh_demand *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_int (xdrs, &objp->organisation))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->rate))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_mesh_message (XDR *xdrs, mesh_message *objp)
 {
@@ -243,6 +267,12 @@
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->digest))
 		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->proof_age_ms))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->question))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->answers))
+		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->fleet_size))
 		 return FALSE;
 	 if (!xdr_array (xdrs, (char **)&objp->centres.centres_val, (u_int *) &objp->centres.centres_len, MESH_MAX_CENTRES,
@@ -260,6 +290,12 @@
 	 if (!xdr_array (xdrs, (char **)&objp->work.work_val, (u_int *) &objp->work.work_len, MESH_MAX_WORK,
 		sizeof (mesh_work), (xdrproc_t) xdr_mesh_work))
 		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->uses.uses_val, (u_int *) &objp->uses.uses_len, MESH_MAX_USES,
+		sizeof (mesh_use), (xdrproc_t) xdr_mesh_use))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->demands.demands_val, (u_int *) &objp->demands.demands_len, MESH_MAX_DEMANDS,
+		sizeof (mesh_demand), (xdrproc_t) xdr_mesh_demand))
+		 return FALSE;
 	 if (!xdr_array (xdrs, (char **)&objp->rows.rows_val, (u_int *) &objp->rows.rows_len, MESH_MAX_ROWS,
 		sizeof (mesh_row), (xdrproc_t) xdr_mesh_row))
 		 return FALSE;
--- a/entry/mesh_xdr.h
+++ b/entry/mesh_xdr.h
@@ -23,6 +23,8 @@
 #define MESH_MAX_CENTRES 32
 #define MESH_MAX_MEMBERS 160
 #define MESH_MAX_STATES 160
+#define MESH_MAX_USES 48
+#define MESH_MAX_DEMANDS 64
 
 struct mesh_row {
 	u_int target;
@@ -78,6 +80,18 @@
 };
 typedef struct mesh_state mesh_state;
 
+struct mesh_use {
+	u_int organisation;
+	u_int totals;
+};
+typedef struct mesh_use mesh_use;
+
+struct mesh_demand {
+	u_int organisation;
+	u_int rate;
+};
+typedef struct mesh_demand mesh_demand;
+
 struct mesh_message {
 	u_int fleet;
 	u_int sender;
@@ -89,6 +103,9 @@
 	u_quad_t as_of;
 	u_int age_ms;
 	u_quad_t digest;
+	u_int proof_age_ms;
+	u_quad_t question;
+	u_quad_t answers;
 	u_int fleet_size;
 	struct {
 		u_int centres_len;
@@ -110,6 +127,14 @@
 		u_int work_len;
 		mesh_work *work_val;
 	} work;
+	struct {
+		u_int uses_len;
+		mesh_use *uses_val;
+	} uses;
+	struct {
+		u_int demands_len;
+		mesh_demand *demands_val;
+	} demands;
 	struct {
 		u_int rows_len;
 		mesh_row *rows_val;
@@ -126,25 +151,25 @@
 typedef struct mesh_message mesh_message;
 
 #define MESH_PEER 0x20544353
-#define MESH_VERSION 3
+#define MESH_VERSION 4
 
 #if defined(__STDC__) || defined(__cplusplus)
 #define MESH_TELL 1
-extern  void * mesh_tell_3(mesh_message *, CLIENT *);
-extern  void * mesh_tell_3_svc(mesh_message *, struct svc_req *);
+extern  void * mesh_tell_4(mesh_message *, CLIENT *);
+extern  void * mesh_tell_4_svc(mesh_message *, struct svc_req *);
 #define MESH_HAND_ON 2
-extern  void * mesh_hand_on_3(mesh_message *, CLIENT *);
-extern  void * mesh_hand_on_3_svc(mesh_message *, struct svc_req *);
-extern int mesh_peer_3_freeresult (SVCXPRT *, xdrproc_t, caddr_t);
+extern  void * mesh_hand_on_4(mesh_message *, CLIENT *);
+extern  void * mesh_hand_on_4_svc(mesh_message *, struct svc_req *);
+extern int mesh_peer_4_freeresult (SVCXPRT *, xdrproc_t, caddr_t);
 
 #else /* K&R C */
 #define MESH_TELL 1
-extern  void * mesh_tell_3();
-extern  void * mesh_tell_3_svc();
+extern  void * mesh_tell_4();
+extern  void * mesh_tell_4_svc();
 #define MESH_HAND_ON 2
-extern  void * mesh_hand_on_3();
-extern  void * mesh_hand_on_3_svc();
-extern int mesh_peer_3_freeresult ();
+extern  void * mesh_hand_on_4();
+extern  void * mesh_hand_on_4_svc();
+extern int mesh_peer_4_freeresult ();
 #endif /* K&R C */
 
 /* the xdr functions */
@@ -157,6 +182,8 @@
 extern  bool_t xdr_mesh_centre (XDR *, mesh_centre*);
 extern  bool_t xdr_mesh_member (XDR *, mesh_member*);
 extern  bool_t xdr_mesh_state (XDR *, mesh_state*);
+extern  bool_t xdr_mesh_use (XDR *, mesh_use*);
+extern  bool_t xdr_mesh_demand (XDR *, mesh_demand*);
 extern  bool_t xdr_mesh_message (XDR *, mesh_message*);
 
 #else /* K&R C */
@@ -167,6 +194,8 @@
 extern bool_t xdr_mesh_centre ();
 extern bool_t xdr_mesh_member ();
 extern bool_t xdr_mesh_state ();
+extern bool_t xdr_mesh_use ();
+extern bool_t xdr_mesh_demand ();
 extern bool_t xdr_mesh_message ();
 
 #endif /* K&R C */
--- a/entry/reader.c
+++ b/entry/reader.c
@@ -45,6 +45,9 @@
  * called by the whole fleet several times a second. */
 #define RETRY_FIRST TR_MSEC(250)
 #define RETRY_MOST  TR_MSEC(1500)
+/* A reader whose watches bring no change lists everything again when its proof
+ * of the configuration has used up this part of its time. */
+#define PROOF_OLD 0.35
 /* Failures in a row after which another VM should read. */
 #define FAILURES_SAID 2
 
@@ -59,6 +62,7 @@
 	char *list_after;
 	apr_time_t next_at;
 	apr_time_t asked_at;
+	apr_time_t listed_at;
 	apr_time_t retry;
 	unsigned failures;
 };
@@ -84,6 +88,19 @@
 	}
 }
 
+/*
+ * What was asked for then is in force here. A watch that brought no change
+ * proves nothing: one that the store has cut off from its changes looks just
+ * so. Nor does an answer with a configuration that can't be read.
+ */
+static void prove(struct reader *r, apr_time_t asked_at, bool changed)
+{
+	struct entry *e = r->e;
+
+	if (changed && e->routes && e->refused_revision <= e->routes->revision)
+		tr_proof_renew(&e->proof, asked_at);
+}
+
 static void succeeded(struct reader *r, uint64_t as_of)
 {
 	struct entry *e = r->e;
@@ -138,6 +155,7 @@
 		r->records->len, r->list_as_of, entry_now(e));
 	r->listing = false;
 	r->must_list = false;
+	prove(r, r->listed_at, true);
 	eventlog(EVENT_BELIEF, "list",
 		 "targets=%u as_of=%" PRIu64 " from=store", r->records->len,
 		 r->list_as_of);
@@ -174,6 +192,7 @@
 		took_list_page(r, &page);
 	} else {
 		take_items(r, &page);
+		prove(r, r->asked_at, page.items->len > 0);
 		succeeded(r, page.as_of);
 	}
 	store_page_clear(&page);
@@ -199,6 +218,7 @@
 static void begin_list(struct reader *r)
 {
 	r->listing = true;
+	r->listed_at = entry_now(r->e);
 	r->list_as_of = 0;
 	g_free(r->list_after);
 	r->list_after = NULL;
@@ -248,6 +268,16 @@
 	return entry_view_age(e) > old;
 }
 
+/* Do watches bring nothing that would prove the configuration? */
+static bool lacks_proof(const struct entry *e, apr_time_t now)
+{
+	const struct entry_settings *s = e->settings;
+
+	return s->bounds.fail_closed && e->routes->organisations &&
+	       (double)tr_proof_age(&e->proof, now) >
+		       PROOF_OLD * (double)s->key_proof_us;
+}
+
 /* Read when it is due; call every 50 ms or so. */
 void reader_step(struct reader *r)
 {
@@ -262,7 +292,8 @@
 		return;
 	}
 	/* Changes can be followed only from a list that was whole. */
-	if (!e->roster.as_of || !e->routes || r->must_list)
+	if (!e->roster.as_of || !e->routes || r->must_list ||
+	    lacks_proof(e, now))
 		begin_list(r);
 	else
 		ask(r);
--- a/entry/toucanreel_entry.c
+++ b/entry/toucanreel_entry.c
@@ -128,6 +128,20 @@
 	reload(d);
 }
 
+/* A VM that may no longer use callers' keys is named to none, and says so. */
+static void look_at_proof(struct entry *e)
+{
+	bool takes = e->ready && entry_vouches(e);
+	apr_time_t age = tr_proof_age(&e->proof, entry_now(e));
+
+	if (takes == e->members.nodes[0].ready)
+		return;
+	e->members.nodes[0].ready = takes;
+	eventlog(EVENT_BELIEF, takes ? "takes-callers" : "turns-callers-away",
+		 "proof_age_ms=%ld", e->proof.at ? (long)(age / 1000) : -1L);
+	mesh_tell_soon(e->mesh);
+}
+
 static void step(void *ctx)
 {
 	struct daemon *d = ctx;
@@ -145,9 +159,9 @@
 	tr_roster_step(&e->roster, now);
 	reader_step(e->reader);
 	mesh_step(e->mesh);
+	look_at_proof(e);
 	if (!e->ready && e->routes && e->roster.current_at) {
 		e->ready = true;
-		e->members.nodes[0].ready = true;
 		eventlog(EVENT_LIFE, "ready", "version=%" PRIu64,
 			 e->routes->version);
 		mesh_tell_soon(e->mesh);
@@ -251,6 +265,7 @@
 	tr_roster_release(&e->roster);
 	tr_routes_drop(e->routes);
 	g_free(e->allowances);
+	tr_limits_release(&e->limits);
 	g_ptr_array_free(e->held, TRUE);
 	if (e->times)
 		g_array_free(e->times, TRUE);
--- /dev/null
+++ b/lib/limit.h
@@ -0,0 +1,89 @@
+#ifndef TR_LIMIT_H
+#define TR_LIMIT_H
+
+#include <apr_time.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "hash.h"
+#include "index.h"
+
+/* By how much operators let a limit be overrun, from the settings: in any
+ * window, by a part of what it allows and so many requests. */
+struct tr_limit_bound {
+	apr_time_t window;
+	double over;
+	double slack;
+};
+
+/* The part of the fleet that is heard, and into how many groups it is split. */
+struct tr_limit_fleet {
+	double share;
+	unsigned groups;
+};
+
+/* Running totals of one VM for one organisation: requests that came, and those
+ * of them that were let through; they wrap around. */
+struct tr_limit_totals {
+	uint16_t came;
+	uint16_t admitted;
+};
+
+/* What another group of VMs told last: requests a second it gets. */
+struct tr_limit_group {
+	uint64_t group;
+	double rate;
+	apr_time_t told_at;
+};
+
+/*
+ * The limit of one organisation, as one VM keeps it. tokens are what the VMs of
+ * its group may still let through, below 0 when they let through too much;
+ * fast and slow are requests a second that they get; heard and groups_all are
+ * what of the fleet was heard when this VM looked last. own is what it adds, to
+ * be told to the others.
+ */
+struct tr_limit {
+	uint32_t name;
+	double rate;
+	double burst;
+	double tokens;
+	double fast;
+	double slow;
+	double heard;
+	unsigned groups_all;
+	apr_time_t at;
+	struct tr_limit_totals own;
+	bool begun;
+	bool changed;
+	struct tr_limit_group *groups;
+	unsigned groups_count;
+};
+
+struct tr_limits {
+	struct tr_limit *rows;
+	unsigned count;
+	unsigned room;
+	struct tr_index by_name;
+	uint32_t next_told;
+	uint32_t next_demand;
+};
+
+uint32_t tr_limit_name(const char *organisation);
+struct tr_limit *tr_limits_row(struct tr_limits *limits, uint32_t name);
+uint32_t tr_limits_place(struct tr_limits *limits, const char *organisation);
+void tr_limits_release(struct tr_limits *limits);
+void tr_limit_set(struct tr_limit *l, double rate, double burst,
+		  apr_time_t now);
+void tr_limit_heard(struct tr_limit *l, const struct tr_limit_totals *before,
+		    const struct tr_limit_totals *told, apr_time_t now);
+void tr_limit_group_told(struct tr_limit *l, uint64_t group, double rate,
+			 apr_time_t now);
+double tr_limit_demand(const struct tr_limit *l, apr_time_t now);
+bool tr_limit_admit(struct tr_limit *l, const struct tr_limit_bound *bound,
+		    const struct tr_limit_fleet *heard,
+		    struct tr_random *random, apr_time_t now);
+apr_time_t tr_limit_return_after(const struct tr_limit *l,
+				 struct tr_random *random);
+
+#endif
--- a/lib/membership.c
+++ b/lib/membership.c
@@ -86,6 +86,7 @@
 	for (unsigned i = 0; i < m->count; i++) {
 		free(m->nodes[i].told);
 		free(m->nodes[i].work);
+		free(m->nodes[i].limits);
 	}
 	free(m->nodes);
 	free(m->groups);
@@ -178,6 +179,7 @@
 	node->cannot_read = news->cannot_read;
 	memcpy(node->held, news->held, sizeof(node->held));
 	node->heard_at = now;
+	node->proven_at = news->proof_age < 0 ? 0 : now - news->proof_age;
 	m->heard_any = true;
 	set_centre(m, node, news->data_centre);
 	set_size(m, news->fleet_size);
@@ -232,6 +234,41 @@
 	return &node->told[low];
 }
 
+/*
+ * What the VM told last of the organisation, made empty where it told nothing
+ * yet. Kept in the order of the organisations' names.
+ */
+struct tr_told_limit *tr_node_told_limit(struct tr_node *node, uint32_t name)
+{
+	unsigned low = 0;
+	unsigned high = node->limits_count;
+
+	while (low < high) {
+		unsigned mid = (low + high) / 2;
+
+		if (node->limits[mid].name < name)
+			low = mid + 1;
+		else
+			high = mid;
+	}
+	if (low < node->limits_count && node->limits[low].name == name)
+		return &node->limits[low];
+	if (node->limits_count == node->limits_room) {
+		node->limits_room =
+			node->limits_room ? node->limits_room * 2 : 8;
+		node->limits =
+			realloc(node->limits,
+				node->limits_room * sizeof(*node->limits));
+		if (!node->limits)
+			abort();
+	}
+	memmove(&node->limits[low + 1], &node->limits[low],
+		(node->limits_count - low) * sizeof(*node->limits));
+	node->limits_count++;
+	memset(&node->limits[low], 0, sizeof(*node->limits));
+	return &node->limits[low];
+}
+
 static bool heard_within(const struct tr_membership *m,
 			 const struct tr_node *node, apr_time_t span,
 			 apr_time_t now)
@@ -325,6 +362,29 @@
 	return (double)n / tr_membership_size(m);
 }
 
+/*
+ * The part of the fleet that was heard a moment ago: of this group, those that
+ * missed one routine message at most; of the others, those that are there. What
+ * the whole fleet must not overrun can't wait until silence counts as a loss:
+ * a half of the VMs that is cut off lets through 1.2 of a limit in that time
+ * (the load test of limits), 0.9 with this.
+ */
+double tr_membership_heard_lately(const struct tr_membership *m, apr_time_t now)
+{
+	apr_time_t span = tr_membership_period(m, now) + SLACK;
+	unsigned lately = 0;
+	unsigned there = 0;
+
+	for (unsigned i = 0; i < m->count; i++) {
+		const struct tr_node *node = &m->nodes[i];
+
+		lately += node->near && heard_within(m, node, span, now);
+		there += !node->near && tr_node_alive(m, node, now);
+	}
+	return (double)lately / m->near_count * (m->near_count + there) /
+	       tr_membership_size(m);
+}
+
 static bool could_read(const struct tr_membership *m,
 		       const struct tr_node *node, apr_time_t now)
 {
--- a/lib/membership.h
+++ b/lib/membership.h
@@ -8,6 +8,7 @@
 #include "allowance.h"
 #include "gray.h"
 #include "index.h"
+#include "limit.h"
 #include "roster.h"
 
 #define TR_RETIRED_BOOTS 2
@@ -34,10 +35,17 @@
 	struct tr_work_totals totals;
 };
 
+/* What a VM last told of the requests of one organisation. */
+struct tr_told_limit {
+	uint32_t name;
+	struct tr_limit_totals totals;
+};
+
 /*
  * An entry VM, by its address. boot is drawn anew at each start. near: it is of
  * this VM's group. here: of its data centre. held: the revision of the routes
- * that it has in force, and 1 where it has a list of targets.
+ * that it has in force, and 1 where it has a list of targets. proven_at: until
+ * when its configuration is proven, as it said in passing.
  */
 struct tr_node {
 	uint32_t ip;
@@ -58,14 +66,19 @@
 	bool leaving;
 	bool cannot_read;
 	uint64_t held[TR_HOLDINGS];
+	apr_time_t proven_at;
 	struct tr_told *told;
 	unsigned told_count;
 	unsigned told_room;
 	struct tr_told_work *work;
 	unsigned work_count;
+	struct tr_told_limit *limits;
+	unsigned limits_count;
+	unsigned limits_room;
 };
 
-/* What one message says of its sender; requests and targets come apart. */
+/* What one message says of its sender; requests and targets come apart. A
+ * proof_age below 0: there is no proof. */
 struct tr_node_news {
 	uint32_t ip;
 	uint64_t boot;
@@ -76,6 +89,7 @@
 	bool cannot_read;
 	uint64_t held[TR_HOLDINGS];
 	unsigned fleet_size;
+	apr_time_t proof_age;
 };
 
 /* VMs of one data centre that tell each other all they see; see group.c. */
@@ -117,6 +131,7 @@
 			   const struct tr_node_news *news, apr_time_t now);
 unsigned tr_membership_size(const struct tr_membership *m);
 struct tr_told *tr_node_told(struct tr_node *node, uint32_t target);
+struct tr_told_limit *tr_node_told_limit(struct tr_node *node, uint32_t name);
 struct tr_node *tr_membership_heard(struct tr_membership *m,
 				    const struct tr_node_news *news,
 				    apr_time_t now, bool *restarted);
@@ -129,6 +144,8 @@
 struct tr_node *tr_membership_lost(struct tr_membership *m, apr_time_t now);
 unsigned tr_membership_alive(const struct tr_membership *m, apr_time_t now);
 double tr_membership_heard_share(const struct tr_membership *m, apr_time_t now);
+double tr_membership_heard_lately(const struct tr_membership *m,
+				  apr_time_t now);
 unsigned tr_membership_turn(const struct tr_membership *m, apr_time_t now);
 bool tr_membership_reads(const struct tr_membership *m, apr_time_t now);
 
--- /dev/null
+++ b/lib/proof.h
@@ -0,0 +1,32 @@
+#ifndef TR_PROOF_H
+#define TR_PROOF_H
+
+#include <apr_time.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "hash.h"
+#include "membership.h"
+
+/*
+ * How young the configuration in force is proven to be: each one that was
+ * accepted before at is in force here, or older than what is; 0 is no proof.
+ * question, asked_at and asked are of the one question that is open.
+ */
+struct tr_proof {
+	apr_time_t at;
+	uint64_t question;
+	apr_time_t asked_at;
+	uint32_t asked;
+};
+
+void tr_proof_renew(struct tr_proof *p, apr_time_t at);
+apr_time_t tr_proof_age(const struct tr_proof *p, apr_time_t now);
+bool tr_proof_holds(const struct tr_proof *p, apr_time_t bound, apr_time_t now);
+const struct tr_node *tr_proof_ask(struct tr_proof *p,
+				   const struct tr_membership *m,
+				   apr_time_t bound, struct tr_random *random,
+				   apr_time_t now);
+void tr_proof_answered(struct tr_proof *p, uint64_t question, apr_time_t age);
+
+#endif
--- a/lib/route.c
+++ b/lib/route.c
@@ -1,10 +1,12 @@
 #include "route.h"
 
+#include <sodium.h>
 #include <stdlib.h>
 #include <string.h>
 #include <strings.h>
 
 #include "error.h"
+#include "organisation.h"
 
 /* Room for so many routes and services, in use once; NULL without memory. */
 struct tr_routes *tr_routes_new(unsigned routes, unsigned services)
@@ -47,6 +49,10 @@
 	}
 	free(r->routes);
 	free(r->services);
+	tr_organisations_free(r->organisations);
+	/* It holds callers' keys. */
+	if (r->text)
+		sodium_memzero(r->text, r->text_len);
 	free(r->text);
 	free(r);
 }
--- a/lib/route.h
+++ b/lib/route.h
@@ -7,6 +7,7 @@
 #include <stdint.h>
 
 struct tr_error;
+struct tr_organisations;
 
 /* What may be repeated. Uploads are large and, like unsafe ones, run once. */
 enum tr_kind {
@@ -22,6 +23,7 @@
 	double weight;
 };
 
+/* open: callers need no key here. */
 struct tr_path_route {
 	char *name;
 	char *host;
@@ -31,6 +33,7 @@
 	apr_time_t latency_aim;
 	uint32_t attempts;
 	uint32_t priority;
+	bool open;
 	struct tr_split *split;
 	unsigned split_count;
 };
@@ -52,7 +55,8 @@
 
 /*
  * One version of the routes of a whole entry fleet; not changed once made. A
- * request holds the one it was admitted under until it ends.
+ * request holds the one it was admitted under until it ends. Where there are no
+ * organisations callers need no keys. text is the whole as it was read.
  */
 struct tr_routes {
 	unsigned users;
@@ -63,6 +67,7 @@
 	struct tr_path_service *services;
 	unsigned services_count;
 	struct tr_caller_limits limits;
+	struct tr_organisations *organisations;
 	char *text;
 	size_t text_len;
 };
--- a/tests/entry_path_test.cc
+++ b/tests/entry_path_test.cc
@@ -92,6 +92,10 @@
 	std::atomic<bool> store_away{ false };
 	std::atomic<bool> config_cut{ false };
 	std::string header_timeout = "3s", idle_timeout = "9s";
+	/* Organisations of the configuration, as rows, and whether a VM must
+	 * prove that their keys are still good, within how long. */
+	std::string organisations, proof = "5s";
+	bool fail_closed = false;
 	HttpFake target{ [this](const std::string &r) {
 		return at_target(r);
 	} };
@@ -109,15 +113,23 @@
 			R"({"version":)" + std::to_string(version.load()) +
 			R"(,"routes":{"columns":["name","host","prefix",)"
 			R"("kind","timeout","targetLatency","priority",)"
-			R"("maxAttempts","service"],"rows":[["r1","h.x",)"
-			R"("/read/","safe","3s","1s",1,2,"s1"],["r2","h.x",)"
-			R"("/order/","unsafe","3s","1s",1,2,"s1"]]},)"
+			R"("maxAttempts","service","public"],"rows":[["r1",)"
+			R"("h.x","/read/","safe","3s","1s",1,2,"s1",false],)"
+			R"(["r2","h.x","/order/","unsafe","3s","1s",1,2,"s1",)"
+			R"(false],["r3","h.x","/open/","safe","3s","1s",1,2,)"
+			R"("s1",true]]},)"
 			R"("services":{"columns":["name","healthPath",)"
 			R"("maxConns"],"rows":[["s1","/health",10]]},)"
 			R"("limits":{"maxHeaderBytes":4096,"maxBodyBytes":)"
 			R"(1000,"headerTimeout":")" +
 			header_timeout + R"(","idleTimeout":")" + idle_timeout +
-			R"("}})";
+			R"("})" +
+			(organisations.empty()
+				 ? ""
+				 : R"(,"tenants":{"columns":["name",)"
+				   R"("apiKeys","ratePerS","burst"],"rows":[)" +
+					   organisations + "]}") +
+			"}";
 
 		return config_cut ? text.substr(0, text.size() / 2) : text;
 	}
@@ -168,7 +180,10 @@
 		    << "\nseeds: []\nbounds:\n"
 		    << "  repeat_ratio: 0.2\n  repeat_slack: 50\n"
 		    << "  floor_share: 0.7\n  repeat_window: 10s\n"
-		    << "  keep_most: 5s\n  grace: 3s\n  drain: 2s\n";
+		    << "  keep_most: 5s\n  grace: 3s\n  drain: 2s\n"
+		    << "  fail_closed: " << (fail_closed ? "true" : "false")
+		    << "\n  key_proof: " << proof
+		    << "\n  limit_over: 0.25\n  limit_slack: 4\n";
 	}
 
 	void start()
@@ -529,6 +544,140 @@
 	EXPECT_EQ(status_of(ask("GET /read/a")), 200);
 }
 
+struct Keys : Entry {
+	std::string seen;
+
+	Keys()
+	{
+		organisations = R"(["coop",["key-one","key-two"],0,0],)"
+				R"(["small",["key-s"],1,1])";
+		at_target = [this](const std::string &r) {
+			seen = r;
+			return http(
+				200,
+				"X-Request-Id: " + header(r, "X-Request-Id") +
+					"\r\nX-Server-Stamp: s.1\r\n",
+				"fine");
+		};
+	}
+
+	int ask_with(const std::string &headers,
+		     const std::string &line = "GET /read/x")
+	{
+		return status_of(ask(line, headers));
+	}
+};
+
+TEST_F(Keys, TheTargetGetsTheOrganisationAndNotTheKey)
+{
+	start_ready();
+	EXPECT_EQ(ask_with("api-KEY: key-two\r\nX-tenant: forged\r\n"), 200);
+	EXPECT_EQ(seen.find("key-two"), std::string::npos);
+	EXPECT_EQ(seen.find("forged"), std::string::npos);
+	EXPECT_EQ(header(seen, "X-Tenant"), "coop");
+	EXPECT_EQ(log().find("key-two"), std::string::npos);
+}
+
+TEST_F(Keys, WithoutAGoodKeyNothingRuns)
+{
+	start_ready();
+	EXPECT_EQ(ask_with(""), 401);
+	EXPECT_EQ(ask_with("Api-Key: \r\n"), 401);
+	EXPECT_EQ(ask_with("Api-Key: key-on\r\n"), 401);
+	EXPECT_EQ(ask_with("Api-Key: KEY-ONE\r\n"), 401);
+	EXPECT_EQ(ask_with("Api-Key: " + std::string(3000, 'k') + "\r\n"), 401);
+	EXPECT_EQ(ask_with("Api-Key: " + std::string(60000, 'k') + "\r\n"),
+		  431);
+	EXPECT_EQ(ask_with("Api-Key: key-one\r\nApi-Key: key-one\r\n"), 400);
+	EXPECT_EQ(seen, "");
+}
+
+TEST_F(Keys, AnOpenRouteNeedsNone)
+{
+	start_ready();
+	EXPECT_EQ(ask_with("X-Tenant: forged\r\n", "GET /open/x"), 200);
+	EXPECT_EQ(header(seen, "X-Tenant"), "");
+	EXPECT_EQ(ask_with("Api-Key: key-one\r\n", "GET /open/x"), 200);
+	EXPECT_EQ(header(seen, "X-Tenant"), "coop");
+	EXPECT_EQ(seen.find("key-one"), std::string::npos);
+}
+
+/* What lies beyond a limit is refused at once, and told when to come back. */
+TEST_F(Keys, WhatLiesBeyondTheLimitIsRefused)
+{
+	unsigned served = 0, refused = 0;
+
+	start_ready();
+	for (int i = 0; i < 60; i++) {
+		std::string answer = ask("GET /read/x", "Api-Key: key-s\r\n");
+
+		served += status_of(answer) == 200;
+		refused += status_of(answer) == 429 &&
+			   !header(answer, "Retry-After").empty();
+	}
+	EXPECT_EQ(served + refused, 60u);
+	EXPECT_GT(refused, 30u);
+	EXPECT_EQ(ask_with("Api-Key: key-one\r\n"), 200);
+}
+
+TEST_F(Keys, AKeyThatWasTakenAwayIsRefused)
+{
+	start_ready();
+	EXPECT_EQ(ask_with("Api-Key: key-two\r\n"), 200);
+	organisations = R"(["coop",["key-one"],0,0])";
+	version++;
+	EXPECT_TRUE(becomes(
+		[this] { return ask_with("Api-Key: key-two\r\n") == 401; }));
+	EXPECT_EQ(ask_with("Api-Key: key-one\r\n"), 200);
+}
+
+/*
+ * Symptom: a VM serves under keys that were taken away. Sequence: the store is
+ * away for longer than the bound. Cause: nothing told the VM that its
+ * configuration had grown old.
+ */
+TEST_F(Keys, AVmThatCannotProveItsConfigurationSaysSo)
+{
+	fail_closed = true;
+	proof = "1s";
+	start_ready();
+	EXPECT_EQ(ask_with("Api-Key: key-one\r\n"), 200);
+	store_away = true;
+	EXPECT_TRUE(becomes(
+		[this] { return ask_with("Api-Key: key-one\r\n") == 503; }));
+	EXPECT_EQ(ask_with("", "GET /open/x"), 200);
+	EXPECT_TRUE(becomes([this] { return readiness() == 503; }));
+	store_away = false;
+	EXPECT_TRUE(becomes(
+		[this] { return ask_with("Api-Key: key-one\r\n") == 200; }));
+}
+
+TEST_F(Keys, WhereNoProofIsAskedForItServesOn)
+{
+	proof = "1s";
+	start_ready();
+	store_away = true;
+	std::this_thread::sleep_for(std::chrono::milliseconds(1500));
+	EXPECT_EQ(ask_with("Api-Key: key-one\r\n"), 200);
+}
+
+/* Symptom: a VM that was paused serves under a key that is gone. Sequence: it
+ * stands still past the end of its proof; a request lies in its socket when it
+ * wakes. Cause: the proof's age did not count the pause. */
+TEST_F(Keys, APauseUsesUpTheProof)
+{
+	fail_closed = true;
+	proof = "1s";
+	start_ready();
+	EXPECT_EQ(ask_with("Api-Key: key-one\r\n"), 200);
+	store_away = true;
+	kill(pid, SIGSTOP);
+	std::this_thread::sleep_for(std::chrono::milliseconds(1200));
+	kill(pid, SIGCONT);
+	EXPECT_EQ(ask_with("Api-Key: key-one\r\n"), 503);
+	EXPECT_EQ(seen.find("/read/y"), std::string::npos);
+}
+
 TEST(EntrySettings, AMissingFieldIsNamed)
 {
 	std::string path = testing::TempDir() + "entry-wrong.yaml";
--- /dev/null
+++ b/tests/limit_load_test.cc
@@ -0,0 +1,441 @@
+/*
+ * Plays an organisation's requests at a fleet and checks the limit as operators
+ * state it: in no window are more let through, over all VMs, than the rate
+ * allows for it and the burst, with the part and the number that they leave;
+ * and what stays below the limit is not refused.
+ */
+#include <algorithm>
+#include <cmath>
+#include <functional>
+#include <gtest/gtest.h>
+#include <random>
+#include <vector>
+
+extern "C" {
+#include "clock.h"
+#include "limit.h"
+}
+
+namespace
+{
+
+const tr_limit_bound BOUND = { TR_SEC(5), 0.25, 20 };
+/* Seconds that a process takes at least to be back. */
+const double DOWN = 0.3;
+const tr_limit_fleet WHOLE = { 1, 1 };
+
+struct Load {
+	double rate = 100;
+	double burst = 100;
+	unsigned groups = 4;
+	unsigned vms = 104;
+	/* Requests a second, and the part of them that each group gets. */
+	std::function<double(double)> demand = [](double) { return 60; };
+	std::function<double(double, unsigned)> part = [](double, unsigned) {
+		return 1.0;
+	};
+	/* The part of the VMs that is cut off, and from when to when. */
+	double cut = 0, cut_from = 0, cut_to = 0;
+	/* All VMs begin anew, knowing nothing; a start takes DOWN. */
+	double restart = -1;
+	double seconds = 25;
+};
+
+struct Fleet {
+	struct Vm {
+		tr_limits limits{};
+		std::vector<tr_limit_totals> told;
+		bool cut = false;
+	};
+	struct Told {
+		apr_time_t at;
+		unsigned from, to;
+		tr_limit_totals totals;
+		bool rate;
+		double demand;
+	};
+
+	Load load;
+	std::mt19937 gen;
+	tr_random random;
+	std::vector<Vm> vms;
+	std::vector<Told> way;
+	std::vector<double> admitted;
+	unsigned owed = 0, refused = 0;
+	double t = 0, bucket = 0, bucket_at = 0;
+
+	Fleet(const Load &l, unsigned seed)
+	    : load(l), gen(seed), random{ seed }, vms(l.vms)
+	{
+		for (Vm &vm : vms)
+			begin(vm);
+	}
+
+	~Fleet()
+	{
+		for (Vm &vm : vms)
+			tr_limits_release(&vm.limits);
+	}
+
+	apr_time_t now() const
+	{
+		return TR_SEC(1000) + (apr_time_t)(t * 1e6);
+	}
+
+	double unit()
+	{
+		return std::uniform_real_distribution<double>(0, 1)(gen);
+	}
+
+	unsigned group_of(unsigned vm) const
+	{
+		return vm % load.groups;
+	}
+
+	tr_limit *limit(Vm &vm)
+	{
+		return &vm.limits.rows[0];
+	}
+
+	void begin(Vm &vm)
+	{
+		tr_limits_release(&vm.limits);
+		tr_limits_place(&vm.limits, "one");
+		tr_limit_set(limit(vm), load.rate, load.burst, now());
+		vm.told.assign(load.vms, {});
+	}
+
+	bool is_cut(unsigned vm) const
+	{
+		return t >= load.cut_from && t < load.cut_to &&
+		       vm < load.cut * load.vms;
+	}
+
+	/* What one VM that saw all would owe: a rate, and a burst saved up. */
+	bool is_owed()
+	{
+		bucket = std::min(load.burst,
+				  bucket + (t - bucket_at) * load.rate);
+		bucket_at = t;
+		if (bucket < 1)
+			return false;
+		bucket--;
+		return true;
+	}
+
+	/* What a VM hears: silence is noticed after a routine message and some
+	 * (tr_membership_heard_lately). */
+	tr_limit_fleet heard(unsigned vm) const
+	{
+		bool noticed =
+			t >= load.cut_from + 0.7 && t < load.cut_to + 0.5;
+
+		if (!noticed)
+			return { 1, load.groups };
+		return { vm < load.cut * load.vms ? 1.0 / load.vms
+						  : 1 - load.cut,
+			 load.groups };
+	}
+
+	void request(unsigned vm)
+	{
+		tr_limit_fleet fleet = heard(vm);
+		bool is_due = is_owed();
+
+		owed += is_due;
+		if (tr_limit_admit(limit(vms[vm]), &BOUND, &fleet, &random,
+				   now()))
+			admitted.push_back(t);
+		else if (is_due)
+			refused++;
+	}
+
+	/* Callers come some seconds after the VMs have started. */
+	void arrivals(double dt)
+	{
+		if (t < 3)
+			return;
+		std::poisson_distribution<unsigned> n(load.demand(t) * dt);
+		double sum = 0;
+
+		for (unsigned g = 0; g < load.groups; g++)
+			sum += load.part(t, g);
+		for (unsigned k = n(gen); k; k--) {
+			double at = unit() * sum;
+			unsigned g = 0;
+
+			while (g + 1 < load.groups && at >= load.part(t, g))
+				at -= load.part(t, g++);
+			request(g + load.groups * (unsigned)(unit() * load.vms /
+							     load.groups));
+		}
+	}
+
+	void send(unsigned from, unsigned to, bool rate)
+	{
+		Told told{};
+
+		if (from == to || is_cut(from) || is_cut(to) || unit() < 0.02)
+			return;
+		told.at = now() + TR_MSEC((int)(1 + 30 * unit()));
+		told.from = from;
+		told.to = to;
+		told.totals = limit(vms[from])->own;
+		told.rate = rate;
+		told.demand = tr_limit_demand(limit(vms[from]), now());
+		way.push_back(told);
+	}
+
+	void tell(unsigned from)
+	{
+		for (unsigned to = 0; to < load.vms; to++)
+			if (group_of(to) == group_of(from))
+				send(from, to, false);
+	}
+
+	void summaries()
+	{
+		for (unsigned g = 0; g < load.groups; g++) {
+			unsigned from =
+				g + load.groups * (unsigned)(unit() * load.vms /
+							     load.groups);
+
+			for (unsigned to = 0; to < load.vms; to++)
+				if (group_of(to) != g)
+					send(from, to, true);
+		}
+	}
+
+	void deliver()
+	{
+		for (size_t k = 0; k < way.size(); k++) {
+			const Told told = way[k];
+			Vm &vm = vms[told.to];
+
+			if (told.at > now())
+				continue;
+			way[k--] = way.back();
+			way.pop_back();
+			if (told.rate) {
+				tr_limit_group_told(limit(vm),
+						    group_of(told.from),
+						    told.demand, now());
+				continue;
+			}
+			tr_limit_heard(limit(vm), &vm.told[told.from],
+				       &told.totals, now());
+			vm.told[told.from] = told.totals;
+		}
+	}
+
+	void run()
+	{
+		const double dt = 0.01;
+
+		for (int i = 0; t < load.seconds; i++, t = i * dt) {
+			if (load.restart >= 0 &&
+			    std::fabs(t - load.restart) < dt / 2) {
+				way.clear();
+				for (Vm &vm : vms)
+					begin(vm);
+			}
+			if (t < load.restart || t > load.restart + DOWN)
+				arrivals(dt);
+			for (unsigned vm = 0; vm < load.vms; vm++)
+				if ((vm + (unsigned)i) % 8 == 0)
+					tell(vm);
+			if (i % 25 == 0)
+				summaries();
+			deliver();
+		}
+	}
+
+	/* The fullest window, as a part of what may be let through in one. */
+	double fullest() const
+	{
+		double window = (double)BOUND.window / 1e6;
+		double most =
+			(load.rate * window + load.burst) * (1 + BOUND.over) +
+			BOUND.slack;
+		size_t first = 0, fullest = 0;
+
+		for (size_t i = 0; i < admitted.size(); i++) {
+			while (admitted[i] - admitted[first] > window)
+				first++;
+			fullest = std::max(fullest, i - first + 1);
+		}
+		return (double)fullest / most;
+	}
+
+	double refused_share() const
+	{
+		return owed ? (double)refused / owed : 0;
+	}
+};
+
+double flood(double t)
+{
+	return t > 8 && t < 14.5 ? 470 : 62;
+}
+
+/* Below the limit nobody is refused for how few requests each VM sees. */
+TEST(LimitLoad, BelowTheLimitLessThanOneInAHundredIsRefused)
+{
+	for (double rate : { 4.0, 20.0, 100.0 }) {
+		for (double of : { 0.62, 0.9 }) {
+			Load load;
+
+			load.rate = load.burst = rate;
+			load.demand = [=](double) { return of * rate; };
+			load.seconds = 60;
+			double refused = 0, owed = 0;
+
+			for (unsigned seed = 1; seed <= 6; seed++) {
+				Fleet f(load, seed);
+				f.run();
+				refused += f.refused;
+				owed += f.owed;
+			}
+			EXPECT_LT(refused / owed, 0.01) << rate << " " << of;
+		}
+	}
+}
+
+/* An organisation whose callers move from one data centre to another. */
+TEST(LimitLoad, CallersThatMoveAreNotRefused)
+{
+	Load load;
+
+	load.demand = [](double) { return 70.0; };
+	load.part = [](double t, unsigned g) {
+		return t > 8 && t < 16 ? (g == 1 ? 2.5 : 0.5) : 1.0;
+	};
+	Fleet f(load, 5);
+	f.run();
+	EXPECT_LT(f.refused_share(), 0.01);
+}
+
+/* What is allowed comes through also while seven times as much is sent. */
+TEST(LimitLoad, AFloodFillsItsLimitAndNoMore)
+{
+	for (unsigned seed = 1; seed <= 5; seed++) {
+		Load load;
+
+		load.demand = flood;
+		Fleet f(load, seed);
+		f.run();
+		EXPECT_LT(f.fullest(), 1) << seed;
+		size_t in_flood = (size_t)std::count_if(
+			f.admitted.begin(), f.admitted.end(),
+			[](double at) { return at > 8 && at < 14.5; });
+		EXPECT_GT(in_flood, 0.99 * 6.5 * 100) << seed;
+	}
+}
+
+TEST(LimitLoad, AFloodAtASmallLimit)
+{
+	for (unsigned seed = 1; seed <= 5; seed++) {
+		Load load;
+
+		load.rate = load.burst = 5;
+		load.demand = [](double t) { return flood(t) / 20; };
+		Fleet f(load, seed);
+		f.run();
+		EXPECT_LT(f.fullest(), 1) << seed;
+	}
+}
+
+/*
+ * Symptom: an organisation gets more than its limit. Sequence: it floods, and a
+ * part of the VMs is cut off from the others while callers still reach them.
+ * Cause: each VM that is cut off sees nobody else use the limit.
+ */
+TEST(LimitLoad, VmsThatAreCutOffKeepToTheirPart)
+{
+	for (double cut : { 0.1, 0.3, 0.5 }) {
+		for (unsigned seed = 1; seed <= 5; seed++) {
+			Load load;
+
+			load.demand = flood;
+			load.cut = cut;
+			load.cut_from = 10;
+			load.cut_to = 16;
+			Fleet f(load, seed);
+			f.run();
+			EXPECT_LT(f.fullest(), 1) << cut << " " << seed;
+		}
+	}
+}
+
+/* All VMs start anew in the flood, with counts that are empty. */
+TEST(LimitLoad, ARestartOfAllVmsOverrunsNothing)
+{
+	for (unsigned seed = 1; seed <= 5; seed++) {
+		Load load;
+
+		load.demand = flood;
+		load.restart = 11;
+		Fleet f(load, seed);
+		f.run();
+		EXPECT_LT(f.fullest(), 1) << seed;
+	}
+}
+
+TEST(Limit, ALowerLimitBindsAtOnce)
+{
+	tr_limits limits{};
+	tr_random random{ 1 };
+	tr_limit *l;
+	unsigned n = 0;
+
+	tr_limits_place(&limits, "one");
+	l = &limits.rows[0];
+	tr_limit_set(l, 1000, 1000, TR_SEC(100));
+	tr_limit_set(l, 2, 2, TR_SEC(101));
+	for (int i = 0; i < 500; i++)
+		n += tr_limit_admit(l, &BOUND, &WHOLE, &random,
+				    TR_SEC(101) + TR_MSEC(i * 10));
+	EXPECT_LE(n, (2 * 5 + 2) * 1.25 + 20);
+	EXPECT_GE(n, 2u * 5);
+	tr_limits_release(&limits);
+}
+
+TEST(Limit, NoRateIsNoLimit)
+{
+	tr_limits limits{};
+	tr_random random{ 1 };
+	tr_limit *l;
+
+	tr_limits_place(&limits, "one");
+	l = &limits.rows[0];
+	tr_limit_set(l, 0, 0, TR_SEC(100));
+	for (int i = 0; i < 1000; i++)
+		EXPECT_TRUE(tr_limit_admit(l, &BOUND, &WHOLE, &random,
+					   TR_SEC(100) + i));
+	tr_limits_release(&limits);
+}
+
+TEST(Limit, WhoIsRefusedIsToldToComeBackLaterAndNotTogether)
+{
+	tr_limits limits{};
+	tr_random random{ 1 };
+	tr_limit *l;
+	apr_time_t least = TR_SEC(9), most = 0;
+
+	tr_limits_place(&limits, "one");
+	l = &limits.rows[0];
+	tr_limit_set(l, 10, 10, TR_SEC(100));
+	for (int i = 0; i < 100; i++) {
+		apr_time_t after;
+
+		tr_limit_admit(l, &BOUND, &WHOLE, &random, TR_SEC(100) + i);
+		after = tr_limit_return_after(l, &random);
+		least = std::min(least, after);
+		most = std::max(most, after);
+	}
+	EXPECT_GE(least, TR_MSEC(200));
+	EXPECT_GT(most - least, TR_MSEC(500));
+	tr_limits_release(&limits);
+}
+
+} // namespace
--- a/tests/platform_test.cc
+++ b/tests/platform_test.cc
@@ -6,6 +6,7 @@
 extern "C" {
 #include "dialect.h"
 #include "error.h"
+#include "organisation.h"
 #include "platform.h"
 }
 
@@ -360,6 +361,102 @@
 	tr_routes_drop(r);
 }
 
+/* The configuration with organisations, given as their rows. */
+std::string with_organisations(const std::string &rows)
+{
+	std::string text = CONFIG;
+
+	text.pop_back();
+	return text +
+	       R"(,"tenants":{"columns":["name","apiKeys","priority",)"
+	       R"("ratePerS","burst"],"rows":[)" +
+	       rows + "]}}";
+}
+
+TEST(Platform, ReadsOrganisationsWithTheirKeysAndLimits)
+{
+	std::string text = with_organisations(
+		R"(["coop",["k1","k2"],0,114,57.5],["agent",["k3"],null,0,)"
+		R"(null],["idle",[],1,null,null])");
+	store_item item = item_of("op/config", text);
+	tr_error err{};
+	tr_routes *r = platform_dialect.read_routes(&item, &err);
+
+	ASSERT_NE(r, nullptr) << err.field << err.expected;
+	ASSERT_NE(r->organisations, nullptr);
+	const tr_organisation *coop =
+		tr_organisations_find(r->organisations, "k2");
+	ASSERT_NE(coop, nullptr);
+	EXPECT_STREQ(coop->name, "coop");
+	EXPECT_TRUE(coop->ranked);
+	EXPECT_EQ(coop->rate, 114);
+	EXPECT_EQ(coop->burst, 57.5);
+	const tr_organisation *agent =
+		tr_organisations_find(r->organisations, "k3");
+	ASSERT_NE(agent, nullptr);
+	EXPECT_FALSE(agent->ranked);
+	EXPECT_EQ(agent->rate, 0);
+	EXPECT_EQ(tr_organisations_find(r->organisations, "k4"), nullptr);
+	tr_routes_drop(r);
+}
+
+TEST(Platform, WithoutOrganisationsNoKeysAreNeeded)
+{
+	std::string text = CONFIG;
+	store_item item = item_of("op/config", text);
+	tr_error err{};
+	tr_routes *r = platform_dialect.read_routes(&item, &err);
+
+	ASSERT_NE(r, nullptr);
+	EXPECT_EQ(r->organisations, nullptr);
+	tr_routes_drop(r);
+}
+
+TEST(Platform, ARouteMayBeOpen)
+{
+	std::string text = CONFIG;
+
+	text.replace(text.find("\"service\"],\"rows\""), 9,
+		     "\"service\",\"public\"");
+	text.replace(text.find("2,null],"), 7, "2,null,true]");
+	store_item item = item_of("op/config", text);
+	tr_error err{};
+	tr_routes *r = platform_dialect.read_routes(&item, &err);
+
+	ASSERT_NE(r, nullptr) << err.field << err.expected;
+	EXPECT_TRUE(tr_routes_match(r, "h.example", 9, "/a/x")->open);
+	EXPECT_FALSE(tr_routes_match(r, "h.example", 9, "/b/")->open);
+	tr_routes_drop(r);
+}
+
+/* What is wrong is named, and no key with it. */
+TEST(Platform, WrongOrganisationsAreRefused)
+{
+	const struct {
+		const char *rows, *field;
+	} cases[] = {
+		{ R"([null,["k1"],0,1,1])", "name" },
+		{ R"(["a","k1",0,1,1])", "apiKeys" },
+		{ R"(["a",["k1",""],0,1,1])", "apiKeys" },
+		{ R"(["a",["k1",7],0,1,1])", "apiKeys" },
+		{ R"(["a",["k1"],0,1,1],["b",["k1"],0,1,1])", "keys" },
+		{ R"(["a",["k1"],0,-1,1])", "rate" },
+		{ R"(["a",["k1"],0,"1",1])", "ratePerS" },
+		{ R"(["a",["k1"],"high",1,1])", "priority" },
+	};
+
+	for (const auto &c : cases) {
+		std::string text = with_organisations(c.rows);
+		store_item item = item_of("op/config", text);
+		tr_error err{};
+
+		EXPECT_EQ(platform_dialect.read_routes(&item, &err), nullptr)
+			<< c.rows;
+		EXPECT_STREQ(err.field, c.field) << c.rows;
+		EXPECT_STRNE(err.value, "k1") << c.rows;
+	}
+}
+
 TEST(Platform, PathsEscapeWhatTheyCarry)
 {
 	g_autofree char *list =
