Limits by window: what operators state, and not a bucket

Cause: a bucket of the burst, refilled at the rate, holds an organisation to 144 requests a second where operators allow rate x window + burst in a window, 173 a second; and a VM that had just started let a burst go twice.

Change: what a group let through is counted over the window, in parts; a VM takes the window before its start to be full. Shares of groups follow counts over a window, corrected for their start. 429 lines say limit, rate, part and what was used.

The load test of limits passes: below the limit under 1 in 100 refused, no window overrun in floods, cuts and a restart of all.

--- a/entry/exchange_identify.c
+++ b/entry/exchange_identify.c
@@ -33,8 +33,14 @@
 	if (tr_limit_admit(l, &e->limit_bound, &heard, &e->random, now))
 		return true;
 	e->counts.over_limit++;
-	log_refused(e, caller, 429, "over-limit", organisation->name);
-	exchange_refuse(caller, 429, tr_limit_return_after(l, &e->random));
+	eventlog(EVENT_REQUEST, "request",
+		 "id=%s status=429 why=over-limit organisation=%s limit=%g "
+		 "burst=%g group_rate=%.1f part=%.3f heard=%.3f used=%.1f",
+		 message_header(&caller->in, e->dialect->request_id),
+		 organisation->name, l->rate, l->burst, tr_limit_demand(l, now),
+		 tr_limit_part(l, now), heard.share, tr_limit_used(l));
+	exchange_refuse(caller, 429,
+			tr_limit_return_after(l, &e->limit_bound, &e->random));
 	return false;
 }
 
--- a/entry/exchange_reply.c
+++ b/entry/exchange_reply.c
@@ -7,6 +7,7 @@
 
 #include "eventlog.h"
 #include "exchange_internal.h"
+#include "organisation.h"
 #include "place.h"
 #include "times.h"
 
@@ -98,15 +99,18 @@
 	eventlog(status >= 500 ? EVENT_FAILURE : EVENT_REQUEST, "request",
 		 "id=%s route=%s service=%s kind=%s status=%d why=%s "
 		 "took_ms=%ld aim_ms=%ld left_ms=%ld usual_ms=%ld runs=%u "
-		 "due=%u bound=%d tried=%s version=%" PRIu64 " view_age_ms=%ld",
+		 "due=%u bound=%d organisation=%s tried=%s version=%" PRIu64
+		 " view_age_ms=%ld",
 		 x->id, x->route->name, e->roster.services[x->service].name,
 		 times_kind_word(x->route->kind), status, why,
 		 (long)((now - x->arrived) / 1000),
 		 (long)(x->route->latency_aim / 1000),
 		 (long)((x->ends_at - now) / 1000),
 		 (long)(exchange_usual(x) / 1000), x->runs, x->due,
-		 x->bound_reached, tried_text(x, tried, sizeof(tried)),
-		 x->routes->version, (long)(entry_view_age(e) / 1000));
+		 x->bound_reached,
+		 x->organisation ? x->organisation->name : "-",
+		 tried_text(x, tried, sizeof(tried)), x->routes->version,
+		 (long)(entry_view_age(e) / 1000));
 }
 
 /* Answer for this VM itself. 503 says when to come back. */
--- a/entry/mesh_limits.c
+++ b/entry/mesh_limits.c
@@ -64,7 +64,8 @@
 	told = tr_node_told_limit(node, in->organisation);
 	/* What it counted before this VM listened is old. */
 	if (told->name || tr_node_heard_from_start(node, now))
-		tr_limit_heard(l, &told->totals, &totals, now);
+		tr_limit_heard(l, &mesh->e->limit_bound, &told->totals, &totals,
+			       now);
 	told->name = in->organisation;
 	told->totals = totals;
 }
--- a/lib/limit.c
+++ b/lib/limit.c
@@ -25,7 +25,7 @@
  * they hear of each other's: a part of what is allowed, where a flood of five
  * times as much is noticed after a tenth of a second; hardly any of the number
  * that is free for the smallest organisation too. */
-#define USED_OVER  0.15
+#define USED_OVER  0.05
 #define USED_SLACK 0.8
 /* Time in which what is saved up is let through, in s. Several times what news
  * takes, so that VMs do not all let through the same. */
@@ -35,12 +35,14 @@
  * that. */
 #define FAST_S 0.7
 #define SLOW_S 1.5
+/* The same for a group's part of the limit: as long as the window in which what
+ * it let through is counted, so that both follow callers that move. */
+#define STEADY_S 5.0
+/* A shorter count says nothing, in s. */
+#define LEAST_S 0.2
 /* How long another group's word on its rate counts: as long as its VMs count
  * as there without a new one. */
 #define GROUP_HOLDS TR_MSEC(2000)
-/* Debts are kept for so long at most, in s of the rate: the window in which
- * operators look. */
-#define DEBT_S 5.0
 /* What a caller is told to wait at least and at most when it is refused. */
 #define RETURN_LEAST TR_MSEC(200)
 #define RETURN_MOST  TR_MSEC(3000)
@@ -103,8 +105,7 @@
 	memset(limits, 0, sizeof(*limits));
 }
 
-/* Let the rates fade to now. Tokens are filled up when they are asked for,
- * since the part of the limit may have changed by then. */
+/* Let the rates fade to now. */
 static void fade(struct tr_limit *l, apr_time_t now)
 {
 	double s = l->at ? (double)(now - l->at) / 1e6 : 0;
@@ -112,10 +113,22 @@
 	if (s > 0) {
 		l->fast *= exp(-s / FAST_S);
 		l->slow *= exp(-s / SLOW_S);
+		l->steady *= exp(-s / STEADY_S);
 	}
+	l->at = now;
+}
+
+/* Requests a second that this VM's group gets, over a window or since it has
+ * counted: while all VMs start anew each group would else take the others to
+ * want nothing. */
+static double steady_rate(const struct tr_limit *l, apr_time_t now)
+{
+	double s = (double)(now - l->known_since) / 1e6;
+
+	return l->steady / (1 - exp(-fmax(s, LEAST_S) / STEADY_S));
 }
 
-/* Requests a second that this VM's group gets. */
+/* The same by the highest count, that of a moment or that of a while. */
 static double near_rate(const struct tr_limit *l)
 {
 	return fmax(l->fast, l->slow);
@@ -129,9 +142,9 @@
  * while all VMs start anew, each group would else take the whole limit for its
  * own.
  */
-static double own_part(const struct tr_limit *l, apr_time_t now)
+double tr_limit_part(const struct tr_limit *l, apr_time_t now)
 {
-	double near = near_rate(l);
+	double near = steady_rate(l, now);
 	double others = 0;
 	double left;
 
@@ -148,54 +161,88 @@
 	return l->heard * fmax(left, 0);
 }
 
-/* This VM has just started. It takes a burst to have gone through a moment ago:
- * after the loss of all VMs that may be so, and none of them knows. */
-static void begin(struct tr_limit *l, double part)
+/* What is allowed in a window. */
+static double whole(const struct tr_limit *l,
+		    const struct tr_limit_bound *bound)
 {
-	if (l->begun)
-		return;
-	l->begun = true;
-	l->tokens -= l->burst * part;
+	return l->rate * (double)bound->window / 1e6 + l->burst;
 }
 
-static void step(struct tr_limit *l, double part, apr_time_t now)
+/* Turn to the part of the window that it is now. */
+static void turn(struct tr_limit *l, const struct tr_limit_bound *bound,
+		 apr_time_t now)
 {
-	double s = l->at ? (double)(now - l->at) / 1e6 : 0;
-	double most;
+	apr_time_t slot = now / (bound->window / TR_LIMIT_PARTS);
+	apr_time_t passed = slot - l->slot;
 
-	begin(l, part);
-	fade(l, now);
-	if (s > 0)
-		l->tokens += l->rate * part * s;
-	most = l->groups_all ? l->heard / l->groups_all : part;
-	l->tokens = fmin(l->tokens, l->burst * fmax(part, most));
-	l->at = now;
+	if (passed > TR_LIMIT_SLOTS)
+		passed = TR_LIMIT_SLOTS;
+	for (apr_time_t i = 0; i < passed; i++)
+		l->used[(slot - i) % TR_LIMIT_SLOTS] = 0;
+	l->slot = slot;
+}
+
+/*
+ * A VM takes the part of the window before it started to be full: after the
+ * loss of all VMs it may be, and none of them knows. It empties at the rate
+ * that is allowed, so nothing is refused that keeps to it.
+ */
+static void begin(struct tr_limit *l, const struct tr_limit_bound *bound,
+		  double part)
+{
+	apr_time_t first = l->known_since / (bound->window / TR_LIMIT_PARTS);
+
+	if (l->begun)
+		return;
+	l->begun = true;
+	for (apr_time_t slot = l->slot - TR_LIMIT_PARTS; slot < first; slot++)
+		l->used[slot % TR_LIMIT_SLOTS] +=
+			(float)(whole(l, bound) * part / TR_LIMIT_PARTS);
 }
 
 static void count(struct tr_limit *l, unsigned came, unsigned admitted)
 {
 	l->fast += came / FAST_S;
 	l->slow += came / SLOW_S;
-	l->tokens -= admitted;
+	l->steady += came / STEADY_S;
+	l->used[l->slot % TR_LIMIT_SLOTS] += (float)admitted;
+}
+
+/* What the group let through in the window. */
+double tr_limit_used(const struct tr_limit *l)
+{
+	double sum = 0;
+
+	for (int i = 0; i < TR_LIMIT_SLOTS; i++)
+		sum += l->used[i];
+	return sum;
+}
+
+/* Requests a second that leave the window now. */
+static double leaving_rate(const struct tr_limit *l,
+			   const struct tr_limit_bound *bound)
+{
+	double part_s = (double)bound->window / 1e6 / TR_LIMIT_PARTS;
+
+	return l->used[(l->slot + 1) % TR_LIMIT_SLOTS] / part_s;
 }
 
 /* The limit as a configuration sets it. A lower one binds at once. */
 void tr_limit_set(struct tr_limit *l, double rate, double burst, apr_time_t now)
 {
-	if (l->begun)
-		step(l, own_part(l, now), now);
-	if (!l->at)
-		l->at = now;
+	if (!l->known_since)
+		l->known_since = now;
 	l->rate = rate;
 	l->burst = burst;
-	l->tokens = fmin(l->tokens, burst);
 }
 
 /* Another VM of the group has told its totals; before is what it told last. */
-void tr_limit_heard(struct tr_limit *l, const struct tr_limit_totals *before,
+void tr_limit_heard(struct tr_limit *l, const struct tr_limit_bound *bound,
+		    const struct tr_limit_totals *before,
 		    const struct tr_limit_totals *told, apr_time_t now)
 {
-	step(l, own_part(l, now), now);
+	turn(l, bound, now);
+	fade(l, now);
 	count(l, (uint16_t)(told->came - before->came),
 	      (uint16_t)(told->admitted - before->admitted));
 }
@@ -227,7 +274,7 @@
 	struct tr_limit faded = *l;
 
 	fade(&faded, now);
-	return near_rate(&faded);
+	return steady_rate(&faded, now);
 }
 
 /*
@@ -238,8 +285,6 @@
 		    const struct tr_limit_fleet *heard,
 		    struct tr_random *random, apr_time_t now)
 {
-	double window_s = (double)bound->window / 1e6;
-	double over = bound->over * (l->rate * window_s + l->burst);
 	double slack = bound->slack * heard->share / heard->groups;
 	double part;
 	double spare;
@@ -247,34 +292,37 @@
 
 	l->heard = heard->share;
 	l->groups_all = heard->groups;
-	part = own_part(l, now);
-	step(l, part, now);
+	part = tr_limit_part(l, now);
+	turn(l, bound, now);
+	begin(l, bound, part);
+	fade(l, now);
 	count(l, 1, 0);
 	if (l->rate > 0) {
-		spare = USED_OVER * over * part + USED_SLACK * slack;
-		l->tokens = fmax(l->tokens, -spare - DEBT_S * l->rate * part);
-		spare += l->tokens;
+		spare = (1 + USED_OVER * bound->over) * whole(l, bound) * part +
+			USED_SLACK * slack - tr_limit_used(l);
 		admitted = tr_random_unit(random) * near_rate(l) <
-			   l->rate * part + spare / EVEN_S;
+			   leaving_rate(l, bound) + spare / EVEN_S;
 	}
 	l->own.came++;
 	l->changed = true;
 	if (!admitted)
 		return false;
 	l->own.admitted++;
-	l->tokens--;
+	l->used[l->slot % TR_LIMIT_SLOTS]++;
 	return true;
 }
 
 /* When a caller that was refused should come back, in us: when what was let
  * through beyond the limit is made up for, and not all at once. */
 apr_time_t tr_limit_return_after(const struct tr_limit *l,
+				 const struct tr_limit_bound *bound,
 				 struct tr_random *random)
 {
+	double beyond = tr_limit_used(l) - whole(l, bound) * l->heard;
 	apr_time_t after = RETURN_LEAST;
 
-	if (l->rate > 0 && l->tokens < 0)
-		after += (apr_time_t)(-l->tokens / l->rate * 1e6);
+	if (l->rate > 0 && beyond > 0)
+		after += (apr_time_t)(beyond / l->rate * 1e6);
 	after += TR_MSEC(tr_random_below(random, RETURN_SPREAD_MS));
 	return after < RETURN_MOST ? after : RETURN_MOST;
 }
--- a/lib/limit.h
+++ b/lib/limit.h
@@ -8,6 +8,11 @@
 #include "hash.h"
 #include "index.h"
 
+/* The window is kept in so many parts, and one that is being filled, so that no
+ * span of the window's length holds more than is counted. */
+#define TR_LIMIT_PARTS 20
+#define TR_LIMIT_SLOTS (TR_LIMIT_PARTS + 1)
+
 /* By how much operators let a limit be overrun, from the settings: in any
  * window, by a part of what it allows and so many requests. */
 struct tr_limit_bound {
@@ -37,19 +42,23 @@
 };
 
 /*
- * The limit of one organisation, as one VM keeps it. tokens are what the VMs of
- * its group may still let through, below 0 when they let through too much;
- * fast and slow are requests a second that they get; heard and groups_all are
- * what of the fleet was heard when this VM looked last. own is what it adds, to
- * be told to the others.
+ * The limit of one organisation, as one VM keeps it: rate requests a second and
+ * a burst on top in each window. used is what the VMs of its group let through,
+ * by parts of the window; fast, slow and steady are requests a second that they
+ * get, over different spans; heard and groups_all are what of the fleet was
+ * heard when this VM looked last. own is what it adds, to be told to the
+ * others.
  */
 struct tr_limit {
 	uint32_t name;
 	double rate;
 	double burst;
-	double tokens;
+	float used[TR_LIMIT_SLOTS];
+	apr_time_t slot;
+	apr_time_t known_since;
 	double fast;
 	double slow;
+	double steady;
 	double heard;
 	unsigned groups_all;
 	apr_time_t at;
@@ -75,15 +84,19 @@
 void tr_limits_release(struct tr_limits *limits);
 void tr_limit_set(struct tr_limit *l, double rate, double burst,
 		  apr_time_t now);
-void tr_limit_heard(struct tr_limit *l, const struct tr_limit_totals *before,
+void tr_limit_heard(struct tr_limit *l, const struct tr_limit_bound *bound,
+		    const struct tr_limit_totals *before,
 		    const struct tr_limit_totals *told, apr_time_t now);
 void tr_limit_group_told(struct tr_limit *l, uint64_t group, double rate,
 			 apr_time_t now);
+double tr_limit_part(const struct tr_limit *l, apr_time_t now);
 double tr_limit_demand(const struct tr_limit *l, apr_time_t now);
 bool tr_limit_admit(struct tr_limit *l, const struct tr_limit_bound *bound,
 		    const struct tr_limit_fleet *heard,
 		    struct tr_random *random, apr_time_t now);
+double tr_limit_used(const struct tr_limit *l);
 apr_time_t tr_limit_return_after(const struct tr_limit *l,
+				 const struct tr_limit_bound *bound,
 				 struct tr_random *random);
 
 #endif
