Model of the proof that a configuration is the newest

Cause: the bound on how old a configuration may be rests on an argument about when ages are counted from; a property test covers draws of it, not all.

Change: models/proof.pml, a store, a reader and a VM that asks the reader, with late and lost messages and VMs that stand still.

--- a/models/run.sh
+++ b/models/run.sh
@@ -9,7 +9,7 @@
 # Depth first reduces the interleavings of several processes; floor.pml is one
 # process of many short steps, whose depth has no useful bound.
 declare -A ENGINE=([once]=-DCOLLAPSE [config]=-DCOLLAPSE [floor]=-DBFS
-	[news]=-DCOLLAPSE)
+	[news]=-DCOLLAPSE [proof]=-DCOLLAPSE)
 
 # check MODEL good|broken [DEFINE]
 check() {
@@ -37,6 +37,7 @@
 check config good &
 check floor good &
 check news good &
+check proof good &
 wait
 check once broken NO_BOOT_CHECK
 check once broken NO_EXPIRY_CHECK
@@ -47,6 +48,9 @@
 check news broken TAKE_ANY
 check news broken DROP_NEWER
 check news broken NO_TOMBSTONE
+check proof broken ONE_WAY
+check proof broken FROM_THE_ANSWER
+check proof broken ANY_REVISION
 check floor broken NO_WAIT &
 check floor broken VOTES_AT_ONCE &
 check floor broken FRESH_ON_ARRIVAL &
