Keep connections to targets for what may be sent once more

Ruled out: keeping them for what must run once (a connection that rests may be dead, and then nobody knows what became of the request); a fixed time of rest (targets drop some after 0.3 s, others after 10 s).

Change: entry/kept holds connections that rest; a read takes the one to its target that rested shortest. A dead one costs nothing but time: the same request goes out on a new one, nothing is said of the target, the time that connections may rest is halved and grows again. Mechanism kept-connections.

--- a/entry/desk.c
+++ b/entry/desk.c
@@ -157,6 +157,8 @@
 		{ "in_hand", e->exchanges_count },
 		{ "view_age_ms", (uint64_t)entry_view_age(e) / 1000 },
 		{ "routes_version", e->routes ? e->routes->version : 0 },
+		{ "connections_reused_total", c->reused },
+		{ "connections_dead_total", c->reused_dead },
 		{ "keys_refused_total", c->keys_refused },
 		{ "unproven_total", c->unproven },
 		{ "over_limit_total", c->over_limit },
--- a/entry/entry.h
+++ b/entry/entry.h
@@ -8,6 +8,7 @@
 #include "fetch.h"
 #include "limit.h"
 #include "hash.h"
+#include "kept.h"
 #include "loop.h"
 #include "membership.h"
 #include "pacer.h"
@@ -36,6 +37,8 @@
 	uint64_t pulls_failed;
 	uint64_t targets_refused;
 	uint64_t messages_refused;
+	uint64_t reused;
+	uint64_t reused_dead;
 	uint64_t keys_refused;
 	uint64_t unproven;
 	uint64_t over_limit;
@@ -44,7 +47,8 @@
 /*
  * The blackboard of an entry VM. Writers: reader.c and mesh.c the roster's
  * listing, the routes, their proof and the members; upstream.c the rows' work
- * and evidence; exchange.c the allowances; exchange_identify.c the limits.
+ * and evidence; exchange.c the allowances; exchange_identify.c the limits;
+ * kept.c the connections that rest.
  */
 struct entry {
 	struct loop *loop;
@@ -60,6 +64,7 @@
 	struct tr_limit_bound limit_bound;
 	struct tr_limits limits;
 	struct tr_proof proof;
+	struct kept kept;
 	uint64_t refused_revision;
 	double draw;
 	bool leaving;
--- a/entry/exchange.c
+++ b/entry/exchange.c
@@ -99,6 +99,7 @@
 		.expected = exchange_usual(x) + p->wait,
 		.spread = spread_at(x, p),
 		.queued = p->wait > 0,
+		.keeps = x->keeps,
 	};
 	int res;
 
--- a/entry/exchange_arrive.c
+++ b/entry/exchange_arrive.c
@@ -8,6 +8,7 @@
 
 #include "eventlog.h"
 #include "exchange_internal.h"
+#include "mechanism.h"
 #include "organisation.h"
 #include "spread.h"
 
@@ -92,7 +93,8 @@
 	if (x->organisation)
 		g_string_append_printf(head, "%s: %s\r\n", d->organisation,
 				       x->organisation->name);
-	g_string_append(head, "Connection: close\r\n");
+	if (!x->keeps)
+		g_string_append(head, "Connection: close\r\n");
 	return head;
 }
 
@@ -124,6 +126,8 @@
 	x->routes = tr_routes_hold(e->routes);
 	x->route = route;
 	x->organisation = organisation;
+	x->keeps = route->kind == TR_KIND_SAFE &&
+		   tr_mechanism_on(TR_MECH_KEPT_CONNECTIONS);
 	x->keyed = x->routes->organisations && !route->open;
 	x->next = e->exchanges;
 	if (x->next)
--- a/entry/exchange_internal.h
+++ b/entry/exchange_internal.h
@@ -32,6 +32,7 @@
 	unsigned runs;
 	unsigned due;
 	bool keyed;
+	bool keeps;
 	bool bound_reached;
 	bool maybe_ran;
 	bool done;
--- a/entry/stream.c
+++ b/entry/stream.c
@@ -245,6 +245,20 @@
 		watch(s);
 }
 
+/* Hand the connection on to another owner. from is as if it had been closed.
+ */
+void stream_move(struct stream *to, struct stream *from,
+		 const struct stream_calls *calls, void *ctx)
+{
+	loop_unwatch(from->loop, from->fd);
+	*to = *from;
+	from->fd = -1;
+	from->out = NULL;
+	to->calls = calls;
+	to->ctx = ctx;
+	watch(to);
+}
+
 void stream_close(struct stream *s)
 {
 	if (s->fd < 0 || !s->out)
--- a/entry/stream.h
+++ b/entry/stream.h
@@ -42,6 +42,8 @@
 void stream_write(struct stream *s, const void *data, size_t len);
 bool stream_is_drained(const struct stream *s);
 void stream_resume(struct stream *s);
+void stream_move(struct stream *to, struct stream *from,
+		 const struct stream_calls *calls, void *ctx);
 void stream_close(struct stream *s);
 int stream_parse_address(const char *text, struct sockaddr_in *addr);
 int stream_listen(const char *address);
--- a/entry/toucanreel_entry.c
+++ b/entry/toucanreel_entry.c
@@ -157,6 +157,7 @@
 	look_at_settings(d, now);
 	exchange_serve_held(e);
 	tr_roster_step(&e->roster, now);
+	kept_step(e);
 	reader_step(e->reader);
 	mesh_step(e->mesh);
 	look_at_proof(e);
@@ -256,6 +257,7 @@
 
 	door_close(&e->front);
 	exchange_end_all(e);
+	kept_release(e);
 	door_close(&e->directory);
 	door_close(&e->readiness);
 	door_close(&e->metrics);
--- a/entry/upstream.c
+++ b/entry/upstream.c
@@ -22,6 +22,8 @@
  * since a target that has turned slow would else move the mean for long. */
 #define LEARN_RISK 0.3
 #define TOOK_MOST  4
+/* A target that does not say how long connections may rest. */
+#define REST_UNSAID TR_SEC(1)
 /* A failure is news at a target that was held to be well. */
 #define KNOWN_GRAY 0.5
 
@@ -148,6 +150,30 @@
 	say_ended(u, row, how);
 }
 
+/* How long the target lets the connection rest, in us; 0 when it can't be kept.
+ */
+static apr_time_t rest_of(const struct upstream *u)
+{
+	const char *text = message_header(&u->answer, "Keep-Alive");
+	const char *timeout = text ? strstr(text, "timeout=") : NULL;
+
+	if (!u->keeps || !u->answer.complete || !u->answer.keep_alive ||
+	    !u->answer.framed || !stream_is_drained(&u->stream))
+		return 0;
+	if (!timeout)
+		return REST_UNSAID;
+	return TR_SEC(strtoll(timeout + strlen("timeout="), NULL, 10));
+}
+
+/* The whole answer has come, and nothing after it: keep the connection. */
+static void keep(struct upstream *u)
+{
+	apr_time_t rest = rest_of(u);
+
+	if (rest > 0)
+		kept_put(u->e, &u->stream, u->row, u->hash, rest);
+}
+
 static void over(struct upstream *u, enum upstream_end how)
 {
 	upstream_stop(u, how);
@@ -190,6 +216,8 @@
 		if (!u->answer.complete)
 			return;
 		if (u->answer.parser.status_code >= 200 && is_ours(u)) {
+			if ((size_t)used == len)
+				keep(u);
 			over(u, judge(u));
 			return;
 		}
@@ -199,6 +227,30 @@
 	}
 }
 
+static void send_it(struct upstream *u)
+{
+	u->connected = true;
+	u->sent_at = entry_now(u->e);
+	stream_write(&u->stream, u->head->str, u->head->len);
+	if (u->body->len)
+		stream_write(&u->stream, u->body->data, u->body->len);
+}
+
+static int connect_to(struct upstream *u);
+
+/* The kept connection was dead: the same on a new one. Nothing is said of the
+ * target, which has not seen the request. */
+static void begin_again(struct upstream *u)
+{
+	u->e->counts.reused_dead++;
+	kept_was_dead(u->e, u->rested);
+	u->rested = 0;
+	u->connected = false;
+	u->began = entry_now(u->e);
+	if (connect_to(u))
+		over(u, UPSTREAM_UNREACHED);
+}
+
 static void ended(void *ctx, enum stream_end why)
 {
 	struct upstream *u = ctx;
@@ -207,6 +259,10 @@
 		over(u, UPSTREAM_UNREACHED);
 		return;
 	}
+	if (u->rested && !u->answer.begun) {
+		begin_again(u);
+		return;
+	}
 	if (why == STREAM_CLOSED && u->answer.head_done && !u->answer.framed &&
 	    message_end_of_stream(&u->answer) && is_ours(u))
 		over(u, judge(u));
@@ -216,13 +272,7 @@
 
 static void connected(void *ctx)
 {
-	struct upstream *u = ctx;
-
-	u->connected = true;
-	u->sent_at = entry_now(u->e);
-	stream_write(&u->stream, u->head->str, u->head->len);
-	if (u->body->len)
-		stream_write(&u->stream, u->body->data, u->body->len);
+	send_it(ctx);
 }
 
 static const struct stream_calls calls = {
@@ -231,13 +281,34 @@
 	.ended = ended,
 };
 
+static int connect_to(struct upstream *u)
+{
+	const struct tr_instance *row = &u->e->roster.rows[u->row];
+	struct sockaddr_in to;
+
+	if (stream_parse_address(row->address, &to))
+		return -1;
+	return stream_connect(&u->stream, u->e->loop, &to, u->e->settings->ip,
+			      &calls, u);
+}
+
+/* Go on with a kept connection, if there is one. */
+static bool take_kept(struct upstream *u)
+{
+	if (!u->keeps || !kept_take(u->e, u->row, u->hash, &u->stream, &calls,
+				    u, &u->rested))
+		return false;
+	u->e->counts.reused++;
+	send_it(u);
+	return true;
+}
+
 /* Send the request to the target. 0; or -1 when it could not be begun. */
 int upstream_start(struct upstream *u, struct entry *e, uint32_t at,
 		   const struct upstream_request *request,
 		   upstream_done_fn done, void *ctx)
 {
 	struct tr_instance *row = &e->roster.rows[at];
-	struct sockaddr_in to;
 
 	upstream_release(u);
 	u->e = e;
@@ -250,6 +321,8 @@
 	u->expected = request->expected;
 	u->spread = request->spread;
 	u->queued = request->queued;
+	u->keeps = request->keeps;
+	u->rested = 0;
 	u->request_id = request->request_id;
 	u->head = request->head;
 	u->body = request->body;
@@ -263,9 +336,7 @@
 	tr_roster_changed(&u->e->roster, row);
 	mesh_tell_soon(e->mesh);
 	u->active = true;
-	if (!stream_parse_address(row->address, &to) &&
-	    !stream_connect(&u->stream, e->loop, &to, e->settings->ip, &calls,
-			    u))
+	if (take_kept(u) || !connect_to(u))
 		return 0;
 	upstream_stop(u, UPSTREAM_UNREACHED);
 	return -1;
--- a/entry/upstream.h
+++ b/entry/upstream.h
@@ -19,7 +19,10 @@
 typedef void (*upstream_done_fn)(void *ctx, struct upstream *u,
 				 enum upstream_end how);
 
-/* One attempt at one target, on a connection of its own. */
+/*
+ * One attempt at one target. keeps: its connection may be a kept one and is
+ * kept after it; rested is how long a kept one had rested, 0 for a new one.
+ */
 struct upstream {
 	struct entry *e;
 	bool active;
@@ -35,6 +38,8 @@
 	apr_time_t expected;
 	double spread;
 	bool queued;
+	bool keeps;
+	apr_time_t rested;
 	const char *request_id;
 	upstream_done_fn done;
 	void *ctx;
@@ -44,7 +49,9 @@
 
 /*
  * What is sent: the head is given up to the attempt, the body stays. expected
- * is how long the answer usually takes, with the wait if it is queued there.
+ * is how long the answer usually takes, with the wait if it is queued there;
+ * keeps tells that the request may be sent once more, on a connection that may
+ * turn out to be dead.
  */
 struct upstream_request {
 	const char *request_id;
@@ -52,6 +59,7 @@
 	const GByteArray *body;
 	bool head_only;
 	bool queued;
+	bool keeps;
 	apr_time_t expected;
 	double spread;
 };
--- a/lib/mechanism.c
+++ b/lib/mechanism.c
@@ -21,6 +21,7 @@
 	[TR_MECH_CENTRE_RELAY] = "centre-relay",
 	[TR_MECH_TWO_READERS] = "two-readers",
 	[TR_MECH_GROUPS] = "groups",
+	[TR_MECH_KEPT_CONNECTIONS] = "kept-connections",
 };
 
 static bool off[TR_MECHANISMS];
--- a/tests/entry_path_test.cc
+++ b/tests/entry_path_test.cc
@@ -363,6 +363,62 @@
 	EXPECT_GT(std::stoi(header(target.seen()[0], "X-Deadline-Ms")), 0);
 }
 
+TEST_F(Entry, ReadsShareAConnection)
+{
+	start_ready();
+	for (int i = 0; i < 4; i++)
+		EXPECT_EQ(status_of(ask("GET /read/x")), 200);
+	EXPECT_EQ(target.seen().size(), 4u);
+	EXPECT_EQ(target.connections(), 1u);
+}
+
+/* A kept connection may be dead, and then nobody knows what became of it. */
+TEST_F(Entry, WhatMustRunOnceNeverGoesOnAKeptConnection)
+{
+	start_ready();
+	EXPECT_EQ(status_of(ask("GET /read/x")), 200);
+	for (int i = 0; i < 3; i++)
+		EXPECT_EQ(status_of(ask("POST /order/x", "", "body")), 200);
+	EXPECT_EQ(target.connections(), 4u);
+	EXPECT_EQ(header(target.seen().back(), "Connection"), "close");
+}
+
+/*
+ * Symptom: reads fail that no target refused. Sequence: a target drops a
+ * connection that rests, without a word; the next read is sent on it. Cause:
+ * the end of a kept connection was taken for the answer to the read.
+ */
+TEST_F(Entry, AKeptConnectionThatIsDeadCostsNoRequest)
+{
+	std::atomic<int> n{ 0 };
+	auto answers = at_target;
+
+	at_target = [&](const std::string &r) {
+		return ++n == 2 ? "" : answers(r);
+	};
+	start_ready();
+	EXPECT_EQ(status_of(ask("GET /read/x")), 200);
+	EXPECT_EQ(status_of(ask("GET /read/x")), 200);
+	EXPECT_EQ(n, 3);
+	EXPECT_EQ(target.connections(), 2u);
+}
+
+/* Bytes after an answer belong to no request: the connection is not kept. */
+TEST_F(Entry, AConnectionWithBytesTooManyIsNotKept)
+{
+	at_target = [](const std::string &r) {
+		return http(200,
+			    "X-Request-Id: " + header(r, "X-Request-Id") +
+				    "\r\nX-Server-Stamp: s.1\r\n",
+			    "fine") +
+		       "HTTP/1.1 200 X\r\n";
+	};
+	start_ready();
+	EXPECT_EQ(status_of(ask("GET /read/x")), 200);
+	EXPECT_EQ(status_of(ask("GET /read/x")), 200);
+	EXPECT_EQ(target.connections(), 2u);
+}
+
 TEST_F(Entry, ARefusalWithoutProofIsNoPromise)
 {
 	at_target = [](const std::string &) { return http(503, "", ""); };
--- a/tests/http_fake.h
+++ b/tests/http_fake.h
@@ -112,6 +112,14 @@
 		return requests;
 	}
 
+	/* Connections that were ever taken. */
+	size_t connections()
+	{
+		std::lock_guard<std::mutex> lock(mutex);
+
+		return taken;
+	}
+
 	uint16_t port = 0;
 
       private:
@@ -124,6 +132,7 @@
 				return;
 			std::lock_guard<std::mutex> lock(mutex);
 			open.push_back(fd);
+			taken++;
 			threads.emplace_back([this, fd] { serve(fd); });
 		}
 	}
@@ -164,6 +173,7 @@
 	std::mutex mutex;
 	std::vector<std::string> requests;
 	std::vector<int> open;
+	size_t taken = 0;
 	std::vector<std::thread> threads;
 	std::thread acceptor;
 };
