--- a/lib/limit.c
+++ b/lib/limit.c
@@ -66,7 +66,7 @@
 {
 	struct tr_limit *row;
 
-	if (limits->count == limits->room) {
+	if (!limits->rows || limits->count == limits->room) {
 		unsigned room = limits->room ? limits->room * 2 : 32;
 
 		row = realloc(limits->rows, room * sizeof(*row));
