A window that no fleet can keep is refused; where the new parts are said

Cause: a limit_window of some microseconds divided by its twenty parts is 0, and the first request under a limit ended the process. Change: 100 ms at least, with field, value and what was expected; the test failed first by the missing check.

--- a/entry/entry_settings.c
+++ b/entry/entry_settings.c
@@ -19,10 +19,12 @@
 /* Where they are not set: the window and the bound that platforms set. */
 #define LIMIT_WINDOW 5000000
 #define KEY_PROOF    5000000
-#define OPT	     CYAML_FLAG_OPTIONAL
-#define PTR	     CYAML_FLAG_POINTER
-#define SET	     struct entry_settings
-#define BOUNDS	     struct entry_bounds
+/* A shorter window can't be kept by VMs that hear of each other after 50 ms. */
+#define LIMIT_WINDOW_LEAST 100000
+#define OPT		   CYAML_FLAG_OPTIONAL
+#define PTR		   CYAML_FLAG_POINTER
+#define SET		   struct entry_settings
+#define BOUNDS		   struct entry_bounds
 
 static const cyaml_schema_value_t word = {
 	CYAML_VALUE_STRING(PTR, char, 1, TEXT_CHARS),
@@ -131,6 +133,10 @@
 	    check_time("bounds.limit_window", b->limit_window,
 		       &s->limit_window_us, err))
 		return -1;
+	if (s->limit_window_us < LIMIT_WINDOW_LEAST)
+		return tr_error_set(err, TR_OUT_OF_RANGE, "bounds.limit_window",
+				    b->limit_window,
+				    "expected a time of 100ms or more");
 	if (b->key_proof &&
 	    check_time("bounds.key_proof", b->key_proof, &s->key_proof_us, err))
 		return -1;
--- a/lib/limit.h
+++ b/lib/limit.h
@@ -21,8 +21,7 @@
 	double slack;
 };
 
-/* The part of the fleet that is heard, into how many groups it is split, and
- * how many VMs this one has. */
+/* The part of the fleet that is heard, and into how many groups it is split. */
 struct tr_limit_fleet {
 	double share;
 	unsigned groups;
@@ -69,6 +68,8 @@
 	unsigned groups_count;
 };
 
+/* All limits that a VM keeps. next_told and next_demand: where the next message
+ * goes on. */
 struct tr_limits {
 	struct tr_limit *rows;
 	unsigned count;
--- a/tests/entry_path_test.cc
+++ b/tests/entry_path_test.cc
@@ -734,6 +734,28 @@
 	EXPECT_EQ(seen.find("/read/y"), std::string::npos);
 }
 
+TEST_F(Entry, AWindowThatNoFleetCouldKeepIsRefused)
+{
+	std::string text;
+	std::ifstream in;
+
+	path = testing::TempDir() + "entry-window-" + std::to_string(getpid());
+	write_settings();
+	in.open(path);
+	text.assign(std::istreambuf_iterator<char>(in), {});
+	std::ofstream(path) << text << "  limit_window: 10ms\n";
+	std::string command = std::string(ENTRY_PROGRAM) +
+			      " --check --settings " + path + " 2>&1";
+	FILE *run = popen(command.c_str(), "r");
+	char line[512] = "";
+
+	ASSERT_NE(run, nullptr);
+	EXPECT_NE(fgets(line, sizeof(line), run), nullptr);
+	EXPECT_EQ(WEXITSTATUS(pclose(run)), 2);
+	EXPECT_NE(strstr(line, "bounds.limit_window"), nullptr) << line;
+	EXPECT_NE(strstr(line, "100ms"), nullptr) << line;
+}
+
 TEST(EntrySettings, AMissingFieldIsNamed)
 {
 	std::string path = testing::TempDir() + "entry-wrong.yaml";
