explain: refusals for keys, proofs and limits

Cause: 'toucanreel explain' said 'the logs do not tell' of a request that was refused with 429, 401 or for want of a proof: these lines have no target. Change: three causes; for a limit the figures that the VM decided by. The test failed first (no such causes).

--- a/src/explain.c
+++ b/src/explain.c
@@ -158,9 +158,24 @@
 	return EXPLAIN_TARGET_ONCE;
 }
 
+/* Refused for its key or its organisation, before it had a target. */
+static enum explain_cause cause_at_key(const struct explain_story *story)
+{
+	if (is_why(story, "over-limit"))
+		return EXPLAIN_OVER_LIMIT;
+	if (is_why(story, "unproven"))
+		return EXPLAIN_UNPROVEN;
+	return is_why(story, "unknown-key") ? EXPLAIN_UNKNOWN_KEY
+					    : EXPLAIN_UNKNOWN;
+}
+
 static enum explain_cause cause_of(const struct explain_story *story)
 {
 	double status = logline_number(story->end, "status");
+	enum explain_cause at_key = cause_at_key(story);
+
+	if (at_key != EXPLAIN_UNKNOWN)
+		return at_key;
 
 	if (status == 499)
 		return EXPLAIN_CALLER_LEFT;
@@ -228,6 +243,10 @@
 		[EXPLAIN_OLD_ROUTES] =
 			"this VM had an older configuration than others",
 		[EXPLAIN_NO_ROUTE] = "no configuration has a route for it",
+		[EXPLAIN_OVER_LIMIT] = "its organisation had used up its limit",
+		[EXPLAIN_UNPROVEN] =
+			"this VM could not prove that keys still hold",
+		[EXPLAIN_UNKNOWN_KEY] = "no configuration here holds its key",
 		[EXPLAIN_VM] = "this VM stood still",
 		[EXPLAIN_UNKNOWN] = "the logs do not tell",
 	};
@@ -276,6 +295,19 @@
 	}
 }
 
+static void print_limit(const struct logline *end, FILE *out)
+{
+	fprintf(out,
+		"taken by %s for %s: limit %s a second and a burst of %s; in "
+		"this data centre %s a second came, its part of the limit is "
+		"%s, and %s were let through in the window; %s of the fleet "
+		"was heard\n",
+		logline_get(end, "vm"), logline_get(end, "organisation"),
+		logline_get(end, "limit"), logline_get(end, "burst"),
+		logline_get(end, "group_rate"), logline_get(end, "part"),
+		logline_get(end, "used"), logline_get(end, "heard"));
+}
+
 /* The story as text; times count from the request's start. */
 void explain_print(const GPtrArray *lines, const struct explain_story *story,
 		   FILE *out)
@@ -286,6 +318,10 @@
 	fprintf(out, "request %s: status %s, %s\n", logline_get(end, "id"),
 		logline_get(end, "status"), logline_get(end, "why"));
 	fprintf(out, "cause: %s\n", explain_cause_text(story->cause));
+	if (story->cause == EXPLAIN_OVER_LIMIT) {
+		print_limit(end, out);
+		return;
+	}
 	fprintf(out,
 		"taken by %s on route %s of %s, configuration %s, list %s ms "
 		"old\n",
--- a/tests/explain_test.cc
+++ b/tests/explain_test.cc
@@ -118,6 +118,21 @@
 	ASSERT_NE(story.routes, nullptr);
 }
 
+/* What was refused before it had a target says why, and no key. */
+TEST_F(Explain, RefusalsForKeysAndLimitsAreTold)
+{
+	request(15, "a", "x", 429,
+		"why=over-limit organisation=coop limit=144 burst=144 "
+		"group_rate=85 part=0.25 heard=1.000 used=216");
+	request(15, "a", "y", 503, "why=unproven organisation=- version=3");
+	request(15, "a", "z", 401, "why=unknown-key organisation=- version=3");
+	EXPECT_EQ(cause_of("x"), EXPLAIN_OVER_LIMIT);
+	EXPECT_TRUE(explain(lines, "y", &story));
+	EXPECT_EQ(story.cause, EXPLAIN_UNPROVEN);
+	EXPECT_TRUE(explain(lines, "z", &story));
+	EXPECT_EQ(story.cause, EXPLAIN_UNKNOWN_KEY);
+}
+
 TEST_F(Explain, AnIdThatIsNotThereIsNoStory)
 {
 	request(15, "a", "x", 200, "why=answered took_ms=0 version=3");
