--- a/src/cmd_losses.c
+++ b/src/cmd_losses.c
@@ -3,6 +3,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "calibration.h"
 #include "cleanup.h"
 #include "command.h"
 #include "losses.h"
@@ -32,6 +33,14 @@
 	return EXIT_USAGE;
 }
 
+static void print_calibration(const GPtrArray *lines)
+{
+	struct calibration c;
+
+	calibration_count(&c, lines);
+	calibration_print(&c, stdout);
+}
+
 /* toucanreel losses: 0, 1 when no request is in the logs, 2 for wrong usage. */
 int command_losses(int argc, char **argv)
 {
@@ -41,8 +50,11 @@
 			  "a VM's log, or '-'; may be repeated");
 	struct arg_str *format =
 		arg_str0(NULL, "format", "text|json|svg", "default: text");
+	struct arg_lit *calibrate = arg_lit0(
+		NULL, "calibration",
+		"what was stated of targets against what happened there");
 	struct arg_end *end = arg_end(8);
-	void *table[] = { help, logs, format, end };
+	void *table[] = { help, logs, format, calibrate, end };
 	GPtrArray *lines = loglines_new();
 	struct losses losses;
 	int code = EXIT_SUCCESS;
@@ -58,7 +70,9 @@
 			fputs("losses: no request in the logs\n", stderr);
 			code = EXIT_FOUND_FAULT;
 		}
-		if (!code)
+		if (!code && calibrate->count)
+			print_calibration(lines);
+		else if (!code)
 			code = print_as(&losses, format->count ? format->sval[0]
 							       : "text");
 		losses_free(&losses);
