The test of a pause asks for the path that it looks for

Cause: Keys.APauseUsesUpTheProof checked that the target had not seen /read/y, but nothing ever asked for that path, so the check could not fail. Ruled out: a fault of the daemon; the refusal itself (503) was checked. Change: the request after the pause asks for it. Before and after the test passes; run alone once.

--- a/tests/entry_path_test.cc
+++ b/tests/entry_path_test.cc
@@ -730,7 +730,7 @@
 	kill(pid, SIGSTOP);
 	std::this_thread::sleep_for(std::chrono::milliseconds(1200));
 	kill(pid, SIGCONT);
-	EXPECT_EQ(ask_with("Api-Key: key-one\r\n"), 503);
+	EXPECT_EQ(ask_with("Api-Key: key-one\r\n", "GET /read/y"), 503);
 	EXPECT_EQ(seen.find("/read/y"), std::string::npos);
 }
 
