Lines that say what targets say of themselves in their answers

Nothing is decided by them yet.

What can't be read (signs, exponents, dates, two values, text of 15 kB) is told apart from what is absent and changes nothing; it is counted, with few lines. A head of 32 kB is refused as before.

--- a/entry/dialect.h
+++ b/entry/dialect.h
@@ -3,9 +3,11 @@
 
 #include <glib.h>
 
+#include "notice.h"
 #include "roster.h"
 #include "route.h"
 
+struct message;
 struct tr_error;
 
 /* One value of the platform's store, or that it was removed. */
@@ -40,6 +42,8 @@
 	const char *load;
 	const char *api_key;
 	const char *organisation;
+	void (*read_notice)(const struct message *answer,
+			    struct tr_notice *notice);
 
 	/* Calls from callers and from the platform. */
 	const char *lookup_path;
--- a/entry/entry.h
+++ b/entry/entry.h
@@ -44,6 +44,7 @@
 	uint64_t unproven;
 	uint64_t over_limit;
 	uint64_t fatal;
+	uint64_t notices_refused;
 };
 
 /*
@@ -89,6 +90,7 @@
 	unsigned exchanges_count;
 	struct entry_counts counts;
 	struct tr_pacer refusal_lines;
+	struct tr_pacer notice_lines;
 	GArray *times;
 };
 
--- a/entry/upstream.c
+++ b/entry/upstream.c
@@ -6,6 +6,7 @@
 #include "entry_settings.h"
 #include "mechanism.h"
 #include "mesh.h"
+#include "notices.h"
 
 #define ANSWER_HEAD_MAX 32768
 #define ANSWER_BODY_MAX (16 * 1024 * 1024)
@@ -208,6 +209,17 @@
 	return !id || !strcmp(id, u->request_id);
 }
 
+/* Take in what the target says of itself, as soon as the head of this request's
+ * answer is there: the rest of it may never come. */
+static void read_notice(struct upstream *u)
+{
+	if (u->noticed || !u->answer.head_done ||
+	    u->answer.parser.status_code < 200 || !is_ours(u))
+		return;
+	u->noticed = true;
+	notices_heard(u->e, u->row, u->hash, &u->answer);
+}
+
 static void received(void *ctx, const char *data, size_t len)
 {
 	struct upstream *u = ctx;
@@ -215,6 +227,7 @@
 	while (len) {
 		ssize_t used = message_feed(&u->answer, data, len);
 
+		read_notice(u);
 		if (used < 0) {
 			over(u, UPSTREAM_BROKEN);
 			return;
@@ -425,6 +438,7 @@
 	u->begun_again = false;
 	u->check_timer = NULL;
 	u->target_ended = false;
+	u->noticed = false;
 	u->ends_known = request->ends_known;
 	u->request_id = request->request_id;
 	u->head = request->head;
--- a/entry/upstream.h
+++ b/entry/upstream.h
@@ -33,6 +33,7 @@
 	bool connected;
 	enum tr_stage stage;
 	bool refused_421;
+	bool noticed;
 	uint32_t row;
 	uint32_t hash;
 	struct stream stream;
--- a/lib/roster.c
+++ b/lib/roster.c
@@ -179,6 +179,7 @@
 	row->used = true;
 	roster->homes_due = true;
 	row->known_since = now;
+	row->limit = -1;
 	memcpy(row->id, record->id, sizeof(row->id));
 	row->born = record->born;
 	row->hash = life_hash(record);
--- a/lib/roster.h
+++ b/lib/roster.h
@@ -34,7 +34,8 @@
  * group of VMs is nearest to it; what this VM knows of it is that group's last
  * summary and its own group's requests there, and told_there is what the
  * summary said of work in progress. kept counts this VM's connections to it
- * that rest.
+ * that rest. says_leaving, limit (requests a second, negative for none) and
+ * rests_until are what the target said of itself in its answers.
  */
 struct tr_instance {
 	bool used;
@@ -64,6 +65,9 @@
 	struct tr_gray gray;
 	apr_time_t full_until;
 	apr_time_t unreachable_until;
+	bool says_leaving;
+	double limit;
+	apr_time_t rests_until;
 	uint32_t in_flight;
 	uint32_t kept;
 	uint32_t others_in_flight;
--- a/tests/platform_test.cc
+++ b/tests/platform_test.cc
@@ -6,6 +6,8 @@
 extern "C" {
 #include "dialect.h"
 #include "error.h"
+#include "message.h"
+#include "notice.h"
 #include "organisation.h"
 #include "platform.h"
 }
@@ -468,4 +470,85 @@
 	EXPECT_STREQ(watch, "/v1/kv-watch?prefix=&after=411&waitMs=500");
 }
 
+tr_notice notice_of(int status, const std::string &headers)
+{
+	std::string text = "HTTP/1.1 " + std::to_string(status) + " X\r\n" +
+			   headers + "Content-Length: 0\r\n\r\n";
+	tr_notice notice{};
+	message msg{};
+
+	message_init(&msg, HTTP_RESPONSE, 32768, 4096);
+	EXPECT_GT(message_feed(&msg, text.data(), text.size()), 0);
+	platform_dialect.read_notice(&msg, &notice);
+	message_free(&msg);
+	return notice;
+}
+
+TEST(Platform, ReadsWhatATargetSaysOfItself)
+{
+	tr_notice n = notice_of(200, "Server-Limit: 1.5 \r\n"
+				     "Server-Leaving: 1 \r\n");
+
+	EXPECT_TRUE(n.leaving);
+	EXPECT_EQ(n.limit_is, TR_NOTICE_GIVEN);
+	EXPECT_EQ(n.limit, 1.5);
+	EXPECT_EQ(n.rest_is, TR_NOTICE_ABSENT);
+	n = notice_of(503, "Retry-After: 3\r\nX-Not-Executed: 1\r\n");
+	EXPECT_FALSE(n.leaving);
+	EXPECT_EQ(n.limit_is, TR_NOTICE_ABSENT);
+	EXPECT_EQ(n.rest_is, TR_NOTICE_GIVEN);
+	EXPECT_EQ(n.rest, apr_time_from_sec(3));
+	EXPECT_EQ(notice_of(503, "Retry-After: 0.25\r\n").rest, 250000);
+	EXPECT_EQ(notice_of(200, "").limit_is, TR_NOTICE_ABSENT);
+}
+
+TEST(Platform, ARestIsNamedByRefusalsOnly)
+{
+	for (int status : { 200, 429, 500, 504 })
+		EXPECT_EQ(notice_of(status, "Retry-After: 3\r\n").rest_is,
+			  TR_NOTICE_ABSENT)
+			<< status;
+}
+
+TEST(Platform, WhatATargetSaysThatCannotBeReadSetsNothing)
+{
+	const std::string bad[] = {
+		"",    "-1",
+		"+1",  "1e400",
+		"nan", "inf",
+		"1,5", ".5",
+		"5.",  "1.2.3",
+		"0x1", "Wed, 21 Oct 2026 07:28:00 GMT",
+		"1 2", std::string(15000, '9'),
+	};
+
+	for (const std::string &value : bad) {
+		tr_notice n = notice_of(
+			503, "Server-Limit: " + value +
+				     "\r\nRetry-After: " + value + "\r\n");
+
+		EXPECT_EQ(n.limit_is, TR_NOTICE_UNREADABLE) << value;
+		EXPECT_EQ(n.rest_is, TR_NOTICE_UNREADABLE) << value;
+		EXPECT_EQ(n.rest, 0) << value;
+	}
+	EXPECT_EQ(notice_of(200, "Server-Limit: 1\r\nServer-Limit: 9\r\n")
+			  .limit_is,
+		  TR_NOTICE_UNREADABLE);
+	for (const char *value : { "0", "", "yes", "11" })
+		EXPECT_FALSE(notice_of(200, std::string("Server-Leaving: ") +
+						    value + "\r\n")
+				     .leaving);
+}
+
+TEST(Platform, ALargeNumberIsNoOverflow)
+{
+	tr_notice n = notice_of(503, "Server-Limit: " + std::string(32, '9') +
+					     "\r\nRetry-After: " +
+					     std::string(32, '9') + "\r\n");
+
+	EXPECT_EQ(n.limit_is, TR_NOTICE_GIVEN);
+	EXPECT_GT(n.rest, 0);
+	EXPECT_EQ(notice_of(503, "Retry-After: 0\r\n").rest, 0);
+}
+
 } // namespace
