--- a/entry/notices.c
+++ b/entry/notices.c
@@ -26,8 +26,8 @@
 
 	if (limit == row->limit)
 		return;
-	eventlog(EVENT_BELIEF, "target-limit", "id=%s limit=%g was=%g",
-		 row->id, limit, row->limit);
+	eventlog(EVENT_BELIEF, "target-limit", "id=%s limit=%g was=%g", row->id,
+		 limit, row->limit);
 	row->limit = limit;
 }
 
--- /dev/null
+++ b/tests/notice_path_test.cc
@@ -0,0 +1,310 @@
+/*
+ * What targets say of themselves in their answers, over loopback: several real
+ * entry VMs, and targets that name a limit, say that they leave, or want rest.
+ */
+#include <gtest/gtest.h>
+#include <deque>
+#include <memory>
+
+#include "soak/store.h"
+#include "soak/vm.h"
+
+using namespace soak;
+
+namespace
+{
+
+constexpr unsigned VMS = 4, TARGETS = 4, CALLERS_A_VM = 2;
+constexpr int DEADLINE_MS = 2500;
+/* When all VMs must keep a limit, and the window in which it is counted. */
+constexpr auto STABLE = std::chrono::seconds(3);
+constexpr auto WINDOW = std::chrono::seconds(4);
+
+/* A target that says in its answers what a test tells it to. */
+class Target
+{
+      public:
+	struct Arrival {
+		Time at;
+		std::string vm;
+	};
+
+	Target(std::string id_, const Address &at)
+	    : id(std::move(id_)),
+	      listener(at, [this](int fd,
+				  const std::string &from) { serve(fd, from); })
+	{
+	}
+
+	void say(const std::string &headers, bool turns_away_ = false)
+	{
+		std::lock_guard<std::mutex> lock(mutex);
+
+		says = headers;
+		turns_away = turns_away_;
+	}
+
+	std::vector<Arrival> arrivals()
+	{
+		std::lock_guard<std::mutex> lock(mutex);
+
+		return seen;
+	}
+
+	void forget()
+	{
+		std::lock_guard<std::mutex> lock(mutex);
+
+		seen.clear();
+	}
+
+	/* The most requests that arrived in any window of the length. */
+	unsigned most_within(Clock::duration window)
+	{
+		std::deque<Time> in;
+		size_t most = 0;
+
+		for (const Arrival &a : arrivals()) {
+			in.push_back(a.at);
+			while (a.at - in.front() > window)
+				in.pop_front();
+			most = std::max(most, in.size());
+		}
+		return (unsigned)most;
+	}
+
+	const std::string id;
+	Listener listener;
+
+      private:
+	void serve(int fd, const std::string &from)
+	{
+		std::string rest;
+
+		for (;;) {
+			std::string request = read_message(fd, rest);
+
+			if (request.empty() || !handle(fd, request, from))
+				return;
+		}
+	}
+
+	bool handle(int fd, const std::string &request, const std::string &from)
+	{
+		std::string headers = "X-Request-Id: " +
+				      header(request, "X-Request-Id") + "\r\n";
+		bool away;
+
+		if (header(request, "X-Expect-Instance") != id)
+			return send_all(fd,
+					http(421, "X-Not-Executed: 1\r\n", ""));
+		{
+			std::lock_guard<std::mutex> lock(mutex);
+
+			seen.push_back({ Clock::now(), from });
+			headers += says;
+			away = turns_away;
+		}
+		if (away)
+			return send_all(fd, http(503,
+						 headers +
+							 "X-Not-Executed: 1\r\n",
+						 ""));
+		usleep(5000);
+		return send_all(fd, http(200, headers + "X-Server-Stamp: s\r\n",
+					 "fine"));
+	}
+
+	std::mutex mutex;
+	std::vector<Arrival> seen;
+	std::string says;
+	bool turns_away = false;
+};
+
+class NoticePath : public testing::Test
+{
+      protected:
+	std::string net, dir;
+	std::unique_ptr<Store> store;
+	std::vector<std::unique_ptr<Vm>> vms;
+	std::vector<std::unique_ptr<Target>> targets;
+	std::vector<std::thread> callers;
+	std::atomic<bool> over{ false };
+	std::atomic<unsigned> asked{ 0 }, not_served{ 0 };
+
+	void SetUp() override
+	{
+		char made[] = "/tmp/notice-path-XXXXXX";
+
+		signal(SIGPIPE, SIG_IGN);
+		ASSERT_NE(mkdtemp(made), nullptr);
+		dir = made;
+		net = "127." + std::to_string(64 + getpid() % 64) + "." +
+		      std::to_string(getpid() / 64 % 250) + ".";
+		store = std::make_unique<Store>(Address{ net + "250", 8500 });
+		ASSERT_TRUE(store->open());
+		write_config();
+		for (unsigned i = 0; i < TARGETS; i++)
+			ASSERT_TRUE(start_target(i));
+		for (unsigned i = 0; i < VMS; i++)
+			start_vm(i);
+		for (unsigned i = 0; i < VMS; i++)
+			ASSERT_TRUE(becomes(
+				[&] { return ask(i, "/read/warm") == 200; }));
+	}
+
+	void TearDown() override
+	{
+		end_calls();
+		for (unsigned i = 0; HasFailure() && i < vms.size(); i++)
+			print_log(i);
+		vms.clear();
+		targets.clear();
+		store.reset();
+		std::string command = "rm -rf " + dir;
+		EXPECT_EQ(system(command.c_str()), 0);
+	}
+
+	void print_log(unsigned i)
+	{
+		std::ifstream in(dir + "/" + vms[i]->ip + ".log");
+		std::string line;
+
+		while (std::getline(in, line))
+			if (line.find("event=target") != std::string::npos ||
+			    line.find("status=5") != std::string::npos)
+				printf("%s\n", line.c_str());
+	}
+
+	void write_config()
+	{
+		store->write(
+			"op/config",
+			R"({"version":1,"routes":{"columns":["name","host",)"
+			R"("prefix","kind","timeout","targetLatency",)"
+			R"("priority","maxAttempts","service"],"rows":[["r1",)"
+			R"("h.x","/read/","safe","3s","1s",1,2,"s1"],["r2",)"
+			R"("h.x","/order/","unsafe","3s","1s",1,2,"s1"]]},)"
+			R"("services":{"columns":["name","healthPath",)"
+			R"("maxConns"],"rows":[["s1","/health",90]]},"limits":)"
+			R"({"maxHeaderBytes":4096,"maxBodyBytes":100000,)"
+			R"("headerTimeout":"3s","idleTimeout":"9s"}})");
+	}
+
+	bool start_target(unsigned i)
+	{
+		auto target = std::make_unique<Target>(
+			"i-" + std::to_string(i),
+			Address{ net + std::to_string(100 + i), 9000 });
+
+		if (!target->listener.open())
+			return false;
+		store->write("servers/" + target->id,
+			     R"({"address":")" +
+				     target->listener.address.text() +
+				     R"(","info":{"service":"s1","version":"v",)"
+				     R"("zone":"z0","slots":3},"status":{)"
+				     R"("state":"ready","coldLeft":"0ms",)"
+				     R"("sequence":1}})");
+		targets.push_back(std::move(target));
+		return true;
+	}
+
+	void start_vm(unsigned i)
+	{
+		std::string ip = net + std::to_string(1 + i);
+
+		vms.push_back(std::make_unique<Vm>(ENTRY_PROGRAM, dir, ip,
+						   "z" + std::to_string(i % 2),
+						   store->address().text()));
+		vms[i]->write_settings({ net + "1", net + "2" });
+		vms[i]->start();
+	}
+
+	bool becomes(const std::function<bool()> &what)
+	{
+		for (int i = 0; i < 1000; i++) {
+			if (what())
+				return true;
+			std::this_thread::sleep_for(
+				std::chrono::milliseconds(20));
+		}
+		return false;
+	}
+
+	std::string answer_to(unsigned vm, const std::string &path,
+			      const std::string &body = "")
+	{
+		int fd = dial({ vms[vm]->ip, FRONT_PORT }, DEADLINE_MS);
+		std::string rest, answer;
+		std::string text =
+			(body.empty() ? "GET " : "POST ") + path +
+			" HTTP/1.1\r\nHost: h.x\r\nX-Request-Id: id-" +
+			std::to_string(++asked) +
+			"\r\nX-Deadline-Ms: " + std::to_string(DEADLINE_MS) +
+			"\r\nContent-Length: " + std::to_string(body.size()) +
+			"\r\n\r\n" + body;
+
+		if (fd < 0)
+			return "";
+		if (send_all(fd, text))
+			answer = read_message(fd, rest);
+		close(fd);
+		return answer;
+	}
+
+	int ask(unsigned vm, const std::string &path,
+		const std::string &body = "")
+	{
+		std::string answer = answer_to(vm, path, body);
+
+		return answer.size() < 12 ? 0 : std::stoi(answer.substr(9, 3));
+	}
+
+	/* Callers that keep on asking each VM, for reads and for what must run
+	 * once. */
+	void begin_calls()
+	{
+		for (unsigned i = 0; i < VMS * CALLERS_A_VM; i++)
+			callers.emplace_back([this, i] {
+				for (unsigned n = i; !over; n++) {
+					int status =
+						n % 2 ? ask(i % VMS, "/read/a")
+						      : ask(i % VMS, "/order/a",
+							    "body");
+
+					not_served += status != 200;
+					usleep(20000);
+				}
+			});
+	}
+
+	void end_calls()
+	{
+		over = true;
+		for (auto &caller : callers)
+			caller.join();
+		callers.clear();
+	}
+};
+
+/* Guards against VMs that each know a target's limit, or none of them, and
+ * together send it more. */
+TEST_F(NoticePath, ALimitThatATargetNamesHoldsOverAllVms)
+{
+	begin_calls();
+	targets[0]->say("Server-Limit: 1\r\n");
+	std::this_thread::sleep_for(STABLE);
+	targets[0]->forget();
+	std::this_thread::sleep_for(2 * WINDOW);
+	EXPECT_LE(targets[0]->most_within(WINDOW), 1.5 * 1 * 4 + 5);
+	EXPECT_GE(targets[0]->arrivals().size(), 1u);
+	EXPECT_EQ(not_served, 0u);
+	/* Once it names none any more it is used like the others. */
+	targets[0]->say("");
+	EXPECT_TRUE(becomes([&] {
+		return targets[0]->most_within(std::chrono::seconds(1)) > 8;
+	}));
+}
+
+} // namespace
