--- a/entry/exchange.c
+++ b/entry/exchange.c
@@ -74,6 +74,9 @@
 		.keeps = x->keeps,
 		.floor_share = e->settings->bounds.floor_share,
 		.salt = e->members.nodes[0].ip,
+		.wanted = tr_allowance_rate(entry_allowance(x->e, x->service),
+					    &e->repeat_bound, now),
+		.heard = exchange_heard(x),
 	};
 
 	res = tr_place(&e->roster, &wish, &x->e->random, now, p);
@@ -124,7 +127,7 @@
 }
 
 static const char *const place_words[] = { "found", "no-target", "all-tried",
-					   "too-late" };
+					   "too-late", "limited" };
 
 /* Send the request to a target, or let it wait; NULL, or why neither. */
 const char *exchange_send(struct exchange *x)
--- a/entry/exchange_internal.h
+++ b/entry/exchange_internal.h
@@ -45,6 +45,7 @@
 };
 
 apr_time_t exchange_usual(const struct exchange *x);
+double exchange_heard(const struct exchange *x);
 void exchange_free(struct exchange *x);
 void exchange_settle(struct exchange *x);
 void exchange_log_end(const struct exchange *x, int status, const char *why);
--- a/entry/exchange_reply.c
+++ b/entry/exchange_reply.c
@@ -21,6 +21,16 @@
 			       x->route->latency_aim);
 }
 
+/* The part of the fleet that is heard, by which limits of targets are kept. */
+double exchange_heard(const struct exchange *x)
+{
+	const struct entry *e = x->e;
+
+	if (!e->roster.limits.holding)
+		return 1;
+	return tr_membership_heard_lately(&e->members, entry_now(e));
+}
+
 /* Free it, from outside of its own calls. */
 void exchange_free(struct exchange *x)
 {
@@ -126,8 +136,13 @@
 	apr_time_t after;
 
 	if (status == 503) {
-		after = tr_place_return_after(&e->roster, x->service,
-					      exchange_usual(x), &e->random,
+		const struct tr_wish wish = {
+			.service = x->service,
+			.usual = exchange_usual(x),
+			.heard = exchange_heard(x),
+		};
+
+		after = tr_place_return_after(&e->roster, &wish, &e->random,
 					      entry_now(e));
 		if (after < x->return_after)
 			after = x->return_after;
--- a/entry/mesh.c
+++ b/entry/mesh.c
@@ -154,6 +154,7 @@
 {
 	const struct tr_node *node = tr_membership_learn(&mesh->e->members, ip);
 	apr_time_t now = entry_now(mesh->e);
+	struct mesh_limit limits[MESH_MAX_LIMITS];
 	struct mesh_fatals fatals;
 	struct mesh_nodes lists;
 	struct mesh_message msg;
@@ -163,9 +164,10 @@
 	mesh_add_nodes(mesh, &msg, &lists,
 		       node->near ? NULL : node->data_centre, MESH_MAX_NODES,
 		       now);
+	mesh_add_limits_again(mesh, &msg, limits, BYTES_LIMITS, now);
 	mesh_add_known_fatals(mesh, &msg, &fatals,
-			      DATAGRAM_MOST - BYTES_HEAD - sizeof(lists.nodes) -
-				      BYTES_CENTRE,
+			      DATAGRAM_MOST - BYTES_HEAD - BYTES_LIMITS -
+				      sizeof(lists.nodes) - BYTES_CENTRE,
 			      now);
 	mesh_send_message(mesh, ip, &msg, MESH_TELL);
 }
@@ -261,6 +263,7 @@
 	struct mesh_row rows[MESH_MAX_ROWS];
 	struct mesh_work work[MESH_MAX_WORK];
 	struct mesh_use uses[MESH_MAX_USES];
+	struct mesh_limit limits[MESH_MAX_LIMITS];
 	struct mesh_fatals fatals;
 	struct mesh_nodes nodes;
 	apr_time_t now = entry_now(mesh->e);
@@ -282,6 +285,9 @@
 		fatal_news = mesh_add_fatals(mesh, &msg, &fatals,
 					     DATAGRAM_MOST - used, now);
 	used += mesh_bytes_of_fatals(&msg);
+	if (used < DATAGRAM_MOST)
+		used += mesh_add_limits(mesh, &msg, limits,
+					DATAGRAM_MOST - used, now);
 	if (used < DATAGRAM_MOST)
 		add_rows(mesh, &msg, rows, DATAGRAM_MOST - used);
 	mesh->lists = false;
--- a/entry/mesh.x
+++ b/entry/mesh.x
@@ -14,6 +14,7 @@
 const MESH_MAX_DEMANDS = 64;
 const MESH_MAX_ENDS = 6;
 const MESH_MAX_FATALS = 8;
+const MESH_MAX_LIMITS = 16;
 
 /* Running totals of the sender's outcomes at a target, two a word. */
 struct mesh_row {
@@ -100,6 +101,17 @@
 	mesh_end ends<MESH_MAX_ENDS>;
 };
 
+/* The limit that a target has named, in thousandths of a request a second, or
+ * MESH_NO_LIMIT where it names none any more; how long ago an answer said so;
+ * and how many requests the sender has sent it, as a running total. */
+const MESH_NO_LIMIT = 4294967295;
+struct mesh_limit {
+	unsigned int target;
+	unsigned int rate;
+	unsigned int age_ms;
+	unsigned int sent;
+};
+
 /* proof_age_ms: how old the configuration is proven to be at most, or
  * UINT32_MAX. question and answers are numbers: one that asks for such a proof,
  * and the one that this message answers. */
@@ -129,6 +141,7 @@
 	mesh_record records<MESH_MAX_RECORDS>;
 	mesh_mark marks<MESH_MAX_MARKS>;
 	mesh_fatal fatals<MESH_MAX_FATALS>;
+	mesh_limit limits<MESH_MAX_LIMITS>;
 };
 
 program MESH_PEER {
@@ -136,5 +149,5 @@
 		void MESH_TELL(mesh_message) = 1;
 		/* The same, to be handed on in the receiver's data centre. */
 		void MESH_HAND_ON(mesh_message) = 2;
-	} = 5;
+	} = 6;
 } = 0x20544353;
--- a/entry/mesh_internal.h
+++ b/entry/mesh_internal.h
@@ -13,8 +13,9 @@
 #define MESH_ANSWER	 16U
 /* One datagram, without fragments on an ordinary link. */
 #define DATAGRAM_MOST  1400
-#define BYTES_HEAD     260
+#define BYTES_HEAD     264
 #define BYTES_CENTRE   80
+#define BYTES_LIMITS   (MESH_MAX_LIMITS * sizeof(struct mesh_limit))
 #define RECORD_LEAVING 1U
 #define RECORD_GONE    2U
 
@@ -102,6 +103,13 @@
 			   apr_time_t now);
 void mesh_take_fatals(struct mesh *mesh, const struct mesh_message *msg,
 		      apr_time_t now);
+size_t mesh_add_limits(struct mesh *mesh, struct mesh_message *msg,
+		       struct mesh_limit *limits, size_t room, apr_time_t now);
+size_t mesh_add_limits_again(struct mesh *mesh, struct mesh_message *msg,
+			     struct mesh_limit *limits, size_t room,
+			     apr_time_t now);
+void mesh_take_send_limits(struct mesh *mesh, struct tr_node *node,
+			   const struct mesh_message *msg, apr_time_t now);
 void mesh_call_one(struct mesh *mesh, uint32_t ip, bool answer);
 void mesh_forget_lost(struct mesh *mesh, apr_time_t now);
 void mesh_forget_told(struct mesh *mesh, struct tr_node *node);
--- /dev/null
+++ b/entry/mesh_notices.c
@@ -0,0 +1,146 @@
+/* What VMs tell each other of what targets say of themselves; see
+ * lib/send_limit.c. */
+#include "eventlog.h"
+#include "mesh_internal.h"
+#include "notices.h"
+
+/* Limits told again in each message, in case an earlier one was lost. */
+#define LIMITS_AGAIN 2
+/* An end is told again for so long, and a limit while it holds. */
+#define END_TOLD_FOR TR_SEC(5)
+#define RATE_UNIT    1000.0
+#define RATE_MOST    (MESH_NO_LIMIT - 1)
+
+static void add_limit(struct mesh_message *msg, const struct tr_send_limit *l,
+		      apr_time_t now)
+{
+	double rate = l->rate * RATE_UNIT;
+	apr_time_t age = (now - l->said_at) / 1000;
+
+	msg->limits.limits_val[msg->limits.limits_len++] = (struct mesh_limit){
+		.target = l->target,
+		.rate = !l->holds	 ? MESH_NO_LIMIT
+			: rate < RATE_MOST ? (uint32_t)rate
+					   : RATE_MOST,
+		.age_ms = age < UINT32_MAX ? (uint32_t)age : UINT32_MAX,
+		.sent = l->sent,
+	};
+}
+
+static unsigned rows_in(size_t room)
+{
+	size_t most = room / sizeof(struct mesh_limit);
+
+	return most < MESH_MAX_LIMITS ? (unsigned)most : MESH_MAX_LIMITS;
+}
+
+static bool is_told_again(const struct tr_send_limit *l, apr_time_t now)
+{
+	return l->used && (l->holds || now - l->said_at < END_TOLD_FOR);
+}
+
+/* A few limits that were told before, if there is room for them in bytes.
+ * Returns the bytes that all limits of the message take. */
+size_t mesh_add_limits_again(struct mesh *mesh, struct mesh_message *msg,
+			     struct mesh_limit *limits, size_t room,
+			     apr_time_t now)
+{
+	struct tr_send_limits *all = &mesh->e->roster.limits;
+	unsigned most = rows_in(room);
+	unsigned again = 0;
+
+	msg->limits.limits_val = limits;
+	for (unsigned i = 0; i < all->count && again < LIMITS_AGAIN &&
+			     msg->limits.limits_len < most;
+	     i++) {
+		const struct tr_send_limit *l =
+			&all->rows[all->next_told++ % all->count];
+
+		if (!is_told_again(l, now))
+			continue;
+		add_limit(msg, l, now);
+		again++;
+	}
+	return msg->limits.limits_len * sizeof(*limits);
+}
+
+/* Limits that have changed, as many as there is room for in bytes, and a few
+ * that were told before. Returns the bytes that they take. */
+size_t mesh_add_limits(struct mesh *mesh, struct mesh_message *msg,
+		       struct mesh_limit *limits, size_t room, apr_time_t now)
+{
+	struct tr_send_limits *all = &mesh->e->roster.limits;
+	unsigned most = rows_in(room);
+
+	msg->limits.limits_val = limits;
+	for (unsigned i = 0; i < all->count && msg->limits.limits_len < most;
+	     i++) {
+		struct tr_send_limit *l = &all->rows[i];
+
+		if (!l->used || !l->changed)
+			continue;
+		l->changed = false;
+		add_limit(msg, l, now);
+	}
+	return mesh_add_limits_again(mesh, msg, limits, room, now);
+}
+
+static void take_limit(struct mesh *mesh, struct tr_node *node,
+		       const struct mesh_limit *in, apr_time_t now)
+{
+	struct entry *e = mesh->e;
+	struct tr_roster *roster = &e->roster;
+	struct tr_instance *row = tr_roster_by_hash(roster, in->target);
+	apr_time_t said_at = now - TR_MSEC(in->age_ms);
+	struct tr_told_sent *told;
+	uint32_t place;
+
+	if (!row || !row->used)
+		return;
+	place = tr_roster_limit_place(roster, row);
+	if (in->rate == MESH_NO_LIMIT)
+		notices_log_limit(row, &roster->limits.rows[place],
+				  tr_send_limit_lifted(&roster->limits, place,
+						       said_at),
+				  "peer");
+	else
+		notices_log_limit(row, &roster->limits.rows[place],
+				  tr_send_limit_named(&roster->limits, place,
+						      in->rate / RATE_UNIT,
+						      said_at, now),
+				  "peer");
+	if (!node->near)
+		return;
+	told = tr_node_told_sent(node, in->target);
+	tr_send_limit_heard(&roster->limits.rows[place],
+			    (uint16_t)(in->sent - told->sent),
+			    tr_membership_heard_lately(&e->members, now), now);
+	told->sent = (uint16_t)in->sent;
+}
+
+/* Take in what another VM, of this group or another, tells of limits. */
+void mesh_take_send_limits(struct mesh *mesh, struct tr_node *node,
+			   const struct mesh_message *msg, apr_time_t now)
+{
+	for (u_int i = 0; i < msg->limits.limits_len; i++)
+		take_limit(mesh, node, &msg->limits.limits_val[i], now);
+}
+
+/* Tell the other groups what this VM has just heard of a target's limit: a VM
+ * of theirs may send there as well. */
+void mesh_tell_limit(struct mesh *mesh, uint32_t place)
+{
+	apr_time_t now = entry_now(mesh->e);
+	struct mesh_limit limit;
+	struct mesh_message msg;
+	char buf[DATAGRAM_MOST];
+	size_t len;
+
+	mesh_tell_now(mesh);
+	mesh_fill_head(mesh, &msg);
+	msg.limits.limits_val = &limit;
+	add_limit(&msg, &mesh->e->roster.limits.rows[place], now);
+	len = mesh_encode(&msg, MESH_HAND_ON, buf, sizeof(buf));
+	if (len)
+		mesh_to_other_groups(mesh, buf, len, now);
+}
--- a/entry/mesh_take.c
+++ b/entry/mesh_take.c
@@ -34,6 +34,9 @@
 	node->limits = NULL;
 	node->limits_count = 0;
 	node->limits_room = 0;
+	free(node->sent);
+	node->sent = NULL;
+	node->sent_count = 0;
 }
 
 /* Forget what VMs told that are lost since; a few at each step. */
@@ -45,7 +48,7 @@
 		struct tr_node *node = &m->nodes[mesh->node_next++ % m->count];
 
 		if ((node->told_count || node->work_count ||
-		     node->limits_count) &&
+		     node->limits_count || node->sent_count) &&
 		    !tr_node_alive(m, node, now))
 			mesh_forget_told(mesh, node);
 	}
@@ -245,6 +248,7 @@
 		take_row(mesh, node, &msg->rows.rows_val[i], now);
 	mesh_take_fatals(mesh, msg, now);
 	mesh_take_limits(mesh, node, msg, now);
+	mesh_take_send_limits(mesh, node, msg, now);
 	mesh_take_proof(mesh, msg, ip);
 	take_list(mesh, node, msg, now);
 	/* From here on the VM's row may move. */
--- a/entry/mesh_xdr.c
+++ b/entry/mesh_xdr.c
@@ -336,6 +336,61 @@
 	return TRUE;
 }
 
+bool_t
+xdr_mesh_limit (XDR *xdrs, mesh_limit *objp)
+{
+	register int32_t *buf;
+
+
+	if (xdrs->x_op == XDR_ENCODE) {
+		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->target))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->rate))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->age_ms))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->sent))
+				 return FALSE;
+		} else {
+			IXDR_PUT_U_LONG(buf, objp->target);
+			IXDR_PUT_U_LONG(buf, objp->rate);
+			IXDR_PUT_U_LONG(buf, objp->age_ms);
+			IXDR_PUT_U_LONG(buf, objp->sent);
+		}
+		return TRUE;
+	} else if (xdrs->x_op == XDR_DECODE) {
+		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->target))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->rate))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->age_ms))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->sent))
+				 return FALSE;
+		} else {
+			objp->target = IXDR_GET_U_LONG(buf);
+			objp->rate = IXDR_GET_U_LONG(buf);
+			objp->age_ms = IXDR_GET_U_LONG(buf);
+			objp->sent = IXDR_GET_U_LONG(buf);
+		}
+	 return TRUE;
+	}
+
+	 if (!xdr_u_int (xdrs, &objp->target))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->rate))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->age_ms))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->sent))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_mesh_message (XDR *xdrs, mesh_message *objp)
 {
@@ -402,5 +457,8 @@
 	 if (!xdr_array (xdrs, (char **)&objp->fatals.fatals_val, (u_int *) &objp->fatals.fatals_len, MESH_MAX_FATALS,
 		sizeof (mesh_fatal), (xdrproc_t) xdr_mesh_fatal))
 		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->limits.limits_val, (u_int *) &objp->limits.limits_len, MESH_MAX_LIMITS,
+		sizeof (mesh_limit), (xdrproc_t) xdr_mesh_limit))
+		 return FALSE;
 	return TRUE;
 }
--- a/entry/mesh_xdr.h
+++ b/entry/mesh_xdr.h
@@ -27,6 +27,7 @@
 #define MESH_MAX_DEMANDS 64
 #define MESH_MAX_ENDS 6
 #define MESH_MAX_FATALS 8
+#define MESH_MAX_LIMITS 16
 
 struct mesh_row {
 	u_int target;
@@ -114,6 +115,15 @@
 	} ends;
 };
 typedef struct mesh_fatal mesh_fatal;
+#define MESH_NO_LIMIT 4294967295
+
+struct mesh_limit {
+	u_int target;
+	u_int rate;
+	u_int age_ms;
+	u_int sent;
+};
+typedef struct mesh_limit mesh_limit;
 
 struct mesh_message {
 	u_int fleet;
@@ -174,29 +184,33 @@
 		u_int fatals_len;
 		mesh_fatal *fatals_val;
 	} fatals;
+	struct {
+		u_int limits_len;
+		mesh_limit *limits_val;
+	} limits;
 };
 typedef struct mesh_message mesh_message;
 
 #define MESH_PEER 0x20544353
-#define MESH_VERSION 5
+#define MESH_VERSION 6
 
 #if defined(__STDC__) || defined(__cplusplus)
 #define MESH_TELL 1
-extern  void * mesh_tell_5(mesh_message *, CLIENT *);
-extern  void * mesh_tell_5_svc(mesh_message *, struct svc_req *);
+extern  void * mesh_tell_6(mesh_message *, CLIENT *);
+extern  void * mesh_tell_6_svc(mesh_message *, struct svc_req *);
 #define MESH_HAND_ON 2
-extern  void * mesh_hand_on_5(mesh_message *, CLIENT *);
-extern  void * mesh_hand_on_5_svc(mesh_message *, struct svc_req *);
-extern int mesh_peer_5_freeresult (SVCXPRT *, xdrproc_t, caddr_t);
+extern  void * mesh_hand_on_6(mesh_message *, CLIENT *);
+extern  void * mesh_hand_on_6_svc(mesh_message *, struct svc_req *);
+extern int mesh_peer_6_freeresult (SVCXPRT *, xdrproc_t, caddr_t);
 
 #else /* K&R C */
 #define MESH_TELL 1
-extern  void * mesh_tell_5();
-extern  void * mesh_tell_5_svc();
+extern  void * mesh_tell_6();
+extern  void * mesh_tell_6_svc();
 #define MESH_HAND_ON 2
-extern  void * mesh_hand_on_5();
-extern  void * mesh_hand_on_5_svc();
-extern int mesh_peer_5_freeresult ();
+extern  void * mesh_hand_on_6();
+extern  void * mesh_hand_on_6_svc();
+extern int mesh_peer_6_freeresult ();
 #endif /* K&R C */
 
 /* the xdr functions */
@@ -213,6 +227,7 @@
 extern  bool_t xdr_mesh_demand (XDR *, mesh_demand*);
 extern  bool_t xdr_mesh_end (XDR *, mesh_end*);
 extern  bool_t xdr_mesh_fatal (XDR *, mesh_fatal*);
+extern  bool_t xdr_mesh_limit (XDR *, mesh_limit*);
 extern  bool_t xdr_mesh_message (XDR *, mesh_message*);
 
 #else /* K&R C */
@@ -227,6 +242,7 @@
 extern bool_t xdr_mesh_demand ();
 extern bool_t xdr_mesh_end ();
 extern bool_t xdr_mesh_fatal ();
+extern bool_t xdr_mesh_limit ();
 extern bool_t xdr_mesh_message ();
 
 #endif /* K&R C */
--- a/entry/notices.c
+++ b/entry/notices.c
@@ -2,6 +2,7 @@
 #include "notices.h"
 
 #include "eventlog.h"
+#include "mesh.h"
 
 /* Lines a second, in the mean, of notices that can't be read. */
 #define REFUSAL_LINES_A_S 0.2
@@ -20,15 +21,52 @@
 		 row->id, field, expected, (guint64)e->counts.notices_refused);
 }
 
-static void take_limit(struct tr_instance *row, const struct tr_notice *notice)
+/* A line where a limit begins, changes or ends. */
+void notices_log_limit(const struct tr_instance *row,
+		       const struct tr_send_limit *limit,
+		       enum tr_send_limit_change change, const char *from)
 {
-	double limit = notice->limit_is == TR_NOTICE_GIVEN ? notice->limit : -1;
+	static const char *const words[] = {
+		[TR_SEND_LIMIT_BEGAN] = "began",
+		[TR_SEND_LIMIT_CHANGED] = "changed",
+		[TR_SEND_LIMIT_ENDED] = "ended",
+	};
 
-	if (limit == row->limit)
+	if (change != TR_SEND_LIMIT_SAME)
+		eventlog(EVENT_BELIEF, "target-limit",
+			 "id=%s state=%s limit=%g from=%s", row->id,
+			 words[change], limit->rate, from);
+}
+
+/*
+ * An answer named a limit, or an answer of work named none; a failure without
+ * one says nothing. What begins or ends is told at once: until the others know,
+ * they send on.
+ */
+static void take_limit(struct entry *e, struct tr_instance *row,
+		       const struct tr_notice *notice, int status)
+{
+	struct tr_send_limits *limits = &e->roster.limits;
+	enum tr_send_limit_change change;
+	apr_time_t now = entry_now(e);
+	struct tr_send_limit *l;
+	uint32_t place;
+
+	if (notice->limit_is == TR_NOTICE_GIVEN) {
+		place = tr_roster_limit_place(&e->roster, row);
+		change = tr_send_limit_named(limits, place, notice->limit, now,
+					     now);
+	} else if (row->limit != TR_NO_ROW && status < 300) {
+		place = row->limit;
+		change = tr_send_limit_unnamed(limits, place, now);
+	} else {
 		return;
-	eventlog(EVENT_BELIEF, "target-limit", "id=%s limit=%g was=%g", row->id,
-		 limit, row->limit);
-	row->limit = limit;
+	}
+	l = &limits->rows[place];
+	l->changed |= change != TR_SEND_LIMIT_SAME;
+	notices_log_limit(row, l, change, "answer");
+	if (change == TR_SEND_LIMIT_BEGAN || change == TR_SEND_LIMIT_ENDED)
+		mesh_tell_limit(e->mesh, place);
 }
 
 static void take_leaving(struct tr_instance *row)
@@ -65,7 +103,7 @@
 	if (notice.limit_is == TR_NOTICE_UNREADABLE)
 		log_unreadable(e, row, "limit", "requests a second");
 	else
-		take_limit(row, &notice);
+		take_limit(e, row, &notice, answer->parser.status_code);
 	if (notice.leaving)
 		take_leaving(row);
 	if (notice.rest_is == TR_NOTICE_UNREADABLE)
--- a/entry/notices.h
+++ b/entry/notices.h
@@ -3,7 +3,12 @@
 
 #include "entry.h"
 
+struct upstream;
+
 void notices_heard(struct entry *e, uint32_t row, uint32_t hash,
 		   const struct message *answer);
+void notices_log_limit(const struct tr_instance *row,
+		       const struct tr_send_limit *limit,
+		       enum tr_send_limit_change change, const char *from);
 
 #endif
--- a/entry/upstream.c
+++ b/entry/upstream.c
@@ -277,6 +277,28 @@
 
 static const struct stream_calls calls;
 
+static double heard(const struct entry *e)
+{
+	return tr_membership_heard_lately(&e->members, entry_now(e));
+}
+
+/* The target is sent one more request: what it takes is less for it. */
+static void count_sent(const struct upstream *u, const struct tr_instance *row)
+{
+	struct tr_send_limit *l = tr_roster_limit(&u->e->roster, row);
+
+	if (l)
+		tr_send_limit_sent(l, heard(u->e), entry_now(u->e));
+}
+
+static bool limit_allows(const struct upstream *u,
+			 const struct tr_instance *row)
+{
+	const struct tr_send_limit *l = tr_roster_limit(&u->e->roster, row);
+
+	return !l || tr_send_limit_tokens(l, heard(u->e), entry_now(u->e)) >= 1;
+}
+
 /*
  * The kept connection may have carried the request to the target before it
  * ended: to operators what is sent again is a repeat, and counts as one.
@@ -287,7 +309,7 @@
 	struct entry *e = u->e;
 	apr_time_t now = entry_now(e);
 
-	return row &&
+	return row && limit_allows(u, row) &&
 	       tr_allowance_spend(
 		       entry_allowance(e, row->service), &e->repeat_bound,
 		       tr_membership_heard_share(&e->members, now), now);
@@ -308,6 +330,7 @@
 		over(u, UPSTREAM_BROKEN);
 		return;
 	}
+	count_sent(u, row_of(u));
 	if (connect_to(u, &calls)) {
 		u->target_ended = u->stream.refused;
 		over(u, unreached(u));
@@ -449,6 +472,7 @@
 		     ANSWER_BODY_MAX);
 	u->answer.head_only = request->head_only;
 	row->in_flight++;
+	count_sent(u, row);
 	row->used_at = u->began;
 	tr_roster_changed(&u->e->roster, row);
 	mesh_tell_soon(e->mesh);
--- a/lib/allowance.c
+++ b/lib/allowance.c
@@ -7,6 +7,8 @@
  */
 #include "allowance.h"
 
+#include <math.h>
+
 /* Part of the bound that is used. The rest is for repeats that several VMs send
  * before they hear of each other's, in some 80 ms: where all targets shed half
  * of their work the fleet sends 30 a second, so two or three of 300. */
@@ -51,6 +53,24 @@
 		(uint16_t)(told->repeats - before->repeats);
 }
 
+/* Requests a second that the VMs heard get for the service: over the window, or
+ * lately if that are more. */
+double tr_allowance_rate(struct tr_allowance *a,
+			 const struct tr_repeat_bound *bound, apr_time_t now)
+{
+	double part_s = (double)bound->window / 1e6 / TR_ALLOWANCE_PARTS;
+	double all = 0;
+	double lately;
+
+	turn(a, bound, now);
+	for (int i = 0; i < TR_ALLOWANCE_SLOTS; i++)
+		all += a->requests[i];
+	lately = a->requests[a->part % TR_ALLOWANCE_SLOTS] +
+		 a->requests[(a->part + TR_ALLOWANCE_PARTS) %
+			     TR_ALLOWANCE_SLOTS];
+	return fmax(all / (part_s * TR_ALLOWANCE_PARTS), lately / part_s);
+}
+
 /*
  * May a request be sent to one more target? If so, it is counted. heard_share
  * is the part of the known VMs that are heard: in a fleet that is split each
--- a/lib/allowance.h
+++ b/lib/allowance.h
@@ -41,6 +41,8 @@
 			const struct tr_repeat_bound *bound,
 			const struct tr_work_totals *before,
 			const struct tr_work_totals *told, apr_time_t now);
+double tr_allowance_rate(struct tr_allowance *a,
+			 const struct tr_repeat_bound *bound, apr_time_t now);
 bool tr_allowance_spend(struct tr_allowance *a,
 			const struct tr_repeat_bound *bound, double heard_share,
 			apr_time_t now);
--- a/lib/membership.c
+++ b/lib/membership.c
@@ -244,6 +244,24 @@
 	return &node->told[low];
 }
 
+/* What the VM told last of the target with a limit, made empty where it told
+ * nothing yet. */
+struct tr_told_sent *tr_node_told_sent(struct tr_node *node, uint32_t target)
+{
+	struct tr_told_sent *grown;
+
+	for (unsigned i = 0; i < node->sent_count; i++)
+		if (node->sent[i].target == target)
+			return &node->sent[i];
+	grown = realloc(node->sent, (node->sent_count + 1) * sizeof(*grown));
+	if (!grown)
+		abort();
+	node->sent = grown;
+	grown += node->sent_count++;
+	*grown = (struct tr_told_sent){ .target = target };
+	return grown;
+}
+
 /*
  * What the VM told last of the organisation, made empty where it told nothing
  * yet. Kept in the order of the organisations' names.
--- a/lib/membership.h
+++ b/lib/membership.h
@@ -29,6 +29,13 @@
 	uint16_t in_flight;
 };
 
+/* How many requests a VM last told that it had sent to a target with a limit.
+ */
+struct tr_told_sent {
+	uint32_t target;
+	uint16_t sent;
+};
+
 /* What a VM last told of the requests for one service. */
 struct tr_told_work {
 	uint32_t service;
@@ -77,6 +84,8 @@
 	struct tr_told_limit *limits;
 	unsigned limits_count;
 	unsigned limits_room;
+	struct tr_told_sent *sent;
+	unsigned sent_count;
 };
 
 /* What one message says of its sender; requests and targets come apart. A
@@ -133,6 +142,7 @@
 			   const struct tr_node_news *news, apr_time_t now);
 unsigned tr_membership_size(const struct tr_membership *m);
 struct tr_told *tr_node_told(struct tr_node *node, uint32_t target);
+struct tr_told_sent *tr_node_told_sent(struct tr_node *node, uint32_t target);
 struct tr_told_limit *tr_node_told_limit(struct tr_node *node, uint32_t name);
 struct tr_node *tr_membership_heard(struct tr_membership *m,
 				    const struct tr_node_news *news,
--- a/lib/place.c
+++ b/lib/place.c
@@ -59,6 +59,10 @@
 /* A wait that ends with less than this part of the usual time left for the
  * work is hopeless. */
 #define LEAST_WORK 1.0
+/* When callers come back whom no target can serve, and at most where limits are
+ * so low that the next request may be long away, in us. */
+#define RETURN_UNKNOWN 300e3
+#define RETURN_MOST    3e6
 
 static double gumbel(struct tr_random *random)
 {
@@ -164,9 +168,51 @@
 	       (double)left;
 }
 
+/* Can the request go to the target, if its limit allows? */
+static bool is_candidate(const struct tr_instance *row, uint32_t at,
+			 const struct tr_wish *wish, apr_time_t now)
+{
+	return row->used && row->service == wish->service &&
+	       tr_instance_usable(row, now) && !was_tried(wish, at);
+}
+
+/*
+ * Of the targets that have named a limit, the one to which this request may go:
+ * drawn by what may be sent to each, and none mostly while little may. Those of
+ * another group are left to that, which counts what is sent there.
+ */
+static uint32_t draw_limited(const struct tr_roster *roster,
+			     const struct tr_wish *wish,
+			     struct tr_random *random, apr_time_t now)
+{
+	uint32_t drawn = TR_NO_ROW;
+	double sum = 0;
+
+	if (!roster->limits.holding)
+		return TR_NO_ROW;
+	for (uint32_t i = 0; i < roster->count; i++) {
+		const struct tr_instance *row = &roster->rows[i];
+		const struct tr_send_limit *l = tr_roster_limit(roster, row);
+		double tokens;
+
+		if (!l || row->away || !is_candidate(row, i, wish, now))
+			continue;
+		tokens = tr_send_limit_tokens(l, wish->heard, now);
+		if (tokens < 1)
+			continue;
+		sum += tokens;
+		if (tr_random_unit(random) * sum < tokens)
+			drawn = i;
+	}
+	if (!tr_send_limits_admit(sum, wish->wanted, tr_random_unit(random)))
+		return TR_NO_ROW;
+	return drawn;
+}
+
 /*
  * Choose a target for the request. TR_PLACE_TOO_LATE: there are targets, but
- * work sent now would not end in time at any of them.
+ * work sent now would not end in time at any of them. TR_PLACE_LIMITED: it
+ * would, but these have as much as they take.
  */
 enum tr_place_result tr_place(const struct tr_roster *roster,
 			      const struct tr_wish *wish,
@@ -180,7 +226,9 @@
 	const struct tr_worked_service *svc = &roster->services[wish->service];
 	double loss = loss_of(wish);
 	unsigned fitting = 0;
+	unsigned limited = 0;
 	apr_time_t least_takes = APR_INT64_MAX;
+	uint32_t drawn = draw_limited(roster, wish, random, now);
 
 	tr_cover_init(&cover, wish->salt,
 		      wish->may_repeat && tr_mechanism_on(TR_MECH_SCOUTS));
@@ -205,10 +253,14 @@
 			least_takes = takes;
 		fits = row->full_until <= now && in_time(wish, &p);
 		/* Others keep theirs at work, and tell of it too late. */
-		if (row->away)
+		if (tr_roster_limit(roster, row)) {
+			limited += fits && i != drawn;
+			fits &= i == drawn;
+		} else if (row->away) {
 			tr_cover_see_away(&cover, p.risk);
-		else
+		} else {
 			tr_cover_see(&cover, row, i, p.risk, fits, now);
+		}
 		if (cover.row == i)
 			due = p;
 		if (!fits)
@@ -230,34 +282,45 @@
 		return TR_PLACE_FOUND;
 	if (!known)
 		return TR_PLACE_NONE_KNOWN;
+	if (limited)
+		return TR_PLACE_LIMITED;
 	return untried ? TR_PLACE_TOO_LATE : TR_PLACE_ALL_TRIED;
 }
 
 /*
  * When a refused caller should come back: when the work that is there now
- * should be over, spread over as much again so that they do not all return at
+ * should be over, or where all targets have named limits when the next request
+ * may be sent; spread over as much again so that they do not all return at
  * once.
  */
 apr_time_t tr_place_return_after(const struct tr_roster *roster,
-				 uint32_t service, apr_time_t usual,
+				 const struct tr_wish *wish,
 				 struct tr_random *random, apr_time_t now)
 {
 	double there = 0;
 	double slots = 0;
+	double limits = 0;
 	double after;
 
 	for (uint32_t i = 0; i < roster->count; i++) {
 		const struct tr_instance *row = &roster->rows[i];
+		const struct tr_send_limit *l = tr_roster_limit(roster, row);
 
-		if (!row->used || row->service != service ||
+		if (!row->used || row->service != wish->service ||
 		    !tr_instance_usable(row, now))
 			continue;
+		if (l) {
+			limits += tr_send_limit_rate(l, wish->heard);
+			continue;
+		}
 		there += tr_instance_there(row, now);
 		slots += row->slots;
 	}
-	if (slots <= 0)
-		return TR_MSEC(300) +
-		       (apr_time_t)(tr_random_unit(random) * 300000);
-	after = (double)usual * fmax(0.25, there / slots - 1);
+	if (slots > 0)
+		after = (double)wish->usual * fmax(0.25, there / slots - 1);
+	else if (limits > 0)
+		after = fmin(1e6 / limits, RETURN_MOST);
+	else
+		after = RETURN_UNKNOWN;
 	return (apr_time_t)(after * (1 + tr_random_unit(random)));
 }
--- a/lib/place.h
+++ b/lib/place.h
@@ -8,7 +8,9 @@
 /*
  * What a request that looks for a target is like. usual and spread tell how
  * long its work takes, fail_age how old attempts are when they turn out to have
- * failed. may_repeat: if this attempt fails, another may be sent.
+ * failed. may_repeat: if this attempt fails, another may be sent. wanted:
+ * requests a second that this VM's group gets for the service; heard: the part
+ * of the fleet that this VM hears.
  * standing_queue: work has been taking longer than the aim for a while.
  */
 struct tr_wish {
@@ -27,6 +29,8 @@
 	uint32_t salt;
 	bool may_repeat;
 	bool standing_queue;
+	double wanted;
+	double heard;
 };
 
 struct tr_placing {
@@ -43,6 +47,7 @@
 	TR_PLACE_NONE_KNOWN,
 	TR_PLACE_ALL_TRIED,
 	TR_PLACE_TOO_LATE,
+	TR_PLACE_LIMITED,
 };
 
 enum tr_place_result tr_place(const struct tr_roster *roster,
@@ -50,7 +55,7 @@
 			      struct tr_random *random, apr_time_t now,
 			      struct tr_placing *placing);
 apr_time_t tr_place_return_after(const struct tr_roster *roster,
-				 uint32_t service, apr_time_t usual,
+				 const struct tr_wish *wish,
 				 struct tr_random *random, apr_time_t now);
 
 #endif
--- a/lib/roster.c
+++ b/lib/roster.c
@@ -36,6 +36,7 @@
 {
 	free(roster->rows);
 	free(roster->services);
+	tr_send_limits_release(&roster->limits);
 	tr_index_release(&roster->by_hash);
 	tr_index_release(&roster->by_id);
 	memset(roster, 0, sizeof(*roster));
@@ -179,7 +180,7 @@
 	row->used = true;
 	roster->homes_due = true;
 	row->known_since = now;
-	row->limit = -1;
+	row->limit = TR_NO_ROW;
 	memcpy(row->id, record->id, sizeof(row->id));
 	row->born = record->born;
 	row->hash = life_hash(record);
@@ -402,9 +403,21 @@
 
 	tr_index_remove(&roster->by_id, id_key(row->id), i);
 	tr_index_remove(&roster->by_hash, row->hash, i);
+	if (row->limit != TR_NO_ROW)
+		tr_send_limits_drop(&roster->limits, row->limit);
 	row->used = false;
 }
 
+/* Another group's target, of whose limit that group has fallen silent. */
+static void drop_stale_limit(struct tr_roster *roster, struct tr_instance *row,
+			     apr_time_t now)
+{
+	const struct tr_send_limit *l = tr_roster_limit(roster, row);
+
+	if (row->away && l && tr_send_limit_is_stale(l, now))
+		tr_send_limits_forget(&roster->limits, row->limit);
+}
+
 /* Let lapsed targets go when their time is over, and forget old ones. */
 void tr_roster_step(struct tr_roster *roster, apr_time_t now)
 {
@@ -417,6 +430,7 @@
 
 		if (!row->used)
 			continue;
+		drop_stale_limit(roster, row, now);
 		if (row->lapsed_at && now - row->lapsed_at >= LAPSE_GRACE) {
 			roster->digest_known = false;
 			row->lapsed_at = 0;
@@ -489,6 +503,27 @@
 	record->born = row->born;
 }
 
+/* The limit that the target has named and that holds, or NULL. */
+struct tr_send_limit *tr_roster_limit(const struct tr_roster *roster,
+				      const struct tr_instance *row)
+{
+	struct tr_send_limit *l;
+
+	if (row->limit == TR_NO_ROW)
+		return NULL;
+	l = &roster->limits.rows[row->limit];
+	return l->holds ? l : NULL;
+}
+
+/* The place of the target's row among the limits, made when it has none. */
+uint32_t tr_roster_limit_place(struct tr_roster *roster,
+			       struct tr_instance *row)
+{
+	if (row->limit == TR_NO_ROW)
+		row->limit = tr_send_limits_add(&roster->limits, row->hash);
+	return row->limit;
+}
+
 /* May the target be given new work? */
 bool tr_instance_usable(const struct tr_instance *row, apr_time_t now)
 {
--- a/lib/roster.h
+++ b/lib/roster.h
@@ -7,6 +7,7 @@
 
 #include "gray.h"
 #include "index.h"
+#include "send_limit.h"
 #include "worked.h"
 
 #define TR_ADDRESS_MAX 23
@@ -34,8 +35,9 @@
  * group of VMs is nearest to it; what this VM knows of it is that group's last
  * summary and its own group's requests there, and told_there is what the
  * summary said of work in progress. kept counts this VM's connections to it
- * that rest. says_leaving, limit (requests a second, negative for none) and
- * rests_until are what the target said of itself in its answers.
+ * that rest. limit is the place of its row among the limits that targets have
+ * named, TR_NO_ROW for none; says_leaving and rests_until are what else it said
+ * of itself in its answers.
  */
 struct tr_instance {
 	bool used;
@@ -66,7 +68,7 @@
 	apr_time_t full_until;
 	apr_time_t unreachable_until;
 	bool says_leaving;
-	double limit;
+	uint32_t limit;
 	apr_time_t rests_until;
 	uint32_t in_flight;
 	uint32_t kept;
@@ -90,6 +92,7 @@
 	unsigned room;
 	struct tr_index by_hash;
 	struct tr_index by_id;
+	struct tr_send_limits limits;
 	uint32_t list_mark;
 	bool homes_due;
 	bool away_changed;
@@ -127,6 +130,10 @@
 uint32_t tr_instance_there(const struct tr_instance *row, apr_time_t now);
 void tr_roster_told(struct tr_instance *row, double risk, unsigned there,
 		    apr_time_t now);
+struct tr_send_limit *tr_roster_limit(const struct tr_roster *roster,
+				      const struct tr_instance *row);
+uint32_t tr_roster_limit_place(struct tr_roster *roster,
+			       struct tr_instance *row);
 bool tr_instance_usable(const struct tr_instance *row, apr_time_t now);
 
 /* Outcomes of the whole fleet's requests, as far as they are told. */
--- a/src/explain.c
+++ b/src/explain.c
@@ -212,6 +212,8 @@
 		return EXPLAIN_NO_LIST;
 	if (is_why(story, "too-late"))
 		return EXPLAIN_NO_ROOM;
+	if (is_why(story, "limited"))
+		return EXPLAIN_LIMITED;
 	if (is_why(story, "refused") || is_why(story, "all-tried"))
 		return EXPLAIN_SHED;
 	if (story->disturbance && is_event(story->disturbance, "paused"))
@@ -260,6 +262,8 @@
 			"it had hardly more time than the work usually takes",
 		[EXPLAIN_NO_ROOM] =
 			"no slot would have been free within its aim",
+		[EXPLAIN_LIMITED] =
+			"its targets had as much as the limits they named",
 		[EXPLAIN_SHED] = "the targets rejected it without running it",
 		[EXPLAIN_NO_LIST] = "this VM had no current list of targets",
 		[EXPLAIN_OLD_ROUTES] =
--- a/src/losses.c
+++ b/src/losses.c
@@ -42,6 +42,7 @@
 	[LOSS_FATAL] = { "fatal", "it crashes the targets that run it" },
 	[LOSS_BOUND] = { "bound", "the bound on repeats was reached" },
 	[LOSS_NO_ROOM] = { "no-room", "no slot would have been free in time" },
+	[LOSS_LIMITED] = { "limited", "all targets had named limits" },
 	[LOSS_PATH] = { "path", "no target could be reached from its VM" },
 	[LOSS_NO_LIST] = { "no-list", "its VM knew no targets" },
 	[LOSS_LATE] = { "late", "served, beyond its aim" },
@@ -161,6 +162,8 @@
 		return LOSS_NO_LIST;
 	if (is_why(line, "too-late"))
 		return LOSS_NO_ROOM;
+	if (is_why(line, "limited"))
+		return LOSS_LIMITED;
 	if (logline_number(line, "bound") > 0)
 		return LOSS_BOUND;
 	if (is_why(line, "refused") || is_why(line, "all-tried"))
--- a/tests/explain_test.cc
+++ b/tests/explain_test.cc
@@ -100,7 +100,9 @@
 		"why=too-late took_ms=0 tried= view_age_ms=400");
 	request(10, "a", "y", 503,
 		"why=no-target took_ms=0 tried= view_age_ms=9000");
+	request(10, "a", "z", 503, "why=limited took_ms=0 tried=");
 	EXPECT_EQ(cause_of("x"), EXPLAIN_NO_ROOM);
+	EXPECT_EQ(cause_of("z"), EXPLAIN_LIMITED);
 	EXPECT_TRUE(explain(lines, "y", &story));
 	EXPECT_EQ(story.cause, EXPLAIN_NO_LIST);
 }
--- a/tests/losses_test.cc
+++ b/tests/losses_test.cc
@@ -76,7 +76,9 @@
 	request(10, 503, "why=no-target took_ms=1 runs=0 tried=");
 	request(10, 503, "why=unreached took_ms=1 runs=0 tried=t:0.1:4");
 	request(10, 200, "why=answered took_ms=1200 runs=1 tried=t:0.1:4");
+	request(10, 503, "why=limited took_ms=1 runs=0 tried=");
 	EXPECT_EQ(count(LOSS_NO_ROOM), 1u);
+	EXPECT_EQ(count(LOSS_LIMITED), 1u);
 	EXPECT_EQ(count(LOSS_SHED), 1u);
 	EXPECT_EQ(count(LOSS_BOUND), 1u);
 	EXPECT_EQ(count(LOSS_NO_LIST), 1u);
--- a/tests/notice_path_test.cc
+++ b/tests/notice_path_test.cc
@@ -31,8 +31,9 @@
 
 	Target(std::string id_, const Address &at)
 	    : id(std::move(id_)),
-	      listener(at, [this](int fd,
-				  const std::string &from) { serve(fd, from); })
+	      listener(at, [this](int fd, const std::string &from) {
+		      serve(fd, from);
+	      })
 	{
 	}
 
@@ -91,8 +92,9 @@
 
 	bool handle(int fd, const std::string &request, const std::string &from)
 	{
-		std::string headers = "X-Request-Id: " +
-				      header(request, "X-Request-Id") + "\r\n";
+		std::string headers =
+			"X-Request-Id: " + header(request, "X-Request-Id") +
+			"\r\n";
 		bool away;
 
 		if (header(request, "X-Expect-Instance") != id)
@@ -106,10 +108,9 @@
 			away = turns_away;
 		}
 		if (away)
-			return send_all(fd, http(503,
-						 headers +
-							 "X-Not-Executed: 1\r\n",
-						 ""));
+			return send_all(
+				fd, http(503, headers + "X-Not-Executed: 1\r\n",
+					 ""));
 		usleep(5000);
 		return send_all(fd, http(200, headers + "X-Server-Stamp: s\r\n",
 					 "fine"));
@@ -199,13 +200,13 @@
 
 		if (!target->listener.open())
 			return false;
-		store->write("servers/" + target->id,
-			     R"({"address":")" +
-				     target->listener.address.text() +
-				     R"(","info":{"service":"s1","version":"v",)"
-				     R"("zone":"z0","slots":3},"status":{)"
-				     R"("state":"ready","coldLeft":"0ms",)"
-				     R"("sequence":1}})");
+		store->write(
+			"servers/" + target->id,
+			R"({"address":")" + target->listener.address.text() +
+				R"(","info":{"service":"s1","version":"v",)"
+				R"("zone":"z0","slots":3},"status":{)"
+				R"("state":"ready","coldLeft":"0ms",)"
+				R"("sequence":1}})");
 		targets.push_back(std::move(target));
 		return true;
 	}
--- a/tests/place_test.cc
+++ b/tests/place_test.cc
@@ -301,13 +301,81 @@
 	roster.rows[0].others_in_flight = 12;
 	roster.rows[1].others_in_flight = 12;
 	for (int i = 0; i < 100; i++)
-		after.push_back(tr_place_return_after(
-			&roster, wish.service, wish.usual, &random, now));
+		after.push_back(
+			tr_place_return_after(&roster, &wish, &random, now));
 	EXPECT_GT(*std::max_element(after.begin(), after.end()),
 		  *std::min_element(after.begin(), after.end()) * 3 / 2);
 	EXPECT_GE(*std::min_element(after.begin(), after.end()), wish.usual);
 }
 
+/* Name a limit for the target in the row, and let its bucket fill for a time.
+ */
+void set_limit(tr_roster *roster, uint32_t row, double rate, apr_time_t at)
+{
+	tr_send_limit_named(&roster->limits,
+			    tr_roster_limit_place(roster, &roster->rows[row]),
+			    rate, at, at);
+}
+
+/* Guards against a target that is given more than the limit that it named. */
+TEST_F(Place, ATargetWithALimitGetsNothingBeyondIt)
+{
+	add_many(3);
+	set_limit(&roster, 1, 1, now);
+	EXPECT_EQ(draw(200)[1], 0);
+	now += TR_SEC(2);
+	wish.heard = 1;
+	for (int i = 0; i < 3; i++)
+		roster.rows[i].others_in_flight = i == 1 ? 0 : 3;
+	EXPECT_EQ(draw(20)[1], 20);
+	tr_send_limit_sent(tr_roster_limit(&roster, &roster.rows[1]), 1, now);
+	EXPECT_EQ(draw(200)[1], 0);
+}
+
+/* Guards against VMs that all see the same room and each use it. */
+TEST_F(Place, WhereManyWantALimitedTargetFewTryIt)
+{
+	add_many(3);
+	for (int i = 0; i < 3; i++)
+		roster.rows[i].others_in_flight = i == 1 ? 0 : 3;
+	set_limit(&roster, 1, 1, now);
+	now += TR_SEC(2);
+	wish.heard = 1;
+	wish.wanted = 100;
+	EXPECT_LT(draw(2000)[1], 2000 / 10);
+}
+
+/* Guards against requests that wait, or are told "too late", where all targets
+ * have as much as they take, and come back before there is room. */
+TEST_F(Place, WhereAllTargetsHaveLimitsTheRestIsRefusedUntilThereIsRoom)
+{
+	tr_placing p;
+
+	add_many(2);
+	wish.heard = 1;
+	set_limit(&roster, 0, 0.5, now);
+	set_limit(&roster, 1, 0.5, now);
+	EXPECT_EQ(tr_place(&roster, &wish, &random, now, &p), TR_PLACE_LIMITED);
+	for (int i = 0; i < 20; i++) {
+		apr_time_t after =
+			tr_place_return_after(&roster, &wish, &random, now);
+
+		EXPECT_GE(after, TR_SEC(1));
+		EXPECT_LE(after, TR_SEC(2));
+	}
+}
+
+/* Guards against two groups that each send a target its whole limit. */
+TEST_F(Place, AnotherGroupsTargetWithALimitIsLeftToThatGroup)
+{
+	add_many(2);
+	roster.rows[1].away = true;
+	set_limit(&roster, 1, 5, now);
+	now += TR_SEC(2);
+	wish.heard = 1;
+	EXPECT_EQ(draw(200)[1], 0);
+}
+
 /*
  * Eight VMs that hear of each other's requests 50 ms late place work of 250 ms
  * at ten targets of three slots; 120 requests a second fill them. Counts what
--- /dev/null
+++ b/tests/send_limit_load_test.cc
@@ -0,0 +1,309 @@
+/*
+ * A limit that a target names, against whole fleets on a virtual clock: VMs that
+ * tell each other what they sent by messages of which some are lost, with cuts
+ * and restarts, while far more is wanted than the target takes.
+ */
+#include <algorithm>
+#include <cmath>
+#include <deque>
+#include <gtest/gtest.h>
+#include <random>
+#include <vector>
+
+extern "C" {
+#include "clock.h"
+#include "send_limit.h"
+}
+
+namespace
+{
+
+constexpr apr_time_t STEP = TR_MSEC(5);
+/* How the daemon paces what it tells, and what a message takes. */
+constexpr apr_time_t GAP_LEAST = TR_MSEC(40), GAP_A_VM = TR_MSEC(1),
+		     PERIOD = TR_MSEC(650), WAY = TR_MSEC(5);
+/* The operators' window, from when on they look, and what they allow. */
+constexpr apr_time_t WINDOW = TR_SEC(4), STABLE = TR_SEC(3);
+constexpr double OVER = 1.5, SLACK = 5;
+
+struct Load {
+	unsigned vms = 44;
+	/* Requests a second that want the target, and its limit. */
+	double wanted = 75;
+	double limit = 1;
+	double loss = 0.03;
+	/* From 10 to 15 s on, so many VMs hear none of the others. */
+	unsigned cut = 0;
+	/* VMs that start anew, one a second. */
+	bool restarts = false;
+	/* Three times as much is wanted from 8 to 12 s. */
+	bool burst = false;
+	unsigned seed = 1;
+};
+
+struct Vm {
+	tr_send_limits limits{};
+	uint32_t place = 0;
+	std::vector<uint16_t> told;
+	apr_time_t told_at = 0;
+	bool cut = false;
+};
+
+struct Message {
+	apr_time_t at;
+	unsigned from;
+	unsigned to;
+	uint16_t sent;
+};
+
+class Fleet
+{
+      public:
+	explicit Fleet(const Load &l) : load(l), random(l.seed), vms(l.vms)
+	{
+		for (unsigned i = 0; i < vms.size(); i++)
+			begin(i);
+	}
+
+	~Fleet()
+	{
+		for (Vm &vm : vms)
+			tr_send_limits_release(&vm.limits);
+	}
+
+	void play(apr_time_t span)
+	{
+		for (apr_time_t end = now + span; now < end; now += STEP) {
+			apr_time_t t = now - start;
+			bool burst = load.burst && t > TR_SEC(8) &&
+				     t < TR_SEC(12);
+			double rate = load.wanted * (burst ? 3 : 1);
+
+			set_cut(t);
+			if (load.restarts && t % TR_SEC(1) == 0)
+				begin((unsigned)(t / TR_SEC(1)) %
+				      (unsigned)vms.size());
+			deliver();
+			for (int n = poisson(rate * (double)STEP / 1e6); n; n--)
+				ask(below((unsigned)vms.size()), rate);
+			tell_due();
+		}
+	}
+
+	/* The most that was sent in any window, from the time on at which
+	 * operators look. */
+	unsigned most() const
+	{
+		std::deque<apr_time_t> in;
+		size_t n = 0;
+
+		for (apr_time_t at : sent) {
+			if (at < start + STABLE)
+				continue;
+			in.push_back(at);
+			while (at - in.front() > WINDOW)
+				in.pop_front();
+			n = std::max(n, in.size());
+		}
+		return (unsigned)n;
+	}
+
+	double allowed() const
+	{
+		return OVER * load.limit * 4 + SLACK;
+	}
+
+	/* The part of the limit that is used. */
+	double used() const
+	{
+		auto first = std::lower_bound(sent.begin(), sent.end(),
+					      start + STABLE);
+
+		return (double)(sent.end() - first) /
+		       (load.limit * (double)(now - start - STABLE) / 1e6);
+	}
+
+      private:
+	/* What a VM knows that has just started and was told of the limit. */
+	void begin(unsigned i)
+	{
+		Vm &vm = vms[i];
+
+		tr_send_limits_release(&vm.limits);
+		vm.place = tr_send_limits_add(&vm.limits, 7);
+		tr_send_limit_named(&vm.limits, vm.place, load.limit, now, now);
+		vm.told.assign(vms.size(), 0);
+		for (Vm &other : vms)
+			if (other.told.size() > i)
+				other.told[i] = 0;
+	}
+
+	void set_cut(apr_time_t t)
+	{
+		for (unsigned i = 0; i < vms.size(); i++)
+			vms[i].cut = i < load.cut && t > TR_SEC(10) &&
+				     t < TR_SEC(15);
+		noticed = load.cut && t > TR_SEC(10) + TR_MSEC(200) &&
+			  t < TR_SEC(15);
+	}
+
+	/* The part of the fleet that a VM hears; a cut is noticed when VMs have
+	 * been silent for some of their usual gaps. */
+	double heard(const Vm &vm) const
+	{
+		double part = (double)load.cut / (double)vms.size();
+
+		if (!noticed)
+			return 1;
+		return vm.cut ? 1.0 / (double)vms.size() : 1 - part;
+	}
+
+	void ask(unsigned i, double wanted)
+	{
+		Vm &vm = vms[i];
+		tr_send_limit *l = &vm.limits.rows[vm.place];
+		double tokens = tr_send_limit_tokens(l, heard(vm), now);
+
+		if (tokens < 1 ||
+		    !tr_send_limits_admit(tokens, wanted, unit()))
+			return;
+		tr_send_limit_sent(l, heard(vm), now);
+		sent.push_back(now);
+	}
+
+	void tell_due()
+	{
+		apr_time_t gap = std::max<apr_time_t>(
+			GAP_LEAST, GAP_A_VM * (apr_time_t)vms.size());
+
+		for (unsigned i = 0; i < vms.size(); i++) {
+			Vm &vm = vms[i];
+			tr_send_limit *l = &vm.limits.rows[vm.place];
+
+			if (now - vm.told_at < (l->changed ? gap : PERIOD))
+				continue;
+			l->changed = false;
+			vm.told_at = now;
+			for (unsigned to = 0; to < vms.size(); to++)
+				if (to != i && !vm.cut && !vms[to].cut &&
+				    unit() >= load.loss)
+					inbox.push_back({ now + WAY, i, to,
+							  l->sent });
+		}
+	}
+
+	void deliver()
+	{
+		while (!inbox.empty() && inbox.front().at <= now) {
+			const Message m = inbox.front();
+			Vm &vm = vms[m.to];
+
+			inbox.pop_front();
+			tr_send_limit_heard(&vm.limits.rows[vm.place],
+					    (uint16_t)(m.sent -
+						       vm.told[m.from]),
+					    heard(vm), now);
+			vm.told[m.from] = m.sent;
+		}
+	}
+
+	int poisson(double mean)
+	{
+		return std::poisson_distribution<int>(mean)(random);
+	}
+
+	double unit()
+	{
+		return std::uniform_real_distribution<>(0, 1)(random);
+	}
+
+	unsigned below(unsigned n)
+	{
+		return std::uniform_int_distribution<unsigned>(0,
+							       n - 1)(random);
+	}
+
+	const Load load;
+	std::mt19937_64 random;
+	std::vector<Vm> vms;
+	std::deque<Message> inbox;
+	std::vector<apr_time_t> sent;
+	bool noticed = false;
+	const apr_time_t start = TR_SEC(1000);
+	apr_time_t now = TR_SEC(1000);
+};
+
+void holds(const Load &load, unsigned seeds, apr_time_t span = TR_SEC(30))
+{
+	double used = 0;
+	unsigned most = 0;
+
+	for (unsigned seed = 1; seed <= seeds; seed++) {
+		Load l = load;
+		l.seed = seed;
+		Fleet fleet(l);
+
+		fleet.play(span);
+		EXPECT_LE(fleet.most(), fleet.allowed())
+			<< "seed " << seed << " limit " << load.limit
+			<< " VMs " << load.vms;
+		most = std::max(most, fleet.most());
+		used += fleet.used() / seeds;
+	}
+	printf("vms=%u wanted=%g limit=%g loss=%g: most %u of %g, used %.2f\n",
+	       load.vms, load.wanted, load.limit, load.loss, most,
+	       OVER * load.limit * 4 + SLACK, used);
+}
+
+/* Guards against VMs that all take the same free place at a target. */
+TEST(SendLimitLoad, AFleetKeepsALimitFarBelowOneRequestForEachVm)
+{
+	for (unsigned vms : { 4, 44, 100 })
+		for (double wanted : { 5., 75., 600. })
+			for (double limit : { 0.3, 1., 3., 20. }) {
+				Load l;
+
+				l.vms = vms;
+				l.wanted = wanted;
+				l.limit = limit;
+				holds(l, 5);
+			}
+}
+
+TEST(SendLimitLoad, ItIsKeptWhereMessagesAreLost)
+{
+	Load l;
+
+	l.loss = 0.2;
+	holds(l, 40);
+}
+
+TEST(SendLimitLoad, ItIsKeptWhileAPartOfTheFleetIsCutOff)
+{
+	Load l;
+
+	for (unsigned cut : { 1, 15, 22, 43 }) {
+		l.cut = cut;
+		holds(l, 20);
+	}
+}
+
+TEST(SendLimitLoad, ItIsKeptWhileVmsStartAnew)
+{
+	Load l;
+
+	l.restarts = true;
+	holds(l, 20);
+}
+
+TEST(SendLimitLoad, ItIsKeptInABurst)
+{
+	Load l;
+
+	l.burst = true;
+	holds(l, 20);
+	l.wanted = 600;
+	holds(l, 10);
+}
+
+} // namespace
