--- a/entry/mesh_notices.c
+++ b/entry/mesh_notices.c
@@ -19,7 +19,7 @@
 
 	msg->limits.limits_val[msg->limits.limits_len++] = (struct mesh_limit){
 		.target = l->target,
-		.rate = !l->holds	 ? MESH_NO_LIMIT
+		.rate = !l->holds	   ? MESH_NO_LIMIT
 			: rate < RATE_MOST ? (uint32_t)rate
 					   : RATE_MOST,
 		.age_ms = age < UINT32_MAX ? (uint32_t)age : UINT32_MAX,
@@ -99,10 +99,10 @@
 		return;
 	place = tr_roster_limit_place(roster, row);
 	if (in->rate == MESH_NO_LIMIT)
-		notices_log_limit(row, &roster->limits.rows[place],
-				  tr_send_limit_lifted(&roster->limits, place,
-						       said_at),
-				  "peer");
+		notices_log_limit(
+			row, &roster->limits.rows[place],
+			tr_send_limit_lifted(&roster->limits, place, said_at),
+			"peer");
 	else
 		notices_log_limit(row, &roster->limits.rows[place],
 				  tr_send_limit_named(&roster->limits, place,
--- a/tests/notice_path_test.cc
+++ b/tests/notice_path_test.cc
@@ -19,6 +19,8 @@
 /* When all VMs must keep a limit, and the window in which it is counted. */
 constexpr auto STABLE = std::chrono::seconds(3);
 constexpr auto WINDOW = std::chrono::seconds(4);
+/* How long a target that leaves goes on serving. */
+constexpr auto DRAIN = std::chrono::seconds(2);
 
 /* A target that says in its answers what a test tells it to. */
 class Target
@@ -308,4 +310,19 @@
 	}));
 }
 
+/* Guards against VMs that go on with a target that has said that it leaves, for
+ * as long as the store, which is away or behind, calls it ready. */
+TEST_F(NoticePath, ATargetThatSaysThatItLeavesGetsNoMoreFromAnyVm)
+{
+	begin_calls();
+	ASSERT_TRUE(
+		becomes([&] { return targets[0]->arrivals().size() > 99; }));
+	targets[0]->say("Server-Leaving: 1\r\n");
+	std::this_thread::sleep_for(DRAIN);
+	targets[0]->forget();
+	std::this_thread::sleep_for(DRAIN);
+	EXPECT_EQ(targets[0]->arrivals().size(), 0u);
+	EXPECT_EQ(not_served, 0u);
+}
+
 } // namespace
--- a/tests/send_limit_load_test.cc
+++ b/tests/send_limit_load_test.cc
@@ -1,7 +1,7 @@
 /*
- * A limit that a target names, against whole fleets on a virtual clock: VMs that
- * tell each other what they sent by messages of which some are lost, with cuts
- * and restarts, while far more is wanted than the target takes.
+ * A limit that a target names, against whole fleets on a virtual clock: VMs
+ * that tell each other what they sent by messages of which some are lost, with
+ * cuts and restarts, while far more is wanted than the target takes.
  */
 #include <algorithm>
 #include <cmath>
@@ -75,8 +75,8 @@
 	{
 		for (apr_time_t end = now + span; now < end; now += STEP) {
 			apr_time_t t = now - start;
-			bool burst = load.burst && t > TR_SEC(8) &&
-				     t < TR_SEC(12);
+			bool burst =
+				load.burst && t > TR_SEC(8) && t < TR_SEC(12);
 			double rate = load.wanted * (burst ? 3 : 1);
 
 			set_cut(t);
@@ -164,8 +164,7 @@
 		tr_send_limit *l = &vm.limits.rows[vm.place];
 		double tokens = tr_send_limit_tokens(l, heard(vm), now);
 
-		if (tokens < 1 ||
-		    !tr_send_limits_admit(tokens, wanted, unit()))
+		if (tokens < 1 || !tr_send_limits_admit(tokens, wanted, unit()))
 			return;
 		tr_send_limit_sent(l, heard(vm), now);
 		sent.push_back(now);
@@ -187,8 +186,8 @@
 			for (unsigned to = 0; to < vms.size(); to++)
 				if (to != i && !vm.cut && !vms[to].cut &&
 				    unit() >= load.loss)
-					inbox.push_back({ now + WAY, i, to,
-							  l->sent });
+					inbox.push_back(
+						{ now + WAY, i, to, l->sent });
 		}
 	}
 
@@ -199,10 +198,10 @@
 			Vm &vm = vms[m.to];
 
 			inbox.pop_front();
-			tr_send_limit_heard(&vm.limits.rows[vm.place],
-					    (uint16_t)(m.sent -
-						       vm.told[m.from]),
-					    heard(vm), now);
+			tr_send_limit_heard(
+				&vm.limits.rows[vm.place],
+				(uint16_t)(m.sent - vm.told[m.from]), heard(vm),
+				now);
 			vm.told[m.from] = m.sent;
 		}
 	}
@@ -245,8 +244,8 @@
 
 		fleet.play(span);
 		EXPECT_LE(fleet.most(), fleet.allowed())
-			<< "seed " << seed << " limit " << load.limit
-			<< " VMs " << load.vms;
+			<< "seed " << seed << " limit " << load.limit << " VMs "
+			<< load.vms;
 		most = std::max(most, fleet.most());
 		used += fleet.used() / seeds;
 	}
