Give no more work to a target that has said in an answer that it leaves

What callers saw: a target that left got requests 2.0 to 4.0 s after it had told the VM that sent them, up to its end; it was served on by luck.

Change: what a target says of its end holds until that end, beside the store's word; all VMs are told at once and again while the target is listed, in groups too; what begins again on a new connection asks as well.

Why it holds: the one check that all sends ask for (usable) refuses it, it is bound to a start of the target and not to an address, and an answer without the word takes nothing back.

--- a/entry/mesh.c
+++ b/entry/mesh.c
@@ -154,7 +154,7 @@
 {
 	const struct tr_node *node = tr_membership_learn(&mesh->e->members, ip);
 	apr_time_t now = entry_now(mesh->e);
-	struct mesh_limit limits[MESH_MAX_LIMITS];
+	struct mesh_notices notices;
 	struct mesh_fatals fatals;
 	struct mesh_nodes lists;
 	struct mesh_message msg;
@@ -164,9 +164,9 @@
 	mesh_add_nodes(mesh, &msg, &lists,
 		       node->near ? NULL : node->data_centre, MESH_MAX_NODES,
 		       now);
-	mesh_add_limits_again(mesh, &msg, limits, BYTES_LIMITS, now);
+	mesh_add_notices_again(mesh, &msg, &notices, BYTES_NOTICES, now);
 	mesh_add_known_fatals(mesh, &msg, &fatals,
-			      DATAGRAM_MOST - BYTES_HEAD - BYTES_LIMITS -
+			      DATAGRAM_MOST - BYTES_HEAD - BYTES_NOTICES -
 				      sizeof(lists.nodes) - BYTES_CENTRE,
 			      now);
 	mesh_send_message(mesh, ip, &msg, MESH_TELL);
@@ -223,8 +223,8 @@
 		mesh_send(mesh, drawn[c]->ip, buf, len);
 }
 
-static void tell_near(struct mesh *mesh, struct mesh_message *msg,
-		      apr_time_t now)
+/* To all VMs of this group; a list's changes to the other groups too. */
+void mesh_tell_near(struct mesh *mesh, struct mesh_message *msg, apr_time_t now)
 {
 	char buf[DATAGRAM_MOST];
 	size_t len = mesh_encode(msg, MESH_TELL, buf, sizeof(buf));
@@ -253,7 +253,7 @@
 		msg.flags |= MESH_LISTS;
 		mesh_add_changes(mesh, &msg, &changes, &next, now);
 		if (mesh_bytes_of_changes(&msg))
-			tell_near(mesh, &msg, now);
+			mesh_tell_near(mesh, &msg, now);
 	}
 }
 
@@ -263,7 +263,7 @@
 	struct mesh_row rows[MESH_MAX_ROWS];
 	struct mesh_work work[MESH_MAX_WORK];
 	struct mesh_use uses[MESH_MAX_USES];
-	struct mesh_limit limits[MESH_MAX_LIMITS];
+	struct mesh_notices notices;
 	struct mesh_fatals fatals;
 	struct mesh_nodes nodes;
 	apr_time_t now = entry_now(mesh->e);
@@ -286,14 +286,14 @@
 					     DATAGRAM_MOST - used, now);
 	used += mesh_bytes_of_fatals(&msg);
 	if (used < DATAGRAM_MOST)
-		used += mesh_add_limits(mesh, &msg, limits,
-					DATAGRAM_MOST - used, now);
+		used += mesh_add_notices(mesh, &msg, &notices,
+					 DATAGRAM_MOST - used, now);
 	if (used < DATAGRAM_MOST)
 		add_rows(mesh, &msg, rows, DATAGRAM_MOST - used);
 	mesh->lists = false;
 	mesh->soon = false;
 	mesh->told_at = now;
-	tell_near(mesh, &msg, now);
+	mesh_tell_near(mesh, &msg, now);
 	if (fatal_news)
 		mesh_fatals_to_groups(mesh, &msg, now);
 	if (lists)
--- a/entry/mesh.h
+++ b/entry/mesh.h
@@ -9,6 +9,7 @@
 void mesh_tell_list(struct mesh *mesh);
 void mesh_tell_now(struct mesh *mesh);
 void mesh_tell_limit(struct mesh *mesh, uint32_t place);
+void mesh_tell_leaving(struct mesh *mesh, uint32_t target);
 void mesh_seeds(struct mesh *mesh);
 uint32_t mesh_proof_age(const struct entry *e);
 void mesh_close(struct mesh *mesh);
--- a/entry/mesh.x
+++ b/entry/mesh.x
@@ -15,6 +15,7 @@
 const MESH_MAX_ENDS = 6;
 const MESH_MAX_FATALS = 8;
 const MESH_MAX_LIMITS = 16;
+const MESH_MAX_LEAVING = 16;
 
 /* Running totals of the sender's outcomes at a target, two a word. */
 struct mesh_row {
@@ -142,6 +143,8 @@
 	mesh_mark marks<MESH_MAX_MARKS>;
 	mesh_fatal fatals<MESH_MAX_FATALS>;
 	mesh_limit limits<MESH_MAX_LIMITS>;
+	/* Targets that have said in their answers that they leave. */
+	unsigned int leaving<MESH_MAX_LEAVING>;
 };
 
 program MESH_PEER {
--- a/entry/mesh_away.c
+++ b/entry/mesh_away.c
@@ -145,7 +145,7 @@
 	struct mesh_member others[MESH_MAX_MEMBERS];
 	struct mesh_state states[MESH_MAX_STATES];
 	struct mesh_demand demands[MESH_MAX_DEMANDS];
-	struct mesh_limit limits[MESH_MAX_LIMITS];
+	struct mesh_notices notices;
 	struct mesh_fatals fatals;
 	uint32_t members[MESH_MAX_MEMBERS];
 	uint32_t nodes[NODES_NAMED];
@@ -166,8 +166,8 @@
 		mesh_add_fatals(mesh, &msg, &fatals, DATAGRAM_MOST - used, now);
 	used += mesh_bytes_of_fatals(&msg);
 	if (used < DATAGRAM_MOST)
-		used += mesh_add_limits_again(mesh, &msg, limits,
-					      DATAGRAM_MOST - used, now);
+		used += mesh_add_notices_again(mesh, &msg, &notices,
+					       DATAGRAM_MOST - used, now);
 	if (used < DATAGRAM_MOST)
 		add_states(mesh, &msg, states, DATAGRAM_MOST - used, now);
 	for (unsigned g = 0; g < m->groups_count; g++) {
--- a/entry/mesh_internal.h
+++ b/entry/mesh_internal.h
@@ -12,10 +12,12 @@
 #define MESH_LISTS	 8U
 #define MESH_ANSWER	 16U
 /* One datagram, without fragments on an ordinary link. */
-#define DATAGRAM_MOST  1400
-#define BYTES_HEAD     264
-#define BYTES_CENTRE   80
-#define BYTES_LIMITS   (MESH_MAX_LIMITS * sizeof(struct mesh_limit))
+#define DATAGRAM_MOST 1400
+#define BYTES_HEAD    268
+#define BYTES_CENTRE  80
+#define BYTES_NOTICES                                  \
+	(MESH_MAX_LIMITS * sizeof(struct mesh_limit) + \
+	 MESH_MAX_LEAVING * sizeof(uint32_t))
 #define RECORD_LEAVING 1U
 #define RECORD_GONE    2U
 
@@ -38,6 +40,12 @@
 	struct mesh_end ends[MESH_MAX_FATALS][MESH_MAX_ENDS];
 };
 
+/* Room for what targets said of themselves that one message tells. */
+struct mesh_notices {
+	struct mesh_limit limits[MESH_MAX_LIMITS];
+	uint32_t leaving[MESH_MAX_LEAVING];
+};
+
 struct mesh {
 	struct entry *e;
 	int fd;
@@ -47,6 +55,7 @@
 	bool lists;
 	apr_time_t told_at;
 	uint32_t row_again;
+	uint32_t leaving_again;
 	uint32_t state_next;
 	uint32_t node_next;
 	uint32_t homes_of;
@@ -72,6 +81,8 @@
 		      struct mesh_changes *lists, uint32_t *next,
 		      apr_time_t now);
 size_t mesh_bytes_of_changes(const struct mesh_message *msg);
+void mesh_tell_near(struct mesh *mesh, struct mesh_message *msg,
+		    apr_time_t now);
 void mesh_fill_head(struct mesh *mesh, struct mesh_message *msg);
 void mesh_send(struct mesh *mesh, uint32_t ip, const char *buf, size_t len);
 void mesh_send_message(struct mesh *mesh, uint32_t ip, struct mesh_message *msg,
@@ -103,13 +114,14 @@
 			   apr_time_t now);
 void mesh_take_fatals(struct mesh *mesh, const struct mesh_message *msg,
 		      apr_time_t now);
-size_t mesh_add_limits(struct mesh *mesh, struct mesh_message *msg,
-		       struct mesh_limit *limits, size_t room, apr_time_t now);
-size_t mesh_add_limits_again(struct mesh *mesh, struct mesh_message *msg,
-			     struct mesh_limit *limits, size_t room,
-			     apr_time_t now);
-void mesh_take_send_limits(struct mesh *mesh, struct tr_node *node,
-			   const struct mesh_message *msg, apr_time_t now);
+size_t mesh_add_notices(struct mesh *mesh, struct mesh_message *msg,
+			struct mesh_notices *lists, size_t room,
+			apr_time_t now);
+size_t mesh_add_notices_again(struct mesh *mesh, struct mesh_message *msg,
+			      struct mesh_notices *lists, size_t room,
+			      apr_time_t now);
+void mesh_take_notices(struct mesh *mesh, struct tr_node *node,
+		       const struct mesh_message *msg, apr_time_t now);
 void mesh_call_one(struct mesh *mesh, uint32_t ip, bool answer);
 void mesh_forget_lost(struct mesh *mesh, apr_time_t now);
 void mesh_forget_told(struct mesh *mesh, struct tr_node *node);
--- a/entry/mesh_notices.c
+++ b/entry/mesh_notices.c
@@ -41,9 +41,9 @@
 
 /* A few limits that were told before, if there is room for them in bytes.
  * Returns the bytes that all limits of the message take. */
-size_t mesh_add_limits_again(struct mesh *mesh, struct mesh_message *msg,
-			     struct mesh_limit *limits, size_t room,
-			     apr_time_t now)
+static size_t add_limits_again(struct mesh *mesh, struct mesh_message *msg,
+			       struct mesh_limit *limits, size_t room,
+			       apr_time_t now)
 {
 	struct tr_send_limits *all = &mesh->e->roster.limits;
 	unsigned most = rows_in(room);
@@ -66,8 +66,8 @@
 
 /* Limits that have changed, as many as there is room for in bytes, and a few
  * that were told before. Returns the bytes that they take. */
-size_t mesh_add_limits(struct mesh *mesh, struct mesh_message *msg,
-		       struct mesh_limit *limits, size_t room, apr_time_t now)
+static size_t add_limits(struct mesh *mesh, struct mesh_message *msg,
+			 struct mesh_limit *limits, size_t room, apr_time_t now)
 {
 	struct tr_send_limits *all = &mesh->e->roster.limits;
 	unsigned most = rows_in(room);
@@ -82,7 +82,7 @@
 		l->changed = false;
 		add_limit(msg, l, now);
 	}
-	return mesh_add_limits_again(mesh, msg, limits, room, now);
+	return add_limits_again(mesh, msg, limits, room, now);
 }
 
 static void take_limit(struct mesh *mesh, struct tr_node *node,
@@ -118,29 +118,100 @@
 	told->sent = (uint16_t)in->sent;
 }
 
-/* Take in what another VM, of this group or another, tells of limits. */
-void mesh_take_send_limits(struct mesh *mesh, struct tr_node *node,
-			   const struct mesh_message *msg, apr_time_t now)
+/* A few targets that have said that they leave. It is told for as long as the
+ * platform lists them: what one message loses comes with the next. */
+static size_t add_leaving(struct mesh *mesh, struct mesh_message *msg,
+			  uint32_t *leaving, size_t room)
 {
+	const struct tr_roster *roster = &mesh->e->roster;
+	unsigned most = (unsigned)(room / sizeof(*leaving));
+
+	if (most > MESH_MAX_LEAVING)
+		most = MESH_MAX_LEAVING;
+	msg->leaving.leaving_val = leaving;
+	for (unsigned i = 0; roster->saying_leaving && i < roster->count &&
+			     msg->leaving.leaving_len < most;
+	     i++) {
+		const struct tr_instance *row =
+			&roster->rows[mesh->leaving_again++ % roster->count];
+
+		if (row->used && row->says_leaving && !row->gone)
+			leaving[msg->leaving.leaving_len++] = row->hash;
+	}
+	return msg->leaving.leaving_len * sizeof(*leaving);
+}
+
+/* What was told before, in case it was lost, and for a VM that has just
+ * started. Returns the bytes that it takes. */
+size_t mesh_add_notices_again(struct mesh *mesh, struct mesh_message *msg,
+			      struct mesh_notices *lists, size_t room,
+			      apr_time_t now)
+{
+	size_t used = add_leaving(mesh, msg, lists->leaving, room);
+
+	return used +
+	       add_limits_again(mesh, msg, lists->limits, room - used, now);
+}
+
+/* What targets said of themselves: limits that have changed, and some of what
+ * was told before. Returns the bytes that it takes. */
+size_t mesh_add_notices(struct mesh *mesh, struct mesh_message *msg,
+			struct mesh_notices *lists, size_t room, apr_time_t now)
+{
+	size_t used = add_leaving(mesh, msg, lists->leaving, room);
+
+	return used + add_limits(mesh, msg, lists->limits, room - used, now);
+}
+
+/* Take in what another VM, of this group or another, tells. */
+void mesh_take_notices(struct mesh *mesh, struct tr_node *node,
+		       const struct mesh_message *msg, apr_time_t now)
+{
+	for (u_int i = 0; i < msg->leaving.leaving_len; i++) {
+		struct tr_instance *row = tr_roster_by_hash(
+			&mesh->e->roster, msg->leaving.leaving_val[i]);
+
+		if (row && row->used)
+			notices_take_leaving(mesh->e, row, "peer");
+	}
 	for (u_int i = 0; i < msg->limits.limits_len; i++)
 		take_limit(mesh, node, &msg->limits.limits_val[i], now);
 }
 
-/* Tell the other groups what this VM has just heard of a target's limit: a VM
- * of theirs may send there as well. */
+static void to_groups(struct mesh *mesh, struct mesh_message *msg,
+		      apr_time_t now)
+{
+	char buf[DATAGRAM_MOST];
+	size_t len = mesh_encode(msg, MESH_HAND_ON, buf, sizeof(buf));
+
+	if (len)
+		mesh_to_other_groups(mesh, buf, len, now);
+}
+
+/* Tell all, and the other groups, whose VMs may send there as well, what this
+ * VM has just heard of a target's limit. */
 void mesh_tell_limit(struct mesh *mesh, uint32_t place)
 {
 	apr_time_t now = entry_now(mesh->e);
 	struct mesh_limit limit;
 	struct mesh_message msg;
-	char buf[DATAGRAM_MOST];
-	size_t len;
 
 	mesh_tell_now(mesh);
 	mesh_fill_head(mesh, &msg);
 	msg.limits.limits_val = &limit;
 	add_limit(&msg, &mesh->e->roster.limits.rows[place], now);
-	len = mesh_encode(&msg, MESH_HAND_ON, buf, sizeof(buf));
-	if (len)
-		mesh_to_other_groups(mesh, buf, len, now);
+	to_groups(mesh, &msg, now);
+}
+
+/* The same where a target has said that it leaves. */
+void mesh_tell_leaving(struct mesh *mesh, uint32_t target)
+{
+	apr_time_t now = entry_now(mesh->e);
+	struct mesh_message msg;
+
+	mesh_fill_head(mesh, &msg);
+	msg.leaving.leaving_val = &target;
+	msg.leaving.leaving_len = 1;
+	mesh_tell_near(mesh, &msg, now);
+	to_groups(mesh, &msg, now);
 }
--- a/entry/mesh_take.c
+++ b/entry/mesh_take.c
@@ -248,7 +248,7 @@
 		take_row(mesh, node, &msg->rows.rows_val[i], now);
 	mesh_take_fatals(mesh, msg, now);
 	mesh_take_limits(mesh, node, msg, now);
-	mesh_take_send_limits(mesh, node, msg, now);
+	mesh_take_notices(mesh, node, msg, now);
 	mesh_take_proof(mesh, msg, ip);
 	take_list(mesh, node, msg, now);
 	/* From here on the VM's row may move. */
--- a/entry/mesh_xdr.c
+++ b/entry/mesh_xdr.c
@@ -460,5 +460,8 @@
 	 if (!xdr_array (xdrs, (char **)&objp->limits.limits_val, (u_int *) &objp->limits.limits_len, MESH_MAX_LIMITS,
 		sizeof (mesh_limit), (xdrproc_t) xdr_mesh_limit))
 		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->leaving.leaving_val, (u_int *) &objp->leaving.leaving_len, MESH_MAX_LEAVING,
+		sizeof (u_int), (xdrproc_t) xdr_u_int))
+		 return FALSE;
 	return TRUE;
 }
--- a/entry/mesh_xdr.h
+++ b/entry/mesh_xdr.h
@@ -28,6 +28,7 @@
 #define MESH_MAX_ENDS 6
 #define MESH_MAX_FATALS 8
 #define MESH_MAX_LIMITS 16
+#define MESH_MAX_LEAVING 16
 
 struct mesh_row {
 	u_int target;
@@ -188,6 +189,10 @@
 		u_int limits_len;
 		mesh_limit *limits_val;
 	} limits;
+	struct {
+		u_int leaving_len;
+		u_int *leaving_val;
+	} leaving;
 };
 typedef struct mesh_message mesh_message;
 
--- a/entry/notices.c
+++ b/entry/notices.c
@@ -69,12 +69,16 @@
 		mesh_tell_limit(e->mesh, place);
 }
 
-static void take_leaving(struct tr_instance *row)
+/* The target has said that it leaves, to this VM or another. True when that is
+ * news here. */
+bool notices_take_leaving(struct entry *e, struct tr_instance *row,
+			  const char *from)
 {
-	if (row->says_leaving)
-		return;
-	row->says_leaving = true;
-	eventlog(EVENT_BELIEF, "target-leaving", "id=%s", row->id);
+	if (!tr_roster_says_leaving(&e->roster, row))
+		return false;
+	eventlog(EVENT_BELIEF, "target-leaving", "id=%s from=%s", row->id,
+		 from);
+	return true;
 }
 
 /* A line where a rest begins, not where it is named once more. */
@@ -104,8 +108,8 @@
 		log_unreadable(e, row, "limit", "requests a second");
 	else
 		take_limit(e, row, &notice, answer->parser.status_code);
-	if (notice.leaving)
-		take_leaving(row);
+	if (notice.leaving && notices_take_leaving(e, row, "answer"))
+		mesh_tell_leaving(e->mesh, row->hash);
 	if (notice.rest_is == TR_NOTICE_UNREADABLE)
 		log_unreadable(e, row, "rest", "seconds");
 	else if (notice.rest_is == TR_NOTICE_GIVEN)
--- a/entry/upstream.c
+++ b/entry/upstream.c
@@ -309,7 +309,7 @@
 	struct entry *e = u->e;
 	apr_time_t now = entry_now(e);
 
-	return row && limit_allows(u, row) &&
+	return row && tr_instance_usable(row, now) && limit_allows(u, row) &&
 	       tr_allowance_spend(
 		       entry_allowance(e, row->service), &e->repeat_bound,
 		       tr_membership_heard_share(&e->members, now), now);
--- a/lib/roster.c
+++ b/lib/roster.c
@@ -128,7 +128,8 @@
 {
 	if (row->gone || row->lapsed_at)
 		return;
-	if (may_have_lapsed(roster, now) && !row->leaving) {
+	if (may_have_lapsed(roster, now) && !row->leaving &&
+	    !row->says_leaving) {
 		row->lapsed_at = roster->returned_at;
 		row->changed_at = now;
 		return;
@@ -405,6 +406,7 @@
 	tr_index_remove(&roster->by_hash, row->hash, i);
 	if (row->limit != TR_NO_ROW)
 		tr_send_limits_drop(&roster->limits, row->limit);
+	roster->saying_leaving -= row->says_leaving;
 	row->used = false;
 }
 
@@ -524,10 +526,20 @@
 	return row->limit;
 }
 
+/* The target has said in an answer that it leaves; true when that is news. */
+bool tr_roster_says_leaving(struct tr_roster *roster, struct tr_instance *row)
+{
+	if (row->says_leaving)
+		return false;
+	row->says_leaving = true;
+	roster->saying_leaving++;
+	return true;
+}
+
 /* May the target be given new work? */
 bool tr_instance_usable(const struct tr_instance *row, apr_time_t now)
 {
-	return row->used && !row->gone && !row->leaving &&
+	return row->used && !row->gone && !row->leaving && !row->says_leaving &&
 	       row->unreachable_until <= now;
 }
 
--- a/lib/roster.h
+++ b/lib/roster.h
@@ -37,7 +37,8 @@
  * summary said of work in progress. kept counts this VM's connections to it
  * that rest. limit is the place of its row among the limits that targets have
  * named, TR_NO_ROW for none; says_leaving and rests_until are what else it said
- * of itself in its answers.
+ * of itself in its answers. Unlike leaving, which is the platform's word,
+ * says_leaving holds until the target's end.
  */
 struct tr_instance {
 	bool used;
@@ -84,7 +85,8 @@
  * All targets that the platform lists. current_at is when the list was last
  * known to be whole and current, by the steady clock. homes_due: targets came
  * whose home is not known. away_changed: another group's target has something
- * new to be told.
+ * new to be told. saying_leaving counts the targets that have said that they
+ * leave.
  */
 struct tr_roster {
 	struct tr_instance *rows;
@@ -93,6 +95,7 @@
 	struct tr_index by_hash;
 	struct tr_index by_id;
 	struct tr_send_limits limits;
+	unsigned saying_leaving;
 	uint32_t list_mark;
 	bool homes_due;
 	bool away_changed;
@@ -134,6 +137,7 @@
 				      const struct tr_instance *row);
 uint32_t tr_roster_limit_place(struct tr_roster *roster,
 			       struct tr_instance *row);
+bool tr_roster_says_leaving(struct tr_roster *roster, struct tr_instance *row);
 bool tr_instance_usable(const struct tr_instance *row, apr_time_t now);
 
 /* Outcomes of the whole fleet's requests, as far as they are told. */
--- a/tests/mesh_test.cc
+++ b/tests/mesh_test.cc
@@ -129,4 +129,58 @@
 	EXPECT_EQ(tell().marks.size(), 0u);
 }
 
+/* Guards against a limit or a target's end that no VM hears of, since one
+ * message was lost. */
+TEST_F(Changes, WhatTargetsSayOfThemselvesIsToldAgain)
+{
+	std::set<uint32_t> limited, leaving;
+
+	for (unsigned i = 0; i < 40; i++) {
+		tr_instance *row = &e.roster.rows[i];
+		uint32_t place = tr_roster_limit_place(&e.roster, row);
+
+		tr_send_limit_named(&e.roster.limits, place, 1, now, now);
+		tr_roster_says_leaving(&e.roster, &e.roster.rows[100 + i]);
+	}
+	for (int i = 0; i < 20; i++) {
+		mesh_notices lists{};
+		mesh_message msg{};
+		size_t used =
+			mesh_add_notices_again(&m, &msg, &lists, 400, now);
+
+		EXPECT_LE(used, 400u);
+		for (u_int k = 0; k < msg.limits.limits_len; k++)
+			limited.insert(msg.limits.limits_val[k].target);
+		for (u_int k = 0; k < msg.leaving.leaving_len; k++)
+			leaving.insert(msg.leaving.leaving_val[k]);
+	}
+	EXPECT_EQ(limited.size(), 40u);
+	EXPECT_EQ(leaving.size(), 40u);
+}
+
+/* Guards against messages that are never sent, because they do not fit. */
+TEST_F(Changes, AMessageWithAllThatTargetsSayFitsIntoADatagram)
+{
+	mesh_notices lists{};
+	mesh_message msg{};
+	char buf[DATAGRAM_MOST];
+	char centre[MESH_MAX_ID + 1] = "a-data-centre-with-a-long-name";
+
+	for (unsigned i = 0; i < 40; i++) {
+		tr_instance *row = &e.roster.rows[i];
+		uint32_t place = tr_roster_limit_place(&e.roster, row);
+
+		tr_send_limit_named(&e.roster.limits, place, 1, now, now);
+		e.roster.limits.rows[place].changed = true;
+		tr_roster_says_leaving(&e.roster, row);
+	}
+	msg.data_centre = centre;
+	EXPECT_EQ(mesh_add_notices(&m, &msg, &lists, BYTES_NOTICES, now),
+		  BYTES_NOTICES);
+	size_t len = mesh_encode(&msg, MESH_TELL, buf, sizeof(buf));
+
+	EXPECT_GT(len, 0u);
+	EXPECT_LE(len, BYTES_HEAD + BYTES_NOTICES);
+}
+
 } // namespace
--- a/tests/roster_test.cc
+++ b/tests/roster_test.cc
@@ -131,6 +131,27 @@
  * revision 9, a target is added at 10 and heard of, then the list is applied.
  * Cause: what a list does not name was dropped though it is newer.
  */
+/* Guards against a platform that is behind: it calls a target ready that has
+ * said itself that it leaves. */
+TEST_F(Roster, WhatATargetSaysOfItsEndOutlivesThePlatformsWord)
+{
+	apply("a", 1);
+	EXPECT_TRUE(tr_roster_says_leaving(&roster, row("a")));
+	EXPECT_FALSE(tr_roster_says_leaving(&roster, row("a")));
+	EXPECT_FALSE(tr_instance_usable(row("a"), now));
+	apply("a", 2);
+	EXPECT_FALSE(tr_instance_usable(row("a"), now));
+	/* And it does not wait to be registered again after an interruption. */
+	tr_roster_current(&roster, 2, 0, now);
+	now += TR_SEC(9);
+	tr_roster_current(&roster, 3, 0, now);
+	apply("a", 4, false, true);
+	EXPECT_TRUE(row("a")->gone);
+	now += TR_SEC(70);
+	tr_roster_step(&roster, now);
+	EXPECT_EQ(roster.saying_leaving, 0u);
+}
+
 TEST_F(Roster, AListDropsNothingThatIsNewer)
 {
 	apply("a", 10);
