Room in a call's answer for the requests that crash targets

Cause: the answer to a VM's first call took its room for what targets say of themselves before that for requests that crash targets, and reckoned with the longest list of VMs: 92 bytes were left, one row takes up to 104. Now the bytes of the named VMs are counted, the requests come first, and notices take what is left; routine messages tell these again.

--- a/entry/mesh.c
+++ b/entry/mesh.c
@@ -148,8 +148,8 @@
 }
 
 /* Call one VM, with those that this one hears in the other's group, by which a
- * VM that has just started finds it, and with the requests that it must not
- * send on. */
+ * VM that has just started finds it, with the requests that it must not send
+ * on, and with what targets said of themselves. */
 void mesh_call_one(struct mesh *mesh, uint32_t ip, bool answer)
 {
 	const struct tr_node *node = tr_membership_learn(&mesh->e->members, ip);
@@ -158,17 +158,17 @@
 	struct mesh_fatals fatals;
 	struct mesh_nodes lists;
 	struct mesh_message msg;
+	size_t room;
 
 	mesh_fill_head(mesh, &msg);
 	msg.flags |= answer ? MESH_ANSWER : 0;
 	mesh_add_nodes(mesh, &msg, &lists,
 		       node->near ? NULL : node->data_centre, MESH_MAX_NODES,
 		       now);
-	mesh_add_notices_again(mesh, &msg, &notices, BYTES_NOTICES, now);
-	mesh_add_known_fatals(mesh, &msg, &fatals,
-			      DATAGRAM_MOST - BYTES_HEAD - BYTES_NOTICES -
-				      sizeof(lists.nodes) - BYTES_CENTRE,
-			      now);
+	room = DATAGRAM_MOST - BYTES_HEAD - mesh_bytes_of_nodes(&msg);
+	mesh_add_known_fatals(mesh, &msg, &fatals, room, now);
+	room -= mesh_bytes_of_fatals(&msg);
+	mesh_add_notices_again(mesh, &msg, &notices, room, now);
 	mesh_send_message(mesh, ip, &msg, MESH_TELL);
 }
 
--- a/entry/mesh_internal.h
+++ b/entry/mesh_internal.h
@@ -15,6 +15,7 @@
 #define DATAGRAM_MOST 1400
 #define BYTES_HEAD    268
 #define BYTES_CENTRE  80
+#define BYTES_A_NODE  4
 #define BYTES_NOTICES                                  \
 	(MESH_MAX_LIMITS * sizeof(struct mesh_limit) + \
 	 MESH_MAX_LEAVING * sizeof(uint32_t))
@@ -77,6 +78,7 @@
 void mesh_add_nodes(struct mesh *mesh, struct mesh_message *msg,
 		    struct mesh_nodes *lists, const char *centre, unsigned most,
 		    apr_time_t now);
+size_t mesh_bytes_of_nodes(const struct mesh_message *msg);
 void mesh_add_changes(const struct mesh *mesh, struct mesh_message *msg,
 		      struct mesh_changes *lists, uint32_t *next,
 		      apr_time_t now);
--- a/entry/mesh_nodes.c
+++ b/entry/mesh_nodes.c
@@ -3,6 +3,9 @@
 
 #include "mesh_internal.h"
 
+/* The lengths of a data centre's name and of its list, and the padding. */
+#define CENTRE_HEAD 11
+
 static void add_nodes_of(const struct tr_membership *m,
 			 struct mesh_centre *centre, uint32_t *nodes,
 			 unsigned start, unsigned most, apr_time_t now)
@@ -58,3 +61,17 @@
 	msg->centres.centres_val = lists->centres;
 	msg->centres.centres_len = n;
 }
+
+/* What the named VMs take of a message; names are padded to words. */
+size_t mesh_bytes_of_nodes(const struct mesh_message *msg)
+{
+	size_t bytes = 0;
+
+	for (u_int c = 0; c < msg->centres.centres_len; c++) {
+		const struct mesh_centre *centre = &msg->centres.centres_val[c];
+
+		bytes += CENTRE_HEAD + strlen(centre->name) +
+			 centre->nodes.nodes_len * BYTES_A_NODE;
+	}
+	return bytes;
+}
