--- a/tests/notice_path_test.cc
+++ b/tests/notice_path_test.cc
@@ -21,6 +21,10 @@
 constexpr auto WINDOW = std::chrono::seconds(4);
 /* How long a target that leaves goes on serving. */
 constexpr auto DRAIN = std::chrono::seconds(2);
+/* How long a target wants nothing from a VM that it has turned away, and from
+ * when on that is counted. */
+constexpr auto REST = std::chrono::seconds(3);
+constexpr auto REST_SLACK = std::chrono::milliseconds(500);
 
 /* A target that says in its answers what a test tells it to. */
 class Target
@@ -76,6 +80,25 @@
 		return (unsigned)most;
 	}
 
+	/* The most requests that one VM sent in a rest that it was asked for,
+	 * where each of them is answered by one. */
+	unsigned most_in_a_rest(Clock::duration rest)
+	{
+		unsigned most = 0;
+		auto all = arrivals();
+
+		for (const Arrival &asked : all) {
+			unsigned n = 0;
+
+			for (const Arrival &a : all)
+				n += a.vm == asked.vm &&
+				     a.at > asked.at + REST_SLACK &&
+				     a.at < asked.at + rest;
+			most = std::max(most, n);
+		}
+		return most;
+	}
+
 	const std::string id;
 	Listener listener;
 
@@ -325,4 +348,23 @@
 	EXPECT_EQ(not_served, 0u);
 }
 
+/* Guards against a VM that asks a target that wants rest again and again, and
+ * spends the fleet's repeats on what it turns away. */
+TEST_F(NoticePath, ATargetThatWantsRestIsLeftAloneByTheVmThatItTold)
+{
+	begin_calls();
+	ASSERT_TRUE(
+		becomes([&] { return targets[0]->arrivals().size() > 99; }));
+	targets[0]->say("Retry-After: 3\r\n", true);
+	targets[0]->forget();
+	std::this_thread::sleep_for(3 * REST);
+	EXPECT_LE(targets[0]->most_in_a_rest(REST), 2u);
+	EXPECT_GE(targets[0]->arrivals().size(), VMS);
+	EXPECT_EQ(not_served, 0u);
+	targets[0]->say("");
+	EXPECT_TRUE(becomes([&] {
+		return targets[0]->most_within(std::chrono::seconds(1)) > 8;
+	}));
+}
+
 } // namespace
