Leave a target alone for the rest that it has asked this VM for

What callers saw: 53 reads refused in five seconds, most after one attempt at one of three targets that turned all away; these got 3 and 4 requests of one VM within the 3 s of rest that they had asked it for (2 allowed).

Change: the time holds for the VM that was told, by the check that all sends ask for; where all targets that serve rest, callers are refused at once with the time until the first has rested. Its kept connections stay.

--- a/entry/exchange.c
+++ b/entry/exchange.c
@@ -126,8 +126,8 @@
 	return res;
 }
 
-static const char *const place_words[] = { "found", "no-target", "all-tried",
-					   "too-late", "limited" };
+static const char *const place_words[] = { "found",    "no-target", "all-tried",
+					   "too-late", "limited",   "resting" };
 
 /* Send the request to a target, or let it wait; NULL, or why neither. */
 const char *exchange_send(struct exchange *x)
--- a/entry/kept.c
+++ b/entry/kept.c
@@ -162,7 +162,7 @@
 	const struct tr_instance *row = &k->e->roster.rows[k->row];
 
 	return now >= k->until || row->hash != k->hash ||
-	       !tr_instance_usable(row, now);
+	       !tr_instance_serves(row, now);
 }
 
 /* Close what has rested long enough, or whose target leaves; call some times a
--- a/entry/mesh_away.c
+++ b/entry/mesh_away.c
@@ -104,7 +104,7 @@
 			&roster->rows[mesh->state_next++ % roster->count];
 		double risk = tr_gray_probability(&row->gray, now);
 
-		if (row->away || !tr_instance_usable(row, now))
+		if (row->away || !tr_instance_serves(row, now))
 			continue;
 		states[msg->states.states_len++] = (struct mesh_state){
 			.target = row->hash,
--- a/entry/notices.c
+++ b/entry/notices.c
@@ -6,6 +6,9 @@
 
 /* Lines a second, in the mean, of notices that can't be read. */
 #define REFUSAL_LINES_A_S 0.2
+/* A target that wants longer rest is asked again after so long: nothing else
+ * ends a rest that was named by mistake. */
+#define REST_MOST TR_SEC(600)
 
 static void log_unreadable(struct entry *e, const struct tr_instance *row,
 			   const char *field, const char *expected)
@@ -81,9 +84,14 @@
 	return true;
 }
 
-/* A line where a rest begins, not where it is named once more. */
+/*
+ * The target wants nothing from this VM for a while; others were not told so.
+ * A line where a rest begins, not where it is named once more.
+ */
 static void take_rest(struct tr_instance *row, apr_time_t rest, apr_time_t now)
 {
+	if (rest > REST_MOST)
+		rest = REST_MOST;
 	if (row->rests_until <= now)
 		eventlog(EVENT_BELIEF, "target-rests", "id=%s rest_ms=%ld",
 			 row->id, (long)(rest / 1000));
--- a/lib/place.c
+++ b/lib/place.c
@@ -63,6 +63,8 @@
  * so low that the next request may be long away, in us. */
 #define RETURN_UNKNOWN 300e3
 #define RETURN_MOST    3e6
+/* Over how long callers come back once a target has rested, in us. */
+#define RESTED_SPREAD 1e6
 
 static double gumbel(struct tr_random *random)
 {
@@ -212,7 +214,8 @@
 /*
  * Choose a target for the request. TR_PLACE_TOO_LATE: there are targets, but
  * work sent now would not end in time at any of them. TR_PLACE_LIMITED: it
- * would, but these have as much as they take.
+ * would, but these have as much as they take. TR_PLACE_RESTING: all that serve
+ * have asked this VM for rest.
  */
 enum tr_place_result tr_place(const struct tr_roster *roster,
 			      const struct tr_wish *wish,
@@ -227,6 +230,7 @@
 	double loss = loss_of(wish);
 	unsigned fitting = 0;
 	unsigned limited = 0;
+	unsigned resting = 0;
 	apr_time_t least_takes = APR_INT64_MAX;
 	uint32_t drawn = draw_limited(roster, wish, random, now);
 
@@ -240,9 +244,13 @@
 		apr_time_t takes;
 		bool fits;
 
-		if (!row->used || row->service != wish->service ||
-		    !tr_instance_usable(row, now))
+		if (row->service != wish->service ||
+		    !tr_instance_serves(row, now))
 			continue;
+		if (!tr_instance_usable(row, now)) {
+			resting++;
+			continue;
+		}
 		known++;
 		if (was_tried(wish, i))
 			continue;
@@ -281,46 +289,65 @@
 	if (fitting)
 		return TR_PLACE_FOUND;
 	if (!known)
-		return TR_PLACE_NONE_KNOWN;
+		return resting ? TR_PLACE_RESTING : TR_PLACE_NONE_KNOWN;
 	if (limited)
 		return TR_PLACE_LIMITED;
 	return untried ? TR_PLACE_TOO_LATE : TR_PLACE_ALL_TRIED;
 }
 
+/* What the targets of a service can take, for callers that are refused. */
+struct room {
+	double there;
+	double slots;
+	double limits;
+	apr_time_t rested_at;
+};
+
+static void see_room(struct room *room, const struct tr_roster *roster,
+		     const struct tr_instance *row, const struct tr_wish *wish,
+		     apr_time_t now)
+{
+	const struct tr_send_limit *l = tr_roster_limit(roster, row);
+
+	if (!tr_instance_usable(row, now)) {
+		if (row->rests_until < room->rested_at)
+			room->rested_at = row->rests_until;
+	} else if (l) {
+		room->limits += tr_send_limit_rate(l, wish->heard);
+	} else {
+		room->there += tr_instance_there(row, now);
+		room->slots += row->slots;
+	}
+}
+
 /*
  * When a refused caller should come back: when the work that is there now
  * should be over, or where all targets have named limits when the next request
- * may be sent; spread over as much again so that they do not all return at
- * once.
+ * may be sent, or where all rest when the first has rested; spread so that they
+ * do not all return at once.
  */
 apr_time_t tr_place_return_after(const struct tr_roster *roster,
 				 const struct tr_wish *wish,
 				 struct tr_random *random, apr_time_t now)
 {
-	double there = 0;
-	double slots = 0;
-	double limits = 0;
-	double after;
+	struct room room = { .rested_at = APR_INT64_MAX };
+	double spread = tr_random_unit(random);
+	double after = RETURN_UNKNOWN;
 
 	for (uint32_t i = 0; i < roster->count; i++) {
 		const struct tr_instance *row = &roster->rows[i];
-		const struct tr_send_limit *l = tr_roster_limit(roster, row);
 
-		if (!row->used || row->service != wish->service ||
-		    !tr_instance_usable(row, now))
-			continue;
-		if (l) {
-			limits += tr_send_limit_rate(l, wish->heard);
-			continue;
-		}
-		there += tr_instance_there(row, now);
-		slots += row->slots;
+		if (row->service == wish->service &&
+		    tr_instance_serves(row, now))
+			see_room(&room, roster, row, wish, now);
 	}
-	if (slots > 0)
-		after = (double)wish->usual * fmax(0.25, there / slots - 1);
-	else if (limits > 0)
-		after = fmin(1e6 / limits, RETURN_MOST);
-	else
-		after = RETURN_UNKNOWN;
-	return (apr_time_t)(after * (1 + tr_random_unit(random)));
+	if (room.slots > 0)
+		after = (double)wish->usual *
+			fmax(0.25, room.there / room.slots - 1);
+	else if (room.limits > 0)
+		after = fmin(1e6 / room.limits, RETURN_MOST);
+	else if (room.rested_at != APR_INT64_MAX)
+		return room.rested_at - now +
+		       (apr_time_t)(RESTED_SPREAD * spread);
+	return (apr_time_t)(after * (1 + spread));
 }
--- a/lib/place.h
+++ b/lib/place.h
@@ -48,6 +48,7 @@
 	TR_PLACE_ALL_TRIED,
 	TR_PLACE_TOO_LATE,
 	TR_PLACE_LIMITED,
+	TR_PLACE_RESTING,
 };
 
 enum tr_place_result tr_place(const struct tr_roster *roster,
--- a/lib/roster.c
+++ b/lib/roster.c
@@ -536,13 +536,19 @@
 	return true;
 }
 
-/* May the target be given new work? */
-bool tr_instance_usable(const struct tr_instance *row, apr_time_t now)
+/* Does the target serve, though it may want rest from this VM? */
+bool tr_instance_serves(const struct tr_instance *row, apr_time_t now)
 {
 	return row->used && !row->gone && !row->leaving && !row->says_leaving &&
 	       row->unreachable_until <= now;
 }
 
+/* May the target be given new work? */
+bool tr_instance_usable(const struct tr_instance *row, apr_time_t now)
+{
+	return tr_instance_serves(row, now) && row->rests_until <= now;
+}
+
 /*
  * How many requests are at the target, as far as this VM knows: those of its
  * own group, or what the target's own group told last if that is more. Both are
--- a/lib/roster.h
+++ b/lib/roster.h
@@ -138,6 +138,7 @@
 uint32_t tr_roster_limit_place(struct tr_roster *roster,
 			       struct tr_instance *row);
 bool tr_roster_says_leaving(struct tr_roster *roster, struct tr_instance *row);
+bool tr_instance_serves(const struct tr_instance *row, apr_time_t now);
 bool tr_instance_usable(const struct tr_instance *row, apr_time_t now);
 
 /* Outcomes of the whole fleet's requests, as far as they are told. */
--- a/src/explain.c
+++ b/src/explain.c
@@ -214,7 +214,8 @@
 		return EXPLAIN_NO_ROOM;
 	if (is_why(story, "limited"))
 		return EXPLAIN_LIMITED;
-	if (is_why(story, "refused") || is_why(story, "all-tried"))
+	if (is_why(story, "refused") || is_why(story, "all-tried") ||
+	    is_why(story, "resting"))
 		return EXPLAIN_SHED;
 	if (story->disturbance && is_event(story->disturbance, "paused"))
 		return EXPLAIN_VM;
--- a/src/losses.c
+++ b/src/losses.c
@@ -166,7 +166,8 @@
 		return LOSS_LIMITED;
 	if (logline_number(line, "bound") > 0)
 		return LOSS_BOUND;
-	if (is_why(line, "refused") || is_why(line, "all-tried"))
+	if (is_why(line, "refused") || is_why(line, "all-tried") ||
+	    is_why(line, "resting"))
 		return LOSS_SHED;
 	if (is_why(line, "unreached"))
 		return LOSS_PATH;
--- a/tests/place_test.cc
+++ b/tests/place_test.cc
@@ -376,6 +376,28 @@
 	EXPECT_EQ(draw(200)[1], 0);
 }
 
+/* Guards against a target that is asked again while it wants rest, and against
+ * callers that are sent back before any target has rested. */
+TEST_F(Place, ATargetThatWantsRestGetsNothingUntilItHasRested)
+{
+	tr_placing p;
+
+	add_many(2);
+	roster.rows[0].rests_until = now + TR_SEC(2);
+	EXPECT_EQ(draw(200)[0], 0);
+	roster.rows[1].rests_until = now + TR_SEC(3);
+	EXPECT_EQ(tr_place(&roster, &wish, &random, now, &p), TR_PLACE_RESTING);
+	for (int i = 0; i < 20; i++) {
+		apr_time_t after =
+			tr_place_return_after(&roster, &wish, &random, now);
+
+		EXPECT_GE(after, TR_SEC(2));
+		EXPECT_LE(after, TR_SEC(3));
+	}
+	now += TR_SEC(2);
+	EXPECT_EQ(draw(20)[0], 20);
+}
+
 /*
  * Eight VMs that hear of each other's requests 50 ms late place work of 250 ms
  * at ten targets of three slots; 120 requests a second fill them. Counts what
