No circle between the files round entry/mesh.c: a table of a message's parts

Seven files called each other: what is told, taken, summed up for other groups, called and fetched.

What is said when changes only in one thing: the start and end of a limit go in a message of their own, as a target's leaving does, and not with the whole routine message. All tests pass as before.

--- a/entry/mesh.c
+++ b/entry/mesh.c
@@ -19,7 +19,6 @@
 #include "error.h"
 #include "eventlog.h"
 #include "group.h"
-#include "mechanism.h"
 #include "mesh_internal.h"
 
 #define SOCKET_BUFFER (512 * 1024)
@@ -33,214 +32,11 @@
  */
 #define URGENT_GAP	TR_MSEC(40)
 #define URGENT_GAP_A_VM 1000
-/* Rows told again though nothing is new, in case the last telling was lost. */
-#define ROWS_AGAIN  2
-#define BYTES_A_ROW 24
-#define NODES_TOLD  3
+#define NODES_TOLD	3
 /* Lines a second, in the mean, of messages that can't be taken. */
 #define REFUSAL_LINES_A_S 0.2
-#define CENTRES_MOST	  64
-/* How often lost VMs are looked for, more often before this one is ready, and
- * how many of them are called then: one that has just started and was told of
- * its group calls a hundred in half a second. */
-#define CALL_EVERY   TR_MSEC(100)
-#define CALLS_A_STEP 20
-
-static void add_rows(struct mesh *mesh, struct mesh_message *msg,
-		     struct mesh_row *rows, size_t room)
-{
-	struct tr_roster *roster = &mesh->e->roster;
-	unsigned most = (unsigned)(room / BYTES_A_ROW);
-
-	if (most > MESH_MAX_ROWS)
-		most = MESH_MAX_ROWS;
-	msg->rows.rows_val = rows;
-	for (unsigned i = 0; i < roster->count && msg->rows.rows_len < most;
-	     i++) {
-		struct tr_instance *row = &roster->rows[i];
-
-		if (!row->used || !row->dirty)
-			continue;
-		mesh_fill_row(&rows[msg->rows.rows_len++], row);
-		row->dirty = false;
-	}
-	for (unsigned n = 0;
-	     n < ROWS_AGAIN && n < roster->count && msg->rows.rows_len < most;
-	     n++) {
-		const struct tr_instance *row =
-			&roster->rows[mesh->row_again++ % roster->count];
-
-		if (row->used && row->own.count[TR_SYMPTOM_GOOD])
-			mesh_fill_row(&rows[msg->rows.rows_len++], row);
-	}
-}
-
-static void add_work(struct mesh *mesh, struct mesh_message *msg,
-		     struct mesh_work *work)
-{
-	const struct entry *e = mesh->e;
-
-	msg->work.work_val = work;
-	for (unsigned i = 0;
-	     i < e->allowances_count && msg->work.work_len < MESH_MAX_WORK;
-	     i++) {
-		const struct tr_work_totals *own = &e->allowances[i].own;
-
-		if (!own->requests && !own->repeats)
-			continue;
-		work[msg->work.work_len++] = (struct mesh_work){
-			.service = mesh_service_hash(e, i),
-			.totals = (uint32_t)own->requests << 16 | own->repeats,
-		};
-	}
-}
-
-static uint32_t own_flags(const struct entry *e, const struct mesh *mesh)
-{
-	return (e->ready && entry_vouches(e) ? MESH_READY : 0) |
-	       (e->leaving ? MESH_LEAVING : 0) |
-	       (e->members.nodes[0].cannot_read ? MESH_CANNOT_READ : 0) |
-	       (mesh->lists ? MESH_LISTS : 0);
-}
-
-/* What every message says of its sender. */
-void mesh_fill_head(struct mesh *mesh, struct mesh_message *msg)
-{
-	struct entry *e = mesh->e;
-
-	memset(msg, 0, sizeof(*msg));
-	msg->fleet = mesh->fleet;
-	msg->sender = e->members.nodes[0].ip;
-	msg->boot = e->members.nodes[0].boot;
-	msg->sequence = ++mesh->sequence;
-	msg->data_centre = e->members.nodes[0].data_centre;
-	msg->flags = own_flags(e, mesh);
-	msg->config_revision = e->routes ? e->routes->revision : 0;
-	msg->as_of = e->roster.as_of;
-	msg->age_ms = (uint32_t)(entry_view_age(e) / 1000);
-	msg->digest = tr_roster_digest(&e->roster);
-	msg->fleet_size = tr_membership_size(&e->members);
-	msg->proof_age_ms = mesh_proof_age(e);
-}
-
-/* A datagram that can't be sent is one that is lost. */
-void mesh_send(struct mesh *mesh, uint32_t ip, const char *buf, size_t len)
-{
-	struct sockaddr_in to = {
-		.sin_family = AF_INET,
-		.sin_port = htons((uint16_t)mesh->e->settings->peer_port),
-		.sin_addr.s_addr = ip,
-	};
-
-	if (sendto(mesh->fd, buf, len, 0, (struct sockaddr *)&to, sizeof(to)) >
-	    0)
-		mesh->e->counts.messages_out++;
-}
-
-void mesh_send_message(struct mesh *mesh, uint32_t ip, struct mesh_message *msg,
-		       rpcproc_t procedure)
-{
-	char buf[DATAGRAM_MOST];
-	size_t len = mesh_encode(msg, procedure, buf, sizeof(buf));
-
-	if (len)
-		mesh_send(mesh, ip, buf, len);
-}
-
-/* Call one VM, with those that this one hears in the other's group, by which a
- * VM that has just started finds it, with the requests that it must not send
- * on, and with what targets said of themselves. */
-void mesh_call_one(struct mesh *mesh, uint32_t ip, bool answer)
-{
-	const struct tr_node *node = tr_membership_learn(&mesh->e->members, ip);
-	apr_time_t now = entry_now(mesh->e);
-	struct mesh_notices notices;
-	struct mesh_fatals fatals;
-	struct mesh_nodes lists;
-	struct mesh_message msg;
-	size_t room;
-
-	mesh_fill_head(mesh, &msg);
-	msg.flags |= answer ? MESH_ANSWER : 0;
-	mesh_add_nodes(mesh, &msg, &lists,
-		       node->near ? NULL : node->data_centre, MESH_MAX_NODES,
-		       now);
-	room = DATAGRAM_MOST - BYTES_HEAD - mesh_bytes_of_nodes(&msg);
-	mesh_add_known_fatals(mesh, &msg, &fatals, room, now);
-	room -= mesh_bytes_of_fatals(&msg);
-	mesh_add_notices_again(mesh, &msg, &notices, room, now);
-	mesh_send_message(mesh, ip, &msg, MESH_TELL);
-}
-
-/* To all other VMs of this group that are in this data centre, or in others. */
-static void tell_where(struct mesh *mesh, bool here, const char *buf,
-		       size_t len, apr_time_t now)
-{
-	const struct tr_membership *m = &mesh->e->members;
-
-	for (unsigned i = 1; i < m->count; i++) {
-		const struct tr_node *node = &m->nodes[i];
-
-		if (node->near && node->here == here &&
-		    tr_node_alive(m, node, now))
-			mesh_send(mesh, node->ip, buf, len);
-	}
-}
-
-/*
- * To one VM of each other data centre of this group, which hands it on there:
- * bytes between data centres are dear, and fall by the number of VMs in one.
- * Which VM is drawn anew each time, so that one that is dead or frozen costs a
- * message of many, and totals make up for it.
- */
-static void tell_other_centres(struct mesh *mesh, const char *buf, size_t len,
-			       apr_time_t now)
-{
-	const struct tr_membership *m = &mesh->e->members;
-	const struct tr_node *drawn[CENTRES_MOST];
-	unsigned seen[CENTRES_MOST];
-	unsigned n = 0;
-
-	for (unsigned i = 1; i < m->count; i++) {
-		const struct tr_node *node = &m->nodes[i];
-		unsigned c = 0;
-
-		if (!node->near || node->here || !tr_node_alive(m, node, now))
-			continue;
-		while (c < n &&
-		       strcmp(drawn[c]->data_centre, node->data_centre) != 0)
-			c++;
-		if (c == CENTRES_MOST)
-			continue;
-		if (c == n) {
-			drawn[n] = node;
-			seen[n++] = 0;
-		}
-		if (!tr_random_below(&mesh->e->random, ++seen[c]))
-			drawn[c] = node;
-	}
-	for (unsigned c = 0; c < n; c++)
-		mesh_send(mesh, drawn[c]->ip, buf, len);
-}
-
-/* To all VMs of this group; a list's changes to the other groups too. */
-void mesh_tell_near(struct mesh *mesh, struct mesh_message *msg, apr_time_t now)
-{
-	char buf[DATAGRAM_MOST];
-	size_t len = mesh_encode(msg, MESH_TELL, buf, sizeof(buf));
-
-	if (!len)
-		return;
-	tell_where(mesh, true, buf, len, now);
-	if (!tr_mechanism_on(TR_MECH_CENTRE_RELAY)) {
-		tell_where(mesh, false, buf, len, now);
-		return;
-	}
-	len = mesh_encode(msg, MESH_HAND_ON, buf, sizeof(buf));
-	tell_other_centres(mesh, buf, len, now);
-	if (msg->flags & MESH_LISTS)
-		mesh_to_other_groups(mesh, buf, len, now);
-}
+/* How often lost VMs are looked for, more often before this one is ready. */
+#define CALL_EVERY TR_MSEC(100)
 
 /* The changes of the list that did not fit into the first message. */
 static void tell_more_changes(struct mesh *mesh, uint32_t next, apr_time_t now)
@@ -277,7 +73,7 @@
 	if (lists)
 		mesh_add_changes(mesh, &msg, &changes, &next, now);
 	mesh_add_nodes(mesh, &msg, &nodes, NULL, NODES_TOLD, now);
-	add_work(mesh, &msg, work);
+	mesh_add_work(mesh, &msg, work);
 	mesh_add_uses(mesh, &msg, uses);
 	used = BYTES_HEAD + mesh_bytes_of_changes(&msg) +
 	       msg.uses.uses_len * sizeof(*uses);
@@ -289,7 +85,7 @@
 		used += mesh_add_notices(mesh, &msg, &notices,
 					 DATAGRAM_MOST - used, now);
 	if (used < DATAGRAM_MOST)
-		add_rows(mesh, &msg, rows, DATAGRAM_MOST - used);
+		mesh_add_rows(mesh, &msg, rows, DATAGRAM_MOST - used);
 	mesh->lists = false;
 	mesh->soon = false;
 	mesh->told_at = now;
@@ -300,18 +96,6 @@
 		tell_more_changes(mesh, next, now);
 }
 
-/* Where the procedure's number stands in an encoded call (RFC 5531). */
-#define PROCEDURE_AT 20
-
-/* A message to be handed on, as it came but for the procedure. */
-static void hand_on(struct mesh *mesh, char *buf, size_t len)
-{
-	uint32_t procedure = htonl(MESH_TELL);
-
-	memcpy(buf + PROCEDURE_AT, &procedure, sizeof(procedure));
-	tell_where(mesh, true, buf, len, entry_now(mesh->e));
-}
-
 /*
  * A message of another version, or nonsense. During an upgrade the VMs of each
  * version act together and not across; the lines say which VM to look at.
@@ -352,7 +136,7 @@
 			refuse_message(mesh, &from);
 		} else {
 			if (procedure == MESH_HAND_ON)
-				hand_on(mesh, buf, (size_t)n);
+				mesh_hand_on(mesh, buf, (size_t)n);
 			mesh_take(mesh, &msg, msg.sender);
 		}
 		xdr_free((xdrproc_t)xdr_mesh_message, (char *)&msg);
@@ -379,19 +163,6 @@
 	mesh_away_tell(mesh, entry_now(mesh->e));
 }
 
-static void call_lost(struct mesh *mesh, apr_time_t now)
-{
-	for (int i = 0; i < CALLS_A_STEP; i++) {
-		struct tr_node *lost =
-			tr_membership_lost(&mesh->e->members, now);
-
-		if (!lost)
-			return;
-		lost->called_at = now;
-		mesh_call_one(mesh, lost->ip, false);
-	}
-}
-
 /* Find the homes of targets that are new, or of all when the groups that live
  * have changed. */
 static void find_homes(struct mesh *mesh)
@@ -442,7 +213,7 @@
 	find_homes(mesh);
 	if (!mesh->e->ready || now - mesh->called_at >= CALL_EVERY) {
 		mesh->called_at = now;
-		call_lost(mesh, now);
+		mesh_call_lost(mesh, now);
 		mesh_forget_lost(mesh, now);
 	}
 	pull_step(&mesh->pull);
@@ -484,6 +255,12 @@
 					    seed.sin_addr.s_addr);
 }
 
+/* So that others of the group can ask this VM for what it has pulled. */
+static void pulled(struct entry *e)
+{
+	mesh_tell_now(e->mesh);
+}
+
 /* Begin to listen and to call the seeds. NULL and err without the port. */
 struct mesh *mesh_open(struct entry *e, struct tr_error *err)
 {
@@ -501,7 +278,7 @@
 		return NULL;
 	}
 	snprintf(address, sizeof(address), "%s:%u", s->ip, s->peer_port);
-	if (pull_open(&mesh->pull, e, address)) {
+	if (pull_open(&mesh->pull, e, address, pulled)) {
 		tr_error_set(err, TR_PORT_IN_USE, "peer_port", address,
 			     "expected a free TCP port: %s", strerror(errno));
 		close(mesh->fd);
--- a/entry/mesh_away.c
+++ b/entry/mesh_away.c
@@ -24,43 +24,6 @@
  * just started and know only this one. */
 #define NODES_NAMED 8
 
-/* One VM of the group; alive: one that is heard of. NULL if there is none. */
-const struct tr_node *mesh_draw(struct mesh *mesh, unsigned group, bool alive,
-				apr_time_t now)
-{
-	const struct tr_membership *m = &mesh->e->members;
-	const struct tr_node *found = NULL;
-	unsigned seen = 0;
-
-	for (unsigned i = 1; i < m->count; i++) {
-		const struct tr_node *node = &m->nodes[i];
-
-		if (node->group != group ||
-		    (alive && !tr_node_alive(m, node, now)))
-			continue;
-		if (!tr_random_below(&mesh->e->random, ++seen))
-			found = node;
-	}
-	return found;
-}
-
-/* To one VM of each other group that lives. */
-void mesh_to_other_groups(struct mesh *mesh, const char *buf, size_t len,
-			  apr_time_t now)
-{
-	const struct tr_membership *m = &mesh->e->members;
-
-	for (unsigned g = 0; g < m->groups_count; g++) {
-		const struct tr_node *node;
-
-		if (g == m->nodes[0].group)
-			continue;
-		node = mesh_draw(mesh, g, true, now);
-		if (node)
-			mesh_send(mesh, node->ip, buf, len);
-	}
-}
-
 static void add_members(const struct mesh *mesh, struct mesh_message *msg,
 			uint32_t *members, struct mesh_member *others,
 			apr_time_t now)
@@ -261,9 +224,10 @@
 }
 
 /* Take in what another group says of its VMs and targets. */
-void mesh_take_summary(struct mesh *mesh, const struct mesh_message *msg,
-		       apr_time_t now)
+void mesh_take_summary(struct mesh *mesh, struct tr_node *node,
+		       const struct mesh_message *msg, apr_time_t now)
 {
+	(void)node;
 	for (u_int i = 0; i < msg->members.members_len; i++)
 		take_member(mesh, msg, msg->members.members_val[i], true, 0,
 			    now);
--- a/entry/mesh_changes.c
+++ b/entry/mesh_changes.c
@@ -83,3 +83,49 @@
 			add_record(mesh, msg, lists, row, now);
 	}
 }
+
+static void take_record(struct mesh *mesh, const struct mesh_record *in)
+{
+	struct tr_target_record r = {
+		.slots = in->slots,
+		.leaving = in->flags & RECORD_LEAVING,
+		.gone = in->flags & RECORD_GONE,
+		.cold_for = TR_MSEC(in->cold_ms),
+		.revision = in->revision,
+		.born = in->born,
+	};
+
+	strncpy(r.id, in->id, TR_ID_MAX);
+	strncpy(r.service, in->service, TR_ID_MAX);
+	strncpy(r.address, in->address, TR_ADDRESS_MAX);
+	strncpy(r.data_centre, in->data_centre, TR_ID_MAX);
+	entry_target(mesh->e, &r, "peer");
+}
+
+/* A target that is not known here is in the list that is pulled. */
+static void take_mark(struct mesh *mesh, const struct mesh_mark *in)
+{
+	struct entry *e = mesh->e;
+	struct tr_instance *row = tr_roster_by_hash(&e->roster, in->target);
+	struct tr_target_record r;
+
+	if (!row || row->superseded)
+		return;
+	tr_roster_record(&e->roster, row, &r, entry_now(e));
+	r.leaving = in->flags & RECORD_LEAVING;
+	r.gone = in->flags & RECORD_GONE;
+	r.revision = in->revision;
+	entry_target(e, &r, "peer");
+}
+
+/* Take in what has changed in the platform's list. */
+void mesh_take_changes(struct mesh *mesh, struct tr_node *node,
+		       const struct mesh_message *msg, apr_time_t now)
+{
+	(void)node;
+	(void)now;
+	for (u_int i = 0; i < msg->records.records_len; i++)
+		take_record(mesh, &msg->records.records_val[i]);
+	for (u_int i = 0; i < msg->marks.marks_len; i++)
+		take_mark(mesh, &msg->marks.marks_val[i]);
+}
--- a/entry/mesh_internal.h
+++ b/entry/mesh_internal.h
@@ -95,17 +95,11 @@
 			  apr_time_t now);
 void mesh_away_step(struct mesh *mesh, apr_time_t now);
 void mesh_away_tell(struct mesh *mesh, apr_time_t now);
-void mesh_take_summary(struct mesh *mesh, const struct mesh_message *msg,
-		       apr_time_t now);
 void mesh_ask_proof(struct mesh *mesh, apr_time_t now);
-void mesh_take_proof(struct mesh *mesh, const struct mesh_message *msg,
-		     uint32_t ip);
 void mesh_add_uses(struct mesh *mesh, struct mesh_message *msg,
 		   struct mesh_use *uses);
 void mesh_add_demands(struct mesh *mesh, struct mesh_message *msg,
 		      struct mesh_demand *demands, size_t room, apr_time_t now);
-void mesh_take_limits(struct mesh *mesh, struct tr_node *node,
-		      const struct mesh_message *msg, apr_time_t now);
 bool mesh_add_fatals(struct mesh *mesh, struct mesh_message *msg,
 		     struct mesh_fatals *lists, size_t room, apr_time_t now);
 void mesh_add_known_fatals(struct mesh *mesh, struct mesh_message *msg,
@@ -114,19 +108,34 @@
 size_t mesh_bytes_of_fatals(const struct mesh_message *msg);
 void mesh_fatals_to_groups(struct mesh *mesh, const struct mesh_message *told,
 			   apr_time_t now);
-void mesh_take_fatals(struct mesh *mesh, const struct mesh_message *msg,
-		      apr_time_t now);
 size_t mesh_add_notices(struct mesh *mesh, struct mesh_message *msg,
 			struct mesh_notices *lists, size_t room,
 			apr_time_t now);
 size_t mesh_add_notices_again(struct mesh *mesh, struct mesh_message *msg,
 			      struct mesh_notices *lists, size_t room,
 			      apr_time_t now);
-void mesh_take_notices(struct mesh *mesh, struct tr_node *node,
-		       const struct mesh_message *msg, apr_time_t now);
+void mesh_hand_on(struct mesh *mesh, char *buf, size_t len);
+void mesh_add_rows(struct mesh *mesh, struct mesh_message *msg,
+		   struct mesh_row *rows, size_t room);
+void mesh_add_work(struct mesh *mesh, struct mesh_message *msg,
+		   struct mesh_work *work);
+void mesh_call_lost(struct mesh *mesh, apr_time_t now);
 void mesh_call_one(struct mesh *mesh, uint32_t ip, bool answer);
 void mesh_forget_lost(struct mesh *mesh, apr_time_t now);
 void mesh_forget_told(struct mesh *mesh, struct tr_node *node);
+
+/* What takes in one part of a message; see mesh_take.c. */
+typedef void mesh_take_fn(struct mesh *mesh, struct tr_node *node,
+			  const struct mesh_message *msg, apr_time_t now);
+
+mesh_take_fn mesh_take_changes;
+mesh_take_fn mesh_take_rows;
+mesh_take_fn mesh_take_fatals;
+mesh_take_fn mesh_take_limits;
+mesh_take_fn mesh_take_notices;
+mesh_take_fn mesh_take_proof;
+mesh_take_fn mesh_take_nodes;
+mesh_take_fn mesh_take_summary;
 void mesh_take(struct mesh *mesh, const struct mesh_message *msg, uint32_t ip);
 
 #endif
--- a/entry/mesh_nodes.c
+++ b/entry/mesh_nodes.c
@@ -75,3 +75,21 @@
 	}
 	return bytes;
 }
+
+/* Learn the VMs that a message names. */
+void mesh_take_nodes(struct mesh *mesh, struct tr_node *node,
+		     const struct mesh_message *msg, apr_time_t now)
+{
+	(void)node;
+	(void)now;
+	for (u_int c = 0; c < msg->centres.centres_len; c++) {
+		const struct mesh_centre *centre = &msg->centres.centres_val[c];
+		const char *name =
+			*centre->name ? centre->name : msg->data_centre;
+
+		for (u_int i = 0; i < centre->nodes.nodes_len; i++)
+			tr_membership_learn_at(&mesh->e->members,
+					       centre->nodes.nodes_val[i],
+					       name);
+	}
+}
--- a/entry/mesh_notices.c
+++ b/entry/mesh_notices.c
@@ -196,10 +196,10 @@
 	struct mesh_limit limit;
 	struct mesh_message msg;
 
-	mesh_tell_now(mesh);
 	mesh_fill_head(mesh, &msg);
 	msg.limits.limits_val = &limit;
 	add_limit(&msg, &mesh->e->roster.limits.rows[place], now);
+	mesh_tell_near(mesh, &msg, now);
 	to_groups(mesh, &msg, now);
 }
 
--- a/entry/mesh_proof.c
+++ b/entry/mesh_proof.c
@@ -4,17 +4,6 @@
 #include "mesh_internal.h"
 #include "proof.h"
 
-/* In ms, rounded up, since a proof must never look younger than it is;
- * UINT32_MAX is none. */
-uint32_t mesh_proof_age(const struct entry *e)
-{
-	apr_time_t age = tr_proof_age(&e->proof, entry_now(e));
-
-	if (!e->routes || age > TR_MSEC((apr_time_t)UINT32_MAX - 1))
-		return UINT32_MAX;
-	return (uint32_t)((age + 999) / 1000);
-}
-
 /* Ask another VM for a younger proof, where this one's has grown old. */
 void mesh_ask_proof(struct mesh *mesh, apr_time_t now)
 {
@@ -47,13 +36,14 @@
  * Answer the VM's question, or take its answer. What it holds was the newest
  * when its proof says; so what this VM holds was too, if it is not older.
  */
-void mesh_take_proof(struct mesh *mesh, const struct mesh_message *msg,
-		     uint32_t ip)
+void mesh_take_proof(struct mesh *mesh, struct tr_node *node,
+		     const struct mesh_message *msg, apr_time_t now)
 {
 	struct entry *e = mesh->e;
 
+	(void)now;
 	if (msg->question)
-		answer(mesh, msg->question, ip);
+		answer(mesh, msg->question, node->ip);
 	if (!msg->answers || msg->proof_age_ms == UINT32_MAX || !e->routes ||
 	    msg->config_revision > e->routes->revision)
 		return;
--- /dev/null
+++ b/entry/mesh_rows.c
@@ -0,0 +1,210 @@
+/* What VMs tell each other of their work: outcomes at targets, and requests for
+ * services. */
+#include <stdlib.h>
+
+#include "mesh_internal.h"
+
+/* Rows told again though nothing is new, in case the last telling was lost. */
+#define ROWS_AGAIN  2
+#define BYTES_A_ROW 24
+/* VMs that are looked at ten times a second for whether they are lost: a
+ * thousand in two seconds. */
+#define FORGOTTEN_A_STEP 50
+/* Outcomes of a VM of another group at one target that can be its first: it
+ * sends here only while its own group is full, seldom twice to one target. */
+#define FIRST_TOTALS 3
+
+/* Targets at which something has changed, as many as there is room for in bytes,
+ * and some that were told before. */
+void mesh_add_rows(struct mesh *mesh, struct mesh_message *msg,
+		     struct mesh_row *rows, size_t room)
+{
+	struct tr_roster *roster = &mesh->e->roster;
+	unsigned most = (unsigned)(room / BYTES_A_ROW);
+
+	if (most > MESH_MAX_ROWS)
+		most = MESH_MAX_ROWS;
+	msg->rows.rows_val = rows;
+	for (unsigned i = 0; i < roster->count && msg->rows.rows_len < most;
+	     i++) {
+		struct tr_instance *row = &roster->rows[i];
+
+		if (!row->used || !row->dirty)
+			continue;
+		mesh_fill_row(&rows[msg->rows.rows_len++], row);
+		row->dirty = false;
+	}
+	for (unsigned n = 0;
+	     n < ROWS_AGAIN && n < roster->count && msg->rows.rows_len < most;
+	     n++) {
+		const struct tr_instance *row =
+			&roster->rows[mesh->row_again++ % roster->count];
+
+		if (row->used && row->own.count[TR_SYMPTOM_GOOD])
+			mesh_fill_row(&rows[msg->rows.rows_len++], row);
+	}
+}
+
+/* How many requests came for each service, and were sent once more. */
+void mesh_add_work(struct mesh *mesh, struct mesh_message *msg,
+		     struct mesh_work *work)
+{
+	const struct entry *e = mesh->e;
+
+	msg->work.work_val = work;
+	for (unsigned i = 0;
+	     i < e->allowances_count && msg->work.work_len < MESH_MAX_WORK;
+	     i++) {
+		const struct tr_work_totals *own = &e->allowances[i].own;
+
+		if (!own->requests && !own->repeats)
+			continue;
+		work[msg->work.work_len++] = (struct mesh_work){
+			.service = mesh_service_hash(e, i),
+			.totals = (uint32_t)own->requests << 16 | own->repeats,
+		};
+	}
+}
+
+/* What the VM told is void: it restarted, or is lost with its requests. */
+void mesh_forget_told(struct mesh *mesh, struct tr_node *node)
+{
+	for (unsigned i = 0; i < node->told_count; i++) {
+		const struct tr_told *told = &node->told[i];
+		struct tr_instance *row =
+			tr_roster_by_hash(&mesh->e->roster, told->target);
+
+		if (row)
+			row->others_in_flight -= told->in_flight;
+	}
+	free(node->told);
+	node->told = NULL;
+	node->told_count = 0;
+	node->told_room = 0;
+	free(node->work);
+	node->work = NULL;
+	node->work_count = 0;
+	free(node->limits);
+	node->limits = NULL;
+	node->limits_count = 0;
+	node->limits_room = 0;
+	free(node->sent);
+	node->sent = NULL;
+	node->sent_count = 0;
+}
+
+/* Forget what VMs told that are lost since; a few at each step. */
+void mesh_forget_lost(struct mesh *mesh, apr_time_t now)
+{
+	struct tr_membership *m = &mesh->e->members;
+
+	for (int i = 0; i < FORGOTTEN_A_STEP; i++) {
+		struct tr_node *node = &m->nodes[mesh->node_next++ % m->count];
+
+		if ((node->told_count || node->work_count ||
+		     node->limits_count || node->sent_count) &&
+		    !tr_node_alive(m, node, now))
+			mesh_forget_told(mesh, node);
+	}
+}
+
+static unsigned sum_of(const struct tr_symptom_totals *totals)
+{
+	unsigned sum = 0;
+
+	for (int s = 0; s < TR_SYMPTOMS; s++)
+		sum += totals->count[s];
+	return sum;
+}
+
+/*
+ * Is what the VM tells of a target for the first time news? What it counted
+ * before this VM listened is old. A VM of another group tells only of what it
+ * sent here, so a few outcomes are the first.
+ */
+static bool is_news(const struct tr_node *node,
+		    const struct tr_symptom_totals *totals, apr_time_t now)
+{
+	if (node->near)
+		return tr_node_heard_from_start(node, now);
+	return sum_of(totals) <= FIRST_TOTALS;
+}
+
+static void take_row(struct mesh *mesh, struct tr_node *node,
+		     const struct mesh_row *in, apr_time_t now)
+{
+	struct tr_roster *roster = &mesh->e->roster;
+	struct tr_instance *row = tr_roster_by_hash(roster, in->target);
+	struct tr_symptom_totals totals;
+	struct tr_told *told;
+	bool old = false;
+
+	if (!row)
+		return;
+	mesh_read_row(in, &totals);
+	told = tr_node_told(node, in->target);
+	if (told->target != row->hash) {
+		told->target = row->hash;
+		old = !is_news(node, &totals, now);
+	}
+	row->others_in_flight += in->in_flight - told->in_flight;
+	if (in->in_flight > told->in_flight)
+		row->used_at = now;
+	told->in_flight = (uint16_t)in->in_flight;
+	for (int s = 0; s < TR_SYMPTOMS; s++) {
+		uint16_t news = totals.count[s] - told->totals.count[s];
+
+		if (!news || old)
+			continue;
+		tr_roster_outcome(roster, row, (enum tr_symptom)s, news, now);
+		/* Prompt, so it was begun a moment ago. What hangs is no sign
+		 * that the target is being used. */
+		if (s == TR_SYMPTOM_GOOD)
+			row->used_at = now;
+	}
+	told->totals = totals;
+}
+
+static struct tr_told_work *told_work_of(struct tr_node *node, uint32_t service)
+{
+	struct tr_told_work *work;
+
+	for (unsigned i = 0; i < node->work_count; i++)
+		if (node->work[i].service == service)
+			return &node->work[i];
+	node->work = g_realloc_n(node->work, node->work_count + 1,
+				 sizeof(*node->work));
+	work = &node->work[node->work_count++];
+	memset(work, 0, sizeof(*work));
+	return work;
+}
+
+static void take_work(struct mesh *mesh, struct tr_node *node,
+		      const struct mesh_work *in, apr_time_t now)
+{
+	struct entry *e = mesh->e;
+	struct tr_work_totals told = {
+		.requests = (uint16_t)(in->totals >> 16),
+		.repeats = (uint16_t)in->totals,
+	};
+	struct tr_told_work *work = told_work_of(node, in->service);
+
+	/* What it counted before this VM listened is old. */
+	for (unsigned i = 0; work->service && i < e->roster.services_count; i++)
+		if (mesh_service_hash(e, i) == in->service)
+			tr_allowance_heard(entry_allowance(e, i),
+					   &e->repeat_bound, &work->totals,
+					   &told, now);
+	work->service = in->service;
+	work->totals = told;
+}
+
+/* Take in what another VM did at targets. */
+void mesh_take_rows(struct mesh *mesh, struct tr_node *node,
+		    const struct mesh_message *msg, apr_time_t now)
+{
+	for (u_int i = 0; i < msg->work.work_len; i++)
+		take_work(mesh, node, &msg->work.work_val[i], now);
+	for (u_int i = 0; i < msg->rows.rows_len; i++)
+		take_row(mesh, node, &msg->rows.rows_val[i], now);
+}
--- a/entry/pull.c
+++ b/entry/pull.c
@@ -9,7 +9,6 @@
 #include "entry_settings.h"
 #include "eventlog.h"
 #include "hash.h"
-#include "mesh.h"
 #include "pack.h"
 
 #define ROUTES_PATH  "/peer/routes"
@@ -76,7 +75,7 @@
 	}
 	if (e->routes && e->routes->revision > before) {
 		/* So that others of the group can ask this VM. */
-		mesh_tell_now(e->mesh);
+		pull->has_news(e);
 		return;
 	}
 	e->counts.pulls_failed++;
@@ -152,7 +151,7 @@
 		take_list(pull->e, root, (apr_time_t)number_in(answer, SINCE));
 		/* So that others of the group can ask this VM. */
 		if (first)
-			mesh_tell_now(pull->e->mesh);
+			pull->has_news(pull->e);
 		return;
 	}
 	pull->e->counts.pulls_failed++;
@@ -341,9 +340,11 @@
 static const struct door_calls calls = { .handle = handle };
 
 /* Answer peers on the address. 0, or -1 with errno. */
-int pull_open(struct pull *pull, struct entry *e, const char *address)
+int pull_open(struct pull *pull, struct entry *e, const char *address,
+	      void (*has_news)(struct entry *e))
 {
 	pull->e = e;
+	pull->has_news = has_news;
 	pull->spread.what = TR_HOLDS_ROUTES;
 	pull->first_list.what = TR_HOLDS_LIST;
 	pull->link.bytes_a_second = e->settings->link_mbps * 1e6 / 8;
--- a/entry/pull.h
+++ b/entry/pull.h
@@ -4,9 +4,11 @@
 #include "entry.h"
 #include "spread.h"
 
-/* What is too large for a datagram, fetched from a VM that has it. */
+/* What is too large for a datagram, fetched from a VM that has it. has_news is
+ * called when this VM has something that others may ask it for. */
 struct pull {
 	struct entry *e;
+	void (*has_news)(struct entry *e);
 	struct fetcher routes;
 	struct fetcher targets;
 	struct tr_spread spread;
@@ -24,7 +26,8 @@
 	struct door door;
 };
 
-int pull_open(struct pull *pull, struct entry *e, const char *address);
+int pull_open(struct pull *pull, struct entry *e, const char *address,
+	      void (*has_news)(struct entry *e));
 void pull_step(struct pull *pull);
 void pull_targets(struct pull *pull, uint32_t ip);
 void pull_release(struct pull *pull);
