Soak: targets that name limits, leave or want rest; fuzz what answers say

Three more faults of the soak's targets. Counted at the target, each VM by its address, as operators count: a limit over all VMs that were told, requests after a VM was told that the target leaves, and in a rest; a VM that was started, signalled or whose way was disturbed since is excused.

The store's fuzzer reads what an answer says of its target, and asks that each number can be used.

--- a/entry/mesh_rows.c
+++ b/entry/mesh_rows.c
@@ -14,10 +14,10 @@
  * sends here only while its own group is full, seldom twice to one target. */
 #define FIRST_TOTALS 3
 
-/* Targets at which something has changed, as many as there is room for in bytes,
- * and some that were told before. */
+/* Targets at which something has changed, as many as there is room for in
+ * bytes, and some that were told before. */
 void mesh_add_rows(struct mesh *mesh, struct mesh_message *msg,
-		     struct mesh_row *rows, size_t room)
+		   struct mesh_row *rows, size_t room)
 {
 	struct tr_roster *roster = &mesh->e->roster;
 	unsigned most = (unsigned)(room / BYTES_A_ROW);
@@ -47,7 +47,7 @@
 
 /* How many requests came for each service, and were sent once more. */
 void mesh_add_work(struct mesh *mesh, struct mesh_message *msg,
-		     struct mesh_work *work)
+		   struct mesh_work *work)
 {
 	const struct entry *e = mesh->e;
 
--- a/entry/mesh_send.c
+++ b/entry/mesh_send.c
@@ -8,7 +8,7 @@
 #include "mechanism.h"
 #include "mesh_internal.h"
 
-#define CENTRES_MOST	  64
+#define CENTRES_MOST 64
 /* Where the procedure's number stands in an encoded call (RFC 5531). */
 #define PROCEDURE_AT 20
 
--- a/fuzz/fuzz_store.c
+++ b/fuzz/fuzz_store.c
@@ -2,6 +2,7 @@
  * stands on a connection. The first byte chooses the reader. */
 #include <stddef.h>
 #include <stdint.h>
+#include <stdlib.h>
 #include <string.h>
 
 #include "dialect.h"
@@ -29,6 +30,16 @@
 	tr_routes_drop(platform_dialect.read_routes(&item, &err));
 }
 
+/* What a target says of itself: every number that is given can be used. */
+static void read_notice(const struct message *msg)
+{
+	struct tr_notice notice;
+
+	platform_dialect.read_notice(msg, &notice);
+	if (!(notice.limit >= 0 && notice.limit < 1e33) || notice.rest < 0)
+		abort();
+}
+
 static void read_message(enum http_parser_type type, const char *text,
 			 size_t len)
 {
@@ -42,6 +53,7 @@
 		if (!msg.complete)
 			continue;
 		message_header(&msg, "Host");
+		read_notice(&msg);
 		message_reset(&msg);
 	}
 	message_end_of_stream(&msg);
--- a/tests/soak/net.h
+++ b/tests/soak/net.h
@@ -49,14 +49,18 @@
 	setsockopt(fd, SOL_SOCKET, SO_SNDTIMEO, &tv, sizeof(tv));
 }
 
-/* A connection, or -1. ms bounds the connect and each call after it. */
-inline int dial(const Address &a, int ms)
+/* A connection, or -1, from the given address if there is one. ms bounds the
+ * connect and each call after it. */
+inline int dial(const Address &a, int ms, const std::string &from = "")
 {
 	sockaddr_in addr = to_sockaddr(a);
+	sockaddr_in own = to_sockaddr({ from.empty() ? "0.0.0.0" : from, 0 });
 	int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
 	int one = 1;
 
 	set_timeout(fd, ms);
+	if (!from.empty())
+		bind(fd, (sockaddr *)&own, sizeof(own));
 	setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof(one));
 	if (!connect(fd, (sockaddr *)&addr, sizeof(addr)))
 		return fd;
--- a/tests/soak/proxy.h
+++ b/tests/soak/proxy.h
@@ -17,7 +17,10 @@
 {
       public:
 	Proxy(const Address &at, Address target)
-	    : listener(at, [this](int fd, const std::string &) { carry(fd); }),
+	    : listener(at,
+		       [this](int fd, const std::string &from) {
+			       carry(fd, from);
+		       }),
 	      behind(std::move(target))
 	{
 	}
@@ -27,7 +30,18 @@
 		return listener.open();
 	}
 
-	std::atomic<Way> way{ Way::Clear };
+	void set(Way next)
+	{
+		changed_at = Clock::now().time_since_epoch().count();
+		way = next;
+	}
+
+	/* Was all passed on as it came since the time? */
+	bool was_clear_since(Time at) const
+	{
+		return way == Way::Clear &&
+		       changed_at < at.time_since_epoch().count();
+	}
 
       private:
 	/* False when the connection is to end. */
@@ -60,9 +74,9 @@
 		shutdown(to, SHUT_RDWR);
 	}
 
-	void carry(int caller)
+	void carry(int caller, const std::string &from)
 	{
-		int fd = dial(behind, 20000);
+		int fd = dial(behind, 20000, from);
 
 		if (fd < 0 || way == Way::Reset) {
 			reset(caller);
@@ -76,6 +90,8 @@
 		close(fd);
 	}
 
+	std::atomic<Way> way{ Way::Clear };
+	std::atomic<Clock::rep> changed_at{ 0 };
 	Listener listener;
 	Address behind;
 };
--- a/tests/soak/target.cc
+++ b/tests/soak/target.cc
@@ -22,11 +22,21 @@
 	return text.empty() ? 5000 : std::stoi(text);
 }
 
+std::string header_of(Says says)
+{
+	if (says == Says::Limit)
+		return "Server-Limit: " + std::to_string(LIMIT) + "\r\n";
+	return says == Says::Leaving ? "Server-Leaving: 1\r\n" : "";
+}
+
 } // namespace
 
-Target::Target(TargetPlace p, Store &s, Ledger &l, uint32_t seed)
-    : place(std::move(p)), store(s), ledger(l), random(seed),
-      listener(place.real, [this](int fd, const std::string &) { serve(fd); })
+Target::Target(TargetPlace p, Store &s, Ledger &l, uint32_t seed,
+	       Notices::Excused excused)
+    : place(std::move(p)), store(s), ledger(l),
+      notices(l, place.id, std::move(excused)), random(seed),
+      listener(place.real,
+	       [this](int fd, const std::string &vm) { serve(fd, vm); })
 {
 }
 
@@ -101,16 +111,18 @@
 }
 
 std::string Target::stamped(const std::string &id, const std::string &stamp,
-			    int status)
+			    int status, const std::string &notice)
 {
 	return http(status,
-		    "X-Request-Id: " + id + "\r\nX-Server-Stamp: " + stamp +
+		    notice + "X-Request-Id: " + id +
+			    "\r\nX-Server-Stamp: " + stamp +
 			    "\r\nX-Server-Load: " + std::to_string(running) +
 			    ",0," + std::to_string(SLOTS) + "\r\n",
 		    status == 200 ? body_for(id, stamp) : "failed\n");
 }
 
-bool Target::work(int fd, const std::string &request, const std::string &id)
+bool Target::work(int fd, const std::string &request, const std::string &id,
+		  const std::string &vm)
 {
 	Mode now = chance(SICK_SHARE) ? mode.load() : Mode::Well;
 	std::string stamp = place.id + "." + std::to_string(++runs);
@@ -128,17 +140,21 @@
 		reset(fd);
 		return false;
 	}
-	text = stamped(id, stamp, now == Mode::Errors ? 500 : 200);
+	Says word = says;
+
+	text = stamped(id, stamp, now == Mode::Errors ? 500 : 200,
+		       header_of(word));
+	notices.answered(vm, word);
 	if (now == Mode::Cut) {
 		send_all(fd, text.substr(0, text.size() - 5));
 		return false;
 	}
 	if (now == Mode::Extra)
-		text = stamped("other-" + id, "other", 200) + text;
+		text = stamped("other-" + id, "other", 200, "") + text;
 	return send_all(fd, text);
 }
 
-bool Target::handle(int fd, const std::string &request)
+bool Target::handle(int fd, const std::string &request, const std::string &vm)
 {
 	static const std::string not_run = "X-Not-Executed: 1\r\n";
 	std::string id = header(request, "X-Request-Id");
@@ -149,23 +165,32 @@
 		return send_all(fd, http(400, not_run, ""));
 	if (!expected.empty() && expected != place.id)
 		return send_all(fd, http(421, not_run, ""));
+	notices.arrived(vm);
+	if (says == Says::Rest) {
+		notices.answered(vm, Says::Rest);
+		return send_all(fd,
+				http(503,
+				     not_run + "Retry-After: " +
+					     std::to_string(REST_S) + "\r\n",
+				     ""));
+	}
 	if (running >= SLOTS + QUEUE ||
 	    (mode == Mode::Shed && chance(SICK_SHARE)))
 		return send_all(fd, http(503, not_run, ""));
 	running++;
-	more = work(fd, request, id);
+	more = work(fd, request, id, vm);
 	running--;
 	return more;
 }
 
-void Target::serve(int fd)
+void Target::serve(int fd, const std::string &vm)
 {
 	std::string rest;
 
 	for (;;) {
 		std::string request = read_message(fd, rest);
 
-		if (request.empty() || !handle(fd, request))
+		if (request.empty() || !handle(fd, request, vm))
 			return;
 	}
 }
--- a/tests/soak/target.h
+++ b/tests/soak/target.h
@@ -5,6 +5,7 @@
 
 #include "ledger.h"
 #include "net.h"
+#include "notices.h"
 #include "store.h"
 
 namespace soak
@@ -24,7 +25,8 @@
 class Target
 {
       public:
-	Target(TargetPlace place, Store &store, Ledger &ledger, uint32_t seed);
+	Target(TargetPlace place, Store &store, Ledger &ledger, uint32_t seed,
+	       Notices::Excused excused);
 
 	bool open();
 	/* Say again that it lives; call every second or so. */
@@ -37,22 +39,25 @@
 
 	const TargetPlace place;
 	std::atomic<Mode> mode{ Mode::Well };
+	std::atomic<Says> says{ Says::Nothing };
 	/* When the store took that it leaves; zero while it does not. */
 	std::atomic<Clock::rep> left_at{ 0 };
 	std::atomic<Clock::rep> last_run_at{ 0 };
 
       private:
-	void serve(int fd);
+	void serve(int fd, const std::string &vm);
 	/* False when the connection is over. */
-	bool handle(int fd, const std::string &request);
-	bool work(int fd, const std::string &request, const std::string &id);
+	bool handle(int fd, const std::string &request, const std::string &vm);
+	bool work(int fd, const std::string &request, const std::string &id,
+		  const std::string &vm);
 	bool chance(double p);
 	int work_ms();
 	std::string stamped(const std::string &id, const std::string &stamp,
-			    int status);
+			    int status, const std::string &notice);
 
 	Store &store;
 	Ledger &ledger;
+	Notices notices;
 	std::mutex mutex;
 	std::mt19937 random;
 	std::atomic<int> running{ 0 };
--- a/tests/soak/vm.h
+++ b/tests/soak/vm.h
@@ -56,6 +56,7 @@
 		if (pid > 0)
 			return;
 		starts++;
+		disturb();
 		int log = open((dir + "/" + ip + ".log").c_str(),
 			       O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
 
@@ -74,6 +75,7 @@
 	{
 		if (pid > 0)
 			kill(pid, signal_number);
+		disturb();
 		if (signal_number == SIGSTOP)
 			paused = true;
 		if (signal_number == SIGCONT) {
@@ -97,6 +99,7 @@
 	{
 		if (pid <= 0)
 			return;
+		disturb();
 		kill(pid, SIGKILL);
 		waitpid(pid, &ended_with, 0);
 		pid = -1;
@@ -108,8 +111,15 @@
 	unsigned starts = 0;
 	bool paused = false;
 	Time resumed_at{};
+	/* When it was last started, signalled or ended. */
+	std::atomic<Clock::rep> disturbed_at{ 0 };
 
       private:
+	void disturb()
+	{
+		disturbed_at = Clock::now().time_since_epoch().count();
+	}
+
 	std::string path() const
 	{
 		return dir + "/" + ip + ".yaml";
--- a/tests/soak/world.cc
+++ b/tests/soak/world.cc
@@ -76,6 +76,16 @@
 		calm_since = now;
 }
 
+/* Did the VM run on without a fault of its own since the time? */
+bool World::was_calm_since(const std::string &ip, Time since) const
+{
+	for (const auto &vm : vms)
+		if (vm->ip == ip)
+			return vm->disturbed_at <
+			       since.time_since_epoch().count();
+	return false;
+}
+
 bool World::start_target(Place &place, const std::string &service)
 {
 	std::string id = "i-" + std::to_string(++instances);
@@ -90,7 +100,12 @@
 	place.target = std::make_unique<Target>(
 		TargetPlace{ id, service, place.zone, place.published,
 			     place.real },
-		*store, ledger, options.seed * 1000 + instances);
+		*store, ledger, options.seed * 1000 + instances,
+		[this, &place](const std::string &vm, Time since) {
+			return !options.bounds ||
+			       !place.proxy->was_clear_since(since) ||
+			       !was_calm_since(vm, since);
+		});
 	return place.target->open();
 }
 
@@ -293,8 +308,26 @@
 {
 	Place &p = *places[below((unsigned)places.size())];
 	std::string service = p.target->place.service;
-	unsigned which = below(10);
+	unsigned which = below(13);
+
+	if (which >= 10) {
+		static const Says words[] = { Says::Limit, Says::Leaving,
+					      Says::Rest };
+		Target *t = p.target.get();
 
+		tell("target " + t->place.id + " says " +
+		     std::to_string(which - 9));
+		t->says = words[which - 10];
+		/* One that has said that it leaves ends. */
+		later(2000 + below(4000), [this, t, &p, service, which] {
+			t->says = Says::Nothing;
+			if (which != 11 || p.target.get() != t)
+				return;
+			p.target->crash();
+			start_target(p, service);
+		});
+		return;
+	}
 	if (which < 7) {
 		Mode mode = (Mode)(1 + which);
 		Target *t = p.target.get();
@@ -331,8 +364,8 @@
 	unsigned which = below(5);
 
 	tell("way to " + p.target->place.id + " " + std::to_string(which));
-	p.proxy->way = ways[which];
-	later(300 + below(2500), [&p] { p.proxy->way = Way::Clear; });
+	p.proxy->set(ways[which]);
+	later(300 + below(2500), [&p] { p.proxy->set(Way::Clear); });
 }
 
 void World::fault()
--- a/tests/soak/world.h
+++ b/tests/soak/world.h
@@ -62,6 +62,7 @@
 	void later(unsigned ms, std::function<void()> what);
 	void undo_due(bool all);
 
+	bool was_calm_since(const std::string &ip, Time since) const;
 	bool start_target(Place &place, const std::string &service);
 	void write_config();
 	void beats();
