Measures: a figure that was not taken fails its row

One of three runs of false-ejections printed -1 ms for this detector and for a baseline, and '1134 times sooner ... ok': best stayed at its first value, and -1 counted as 1 ms. Cause: rows without a limit passed anything, and the ratio was formed of figures that were not there.

Now -1, an empty value and null fail their row in all measures; the ratio is -1, which fails, unless both figures were taken; a baseline that ejected for something else has none, which is no failure of ours.

--- a/scripts/measure/detection.sh
+++ b/scripts/measure/detection.sh
@@ -5,7 +5,7 @@
 . "$(dirname "$0")/lib-faults.sh"
 
 altiplano() {
-	local d n=1 ms best=15000 ours=15000
+	local d n=1 ms best=-1 ours=-1
 	fleet_begin altiplano "$ROOT/out/detection-altiplano" || return 1
 	fleet_warm 14
 	start_load feed 0 --rate 400 --seconds 62 --read-path /schedules
@@ -17,11 +17,11 @@
 		ms=$(as_baseline "$d" "$ms" 1000)
 		row "altiplano_dead_but_healthy_$d" "$ms" ms \
 			"$([ "$d" = cusum ] && echo '<=1000')"
-		if [ "$d" = cusum ]; then ours=$ms; elif [ "$ms" -ge 0 ] && [ "$ms" -lt "$best" ]; then best=$ms; fi
+		if [ "$d" = cusum ]; then ours=$ms; else best=$(sooner_of "$best" "$ms"); fi
 		n=$((n + 1))
 	done
 	row altiplano_times_sooner_than_best_baseline \
-		"$(jq -n "$best / ([$ours, 1] | max) * 10 | round / 10")" times '>=5'
+		"$(times_sooner "$ours" "$best")" times '>=5'
 	set_detector 0 cusum
 	row altiplano_slow_tenfold "$(try_fault 0 6 'mode=slow&factor=10' 5 40)" ms
 	row altiplano_truncating "$(try_fault 0 7 mode=truncate 5 40)" ms
--- a/scripts/measure/false-ejections.sh
+++ b/scripts/measure/false-ejections.sh
@@ -7,7 +7,7 @@
 . "$(dirname "$0")/lib-faults.sh"
 
 imigabane() {
-	local d n=1 ms best=15000 ours=15000 t since mark
+	local d n=1 ms best=-1 ours=-1 t since mark
 	fleet_begin imigabane "$ROOT/out/detection-imigabane" || return 1
 	fleet_warm 14
 	start_load view 0 --rate 1200 --seconds 56 --read-path /holdings --deadline-ms 250
@@ -22,7 +22,7 @@
 		ms=$(try_fault 0 $n mode=gray 5 120)
 		ms=$(as_baseline "$d" "$ms" 250)
 		row "imigabane_dead_but_healthy_$d" "$ms" ms
-		if [ "$d" = cusum ]; then ours=$ms; elif [ "$ms" -ge 0 ] && [ "$ms" -lt "$best" ]; then best=$ms; fi
+		if [ "$d" = cusum ]; then ours=$ms; else best=$(sooner_of "$best" "$ms"); fi
 		target_fault 0 "$n" mode=noise >/dev/null
 		all_events | jq --argjson m "$mark" '[.[] | select(.wall >= $m)]' >"$FLEET_DIR/events-$d.json"
 		row "imigabane_false_ejections_$d" \
@@ -31,7 +31,7 @@
 		n=$((n + 1))
 	done
 	row imigabane_times_sooner_than_best_baseline \
-		"$(jq -n "$best / ([$ours, 1] | max) * 10 | round / 10")" times '>=1'
+		"$(times_sooner "$ours" "$best")" times '>=1'
 	wait_load view
 	promises view
 	fleet_end
--- a/scripts/measure/lib-faults.sh
+++ b/scripts/measure/lib-faults.sh
@@ -16,15 +16,34 @@
 }
 
 # A baseline hears of a hanging request when its deadline passes. A target that
-# was left alone sooner was ejected for something else, wrongly: -1.
+# was left alone sooner was ejected for something else, wrongly: none.
 as_baseline() { # DETECTOR MS DEADLINE-MS
 	if [ "$1" != cusum ] && [ "$2" -ge 0 ] && [ "$2" -lt "$3" ]; then
-		echo -1
+		echo none
 	else
 		echo "$2"
 	fi
 }
 
+sooner_of() { # BEST MS: the smaller, where one was taken
+	if ! is_taken "$2"; then
+		echo "$1"
+	elif ! is_taken "$1" || [ "$2" -lt "$1" ]; then
+		echo "$2"
+	else
+		echo "$1"
+	fi
+}
+
+# How many times sooner than the best baseline; -1 unless both were taken.
+times_sooner() { # OURS BEST
+	if is_taken "$1" && is_taken "$2"; then
+		jq -n "$2 / ([$1, 1] | max) * 10 | round / 10"
+	else
+		echo -1
+	fi
+}
+
 ejected_but() { # FILE SERVICE NAME...: distinct targets ejected that are not named
 	local file=$1 service=$2
 	shift 2
--- a/scripts/measure/lib.sh
+++ b/scripts/measure/lib.sh
@@ -5,9 +5,18 @@
 . "$ROOT/scripts/fleet.sh"
 MEASURE_FAILED=0
 
-row() { # NAME VALUE UNIT [LIMIT]; a limit is a number with <=, >= or == before
+# A figure that was not taken is -1, or no number at all.
+is_taken() { # VALUE
+	[[ $1 =~ ^-?[0-9]+(\.[0-9]+)?$ ]] && [ "$1" != -1 ]
+}
+
+# NAME VALUE UNIT [LIMIT]; a limit is a number with <=, >= or == before. A figure
+# that was not taken fails its row, also one without a limit; "none" is no figure.
+row() {
 	local verdict=ok limit=${4:--}
-	if [ "$limit" != - ]; then
+	is_taken "$2" || [ "$2" = none ] || verdict=FAIL
+	[ "$2" = none ] && [ "$limit" != - ] && verdict=FAIL
+	if [ "$limit" != - ] && [ "$verdict" = ok ]; then
 		jq -en --arg v "$2" --arg l "$limit" '
 			($l | capture("^(?<op>[<>=]=)(?<n>.*)$")) as $c |
 			($v | tonumber) as $x | ($c.n | tonumber) as $n |
