A target's limit grows old however often VMs tell each other of it

Found by reading: what a VM tells of a limit bears its age, and the one that hears it reckoned the message's way as nothing. So each telling makes the word younger by its way, and VMs that tell each other some times a second keep it young; an answer without a limit counts only a second after the last word, so that the limit would end late or never where messages take long. A test with a way of 20 ms: after 5 s the word is still 0 s old; now it is 5 s old, and the limit ends.

The way counts as 0.1 s, as lists do with theirs.

--- a/entry/mesh_notices.c
+++ b/entry/mesh_notices.c
@@ -91,7 +91,7 @@
 	struct entry *e = mesh->e;
 	struct tr_roster *roster = &e->roster;
 	struct tr_instance *row = tr_roster_by_hash(roster, in->target);
-	apr_time_t said_at = now - TR_MSEC(in->age_ms);
+	apr_time_t said_at = tr_send_limit_said_at(TR_MSEC(in->age_ms), now);
 	struct tr_told_sent *told;
 	uint32_t place;
 
--- a/lib/send_limit.c
+++ b/lib/send_limit.c
@@ -34,6 +34,9 @@
 /* How long what another group's target said holds here without being told
  * again: that group tells it some times a second. */
 #define AWAY_HOLDS TR_SEC(10)
+/* What a message between two VMs takes at most, with the turn of a busy loop.
+ */
+#define WAY_MOST TR_MSEC(100)
 
 /* A row for the target, by its place. */
 uint32_t tr_send_limits_add(struct tr_send_limits *limits, uint32_t target)
@@ -100,6 +103,16 @@
 	l->at = now;
 }
 
+/*
+ * When the target said what another VM tells of it, with its age. The message's
+ * way counts as the longest that it usually takes: else each telling makes the
+ * word a little younger, and VMs that tell each other keep it young for ever.
+ */
+apr_time_t tr_send_limit_said_at(apr_time_t told_age, apr_time_t now)
+{
+	return now - told_age - WAY_MOST;
+}
+
 /* An answer to this VM or another named a limit, at a time by this VM's clock.
  */
 enum tr_send_limit_change tr_send_limit_named(struct tr_send_limits *limits,
--- a/tests/send_limit_test.cc
+++ b/tests/send_limit_test.cc
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <gtest/gtest.h>
 
 extern "C" {
@@ -115,6 +116,26 @@
 	EXPECT_EQ(named(1, now + TR_MSEC(1)), TR_SEND_LIMIT_BEGAN);
 }
 
+/* Guards against VMs that keep a limit young by telling each other of it, so
+ * that no answer without one ends it. */
+TEST_F(SendLimit, ALimitGrowsOldHoweverOftenItIsTold)
+{
+	const apr_time_t way = TR_MSEC(20), said = now;
+	apr_time_t newest = now;
+
+	named(1, now);
+	while (now < said + TR_SEC(5)) {
+		apr_time_t age = now - newest;
+
+		now += way;
+		newest = std::max(newest, tr_send_limit_said_at(age, now));
+		named(1, newest);
+	}
+	EXPECT_EQ(newest, said);
+	EXPECT_EQ(tr_send_limit_unnamed(&limits, place, now),
+		  TR_SEND_LIMIT_ENDED);
+}
+
 TEST_F(SendLimit, APlaceIsUsedAgain)
 {
 	uint32_t other = tr_send_limits_add(&limits, 8);
