Log targets that serve and get no requests

A request's line tells to which target it went, never which target was passed over and what a VM held of it then. Two VMs a target, drawn by hash, write one line when it has been idle for 2 s: its chance of being gray, when it was used and failed, what is in flight there.

- a wait for a slot, a limit, rest or an address that can't be reached: full, limited, rests and unreachable are 0 in nearly all lines;

--- a/entry/entry.h
+++ b/entry/entry.h
@@ -76,6 +76,7 @@
 	bool leaving;
 	bool ready;
 	apr_time_t stepped_at;
+	apr_time_t idle_looked_at;
 	apr_time_t hold_until;
 	apr_time_t started_at;
 	apr_time_t settles_at;
--- a/entry/toucanreel_entry.c
+++ b/entry/toucanreel_entry.c
@@ -17,6 +17,7 @@
 #include "error.h"
 #include "eventlog.h"
 #include "exchange.h"
+#include "idle.h"
 #include "mesh.h"
 #include "platform.h"
 #include "reader.h"
@@ -169,6 +170,7 @@
 	look_at_settings(d, now);
 	exchange_serve_held(e);
 	tr_roster_step(&e->roster, now);
+	idle_step(e, now);
 	kept_step(e);
 	reader_step(e->reader);
 	mesh_step(e->mesh);
--- a/lib/roster.h
+++ b/lib/roster.h
@@ -79,6 +79,7 @@
 	struct tr_symptom_totals own;
 	bool dirty;
 	bool dirty_away;
+	bool idle_logged;
 };
 
 /*
