One VM's lost link no longer makes a target gray for the fleet

Cause: a connection that could not be opened in 0.3 s was told to all as a failed request (+3.2 of log-odds; an answer takes back 1.37), so three VMs in ten that can't reach a target outweigh seven that are answered by it. But nothing is lost by it: the request goes on to the next target unharmed, and the VM leaves that address alone for a second by itself.

Change: silence counts as much as a request that runs long (+0.8); a refusal, by which the process itself says that nobody listens, as before. Six VMs that meet silence still make a suspect.

--- a/entry/upstream.c
+++ b/entry/upstream.c
@@ -116,7 +116,7 @@
 		break;
 	case UPSTREAM_UNREACHED:
 		row->unreachable_until = entry_now(u->e) + UNREACHABLE_FOR;
-		say(u, row, TR_SYMPTOM_FAILED);
+		say(u, row, tr_gray_unreached_symptom(u->stream.refused));
 		break;
 	case UPSTREAM_FAILED:
 	case UPSTREAM_BROKEN:
--- a/lib/gray.c
+++ b/lib/gray.c
@@ -151,3 +151,14 @@
 
 	return symptoms[stage];
 }
+
+/*
+ * What is said of a target to which no connection could be opened. A refusal
+ * tells that nobody listens there. Silence may be that of one VM's link while
+ * others are answered, and the request goes on to the next target unharmed, so
+ * it takes several VMs to hold the target to be gray for it.
+ */
+enum tr_symptom tr_gray_unreached_symptom(bool refused)
+{
+	return refused ? TR_SYMPTOM_FAILED : TR_SYMPTOM_LATE;
+}
--- a/tests/gray_test.cc
+++ b/tests/gray_test.cc
@@ -3,6 +3,7 @@
 extern "C" {
 #include "clock.h"
 #include "gray.h"
+#include "hash.h"
 }
 
 namespace
@@ -96,4 +97,34 @@
 		  tr_gray_stage_after(TR_STAGE_OVERDUE, usual, 0.7));
 }
 
+/* Guards against a target that most VMs reach being held to be gray because
+ * some can't open a connection to it. */
+TEST_F(Gray, LinksThatSomeVmsHaveLostAccuseNobody)
+{
+	tr_random random{ 11 };
+	unsigned suspected = 0;
+	unsigned times = 0;
+
+	for (; times < 2000; times++) {
+		now += TR_MSEC(180);
+		add(tr_random_unit(&random) < 0.3
+			    ? tr_gray_unreached_symptom(false)
+			    : TR_SYMPTOM_GOOD);
+		suspected += p() >= 0.5;
+	}
+	EXPECT_LE(suspected, times / 50);
+}
+
+/* Guards against going on for long with a target that nobody can reach. */
+TEST_F(Gray, ATargetThatNobodyReachesIsSuspectedAfterAFewAttempts)
+{
+	for (int i = 0; i < 20; i++)
+		add(TR_SYMPTOM_GOOD);
+	for (int i = 0; i < 6; i++)
+		add(tr_gray_unreached_symptom(false));
+	EXPECT_GE(p(), 0.5);
+	add(tr_gray_unreached_symptom(true));
+	EXPECT_GE(p(), 0.9);
+}
+
 } // namespace
