The end of a VM's last request at a target is told twice

What callers saw: nothing by itself; targets that had nothing to do were held to be busy, so that work went to fuller ones, and one that waits for a request that hung there long ago is not looked at again.

Cause: others count a VM's requests in flight by its last word. A message that is lost, or overtaken by the next on its way over another VM, is made up for only when the row's turn comes round: two rows a message, 8 s for 400 targets, and never where this VM had no prompt answer.

Change: a row whose last request has ended is told once more in the next message, 12 at most, and rows in their turn whatever came of the requests there. Both new tests failed before.

--- a/entry/mesh_rows.c
+++ b/entry/mesh_rows.c
@@ -5,7 +5,10 @@
 #include "mesh_internal.h"
 
 /* Rows told again though nothing is new, in case the last telling was lost. */
-#define ROWS_AGAIN  2
+#define ROWS_AGAIN 2
+/* Of them, those where a VM's last request has ended since: until that is heard
+ * others count it as in flight. */
+#define ENDS_AGAIN  12
 #define BYTES_A_ROW 24
 /* VMs that are looked at ten times a second for whether they are lost: a
  * thousand in two seconds. */
@@ -14,17 +17,34 @@
  * sends here only while its own group is full, seldom twice to one target. */
 #define FIRST_TOTALS 3
 
-/* Targets at which something has changed, as many as there is room for in
- * bytes, and some that were told before. */
-void mesh_add_rows(struct mesh *mesh, struct mesh_message *msg,
-		   struct mesh_row *rows, size_t room)
+static unsigned sum_of(const struct tr_symptom_totals *totals)
 {
-	struct tr_roster *roster = &mesh->e->roster;
-	unsigned most = (unsigned)(room / BYTES_A_ROW);
+	unsigned sum = 0;
 
-	if (most > MESH_MAX_ROWS)
-		most = MESH_MAX_ROWS;
-	msg->rows.rows_val = rows;
+	for (int s = 0; s < TR_SYMPTOMS; s++)
+		sum += totals->count[s];
+	return sum;
+}
+
+/* Ends that were told in the message before this one. */
+static void add_ends(struct tr_roster *roster, struct mesh_message *msg,
+		     struct mesh_row *rows)
+{
+	for (unsigned i = 0;
+	     i < roster->count && msg->rows.rows_len < ENDS_AGAIN; i++) {
+		struct tr_instance *row = &roster->rows[i];
+
+		if (!row->used || !row->tell_again)
+			continue;
+		row->tell_again = false;
+		if (!row->dirty)
+			mesh_fill_row(&rows[msg->rows.rows_len++], row);
+	}
+}
+
+static void add_changed(struct tr_roster *roster, struct mesh_message *msg,
+			struct mesh_row *rows, unsigned most)
+{
 	for (unsigned i = 0; i < roster->count && msg->rows.rows_len < most;
 	     i++) {
 		struct tr_instance *row = &roster->rows[i];
@@ -33,14 +53,31 @@
 			continue;
 		mesh_fill_row(&rows[msg->rows.rows_len++], row);
 		row->dirty = false;
+		row->tell_again = !row->in_flight;
 	}
+}
+
+/* Targets at which something has changed, as many as there is room for in
+ * bytes, and some that were told before. */
+void mesh_add_rows(struct mesh *mesh, struct mesh_message *msg,
+		   struct mesh_row *rows, size_t room)
+{
+	struct tr_roster *roster = &mesh->e->roster;
+	unsigned most = (unsigned)(room / BYTES_A_ROW);
+
+	if (most > MESH_MAX_ROWS)
+		most = MESH_MAX_ROWS;
+	msg->rows.rows_val = rows;
+	if (most > ENDS_AGAIN)
+		add_ends(roster, msg, rows);
+	add_changed(roster, msg, rows, most);
 	for (unsigned n = 0;
 	     n < ROWS_AGAIN && n < roster->count && msg->rows.rows_len < most;
 	     n++) {
 		const struct tr_instance *row =
 			&roster->rows[mesh->row_again++ % roster->count];
 
-		if (row->used && row->own.count[TR_SYMPTOM_GOOD])
+		if (row->used && sum_of(&row->own))
 			mesh_fill_row(&rows[msg->rows.rows_len++], row);
 	}
 }
@@ -108,15 +145,6 @@
 	}
 }
 
-static unsigned sum_of(const struct tr_symptom_totals *totals)
-{
-	unsigned sum = 0;
-
-	for (int s = 0; s < TR_SYMPTOMS; s++)
-		sum += totals->count[s];
-	return sum;
-}
-
 /*
  * Is what the VM tells of a target for the first time news? What it counted
  * before this VM listened is old. A VM of another group tells only of what it
--- a/lib/roster.h
+++ b/lib/roster.h
@@ -38,7 +38,8 @@
  * that rest. limit is the place of its row among the limits that targets have
  * named, TR_NO_ROW for none; says_leaving and rests_until are what else it said
  * of itself in its answers. Unlike leaving, which is the platform's word,
- * says_leaving holds until the target's end.
+ * says_leaving holds until the target's end. dirty: something is new to be told
+ * of it; tell_again: the end of this VM's last request there was told once.
  */
 struct tr_instance {
 	bool used;
@@ -79,6 +80,7 @@
 	struct tr_symptom_totals own;
 	bool dirty;
 	bool dirty_away;
+	bool tell_again;
 	bool idle_logged;
 };
 
--- a/tests/mesh_test.cc
+++ b/tests/mesh_test.cc
@@ -183,4 +183,82 @@
 	EXPECT_LE(len, BYTES_HEAD + BYTES_NOTICES);
 }
 
+/* What two VMs tell each other of their requests; messages may be lost. */
+struct Rows : Changes {
+	entry other{};
+	mesh other_mesh{};
+	tr_node node{};
+
+	void SetUp() override
+	{
+		Changes::SetUp();
+		other_mesh.e = &other;
+		for (unsigned i = 0; i < e.roster.count; i++) {
+			tr_target_record r{};
+
+			tr_roster_record(&e.roster, &e.roster.rows[i], &r, now);
+			tr_roster_apply(&other.roster, &r, now - TR_SEC(60));
+		}
+		node.near = true;
+		node.first_sequence = 1;
+	}
+
+	void TearDown() override
+	{
+		tr_roster_release(&other.roster);
+		free(node.told);
+		Changes::TearDown();
+	}
+
+	void say(bool lost)
+	{
+		mesh_row rows[MESH_MAX_ROWS];
+		mesh_message msg{};
+
+		mesh_add_rows(&m, &msg, rows, 1400);
+		if (!lost)
+			mesh_take_rows(&other_mesh, &node, &msg, now);
+		now += TR_MSEC(50);
+	}
+
+	void request(unsigned i, unsigned in_flight)
+	{
+		e.roster.rows[i].in_flight = in_flight;
+		tr_roster_changed(&e.roster, &e.roster.rows[i]);
+	}
+};
+
+/* Guards against targets that are held to be busy for seconds after their last
+ * request has ended, because the message that told of it was lost or overtaken.
+ */
+TEST_F(Rows, AnEndWhoseMessageIsLostIsToldInTheNext)
+{
+	for (unsigned i = 0; i < 10; i++)
+		request(20 * i, 1);
+	say(false);
+	for (unsigned i = 0; i < 10; i++) {
+		EXPECT_EQ(other.roster.rows[20 * i].others_in_flight, 1u);
+		request(20 * i, 0);
+	}
+	say(true);
+	say(false);
+	for (unsigned i = 0; i < 10; i++)
+		EXPECT_EQ(other.roster.rows[20 * i].others_in_flight, 0u);
+}
+
+/* Guards against targets at which a VM was never answered and whose last news
+ * was lost twice: nobody would hear of the end. */
+TEST_F(Rows, WhatWasNeverAnsweredIsToldAgainToo)
+{
+	request(7, 1);
+	e.roster.rows[7].own.count[TR_SYMPTOM_OVERDUE] = 1;
+	say(false);
+	request(7, 0);
+	say(true);
+	say(true);
+	for (unsigned i = 0; i < e.roster.count; i++)
+		say(false);
+	EXPECT_EQ(other.roster.rows[7].others_in_flight, 0u);
+}
+
 } // namespace
