Each idle target that the floor lacks is due by a deadline of its own

Cause: the floor was kept as a share of all targets, each by its chance to be well.

Change: the share is kept among the targets without a request in flight, those that would be counted if all VMs ended now. While it is too small, each of the least risky idle targets that are missing is due from 1.45 s of idleness or after its last failure on, by a chance that grows until it is certain at 1.95 s; those at which a request hangs wait for its end, which is now known of other VMs' requests too. No margin of deviations and no bound of risk is left.

Tests: all checks of the floor stand with their bounds. Cover.VmsTakeTurns had a clock that stood still and held nine draws in ten; it is now two, one that keeps its bound on two VMs in 50 ms, one in which none of 4,000 draws leaves a target idle for 2 s. The load test plays the end of hangs, as VMs do.

--- a/entry/mesh_rows.c
+++ b/entry/mesh_rows.c
@@ -158,6 +158,21 @@
 	return sum_of(totals) <= FIRST_TOTALS;
 }
 
+/* Did a request end of which the VM tells no outcome? It was overdue, and told
+ * as such when it came to that. LATE is also said of an attempt that ended
+ * because it could not connect. */
+static bool hang_ended(const struct tr_told *told, const struct mesh_row *in,
+		       const struct tr_symptom_totals *totals)
+{
+	int ended = (int)told->in_flight - (int)in->in_flight;
+
+	for (int s = 0; s < TR_SYMPTOMS; s++)
+		if (tr_gray_is_end((enum tr_symptom)s) || s == TR_SYMPTOM_LATE)
+			ended -= (uint16_t)(totals->count[s] -
+					    told->totals.count[s]);
+	return ended > 0;
+}
+
 static void take_row(struct mesh *mesh, struct tr_node *node,
 		     const struct mesh_row *in, apr_time_t now)
 {
@@ -175,6 +190,8 @@
 		told->target = row->hash;
 		old = !is_news(node, &totals, now);
 	}
+	if (!old && hang_ended(told, in, &totals))
+		tr_roster_hang_ended(row, now);
 	row->others_in_flight += in->in_flight - told->in_flight;
 	if (in->in_flight > told->in_flight)
 		row->used_at = now;
--- a/entry/upstream.c
+++ b/entry/upstream.c
@@ -128,6 +128,8 @@
 		/* What was said while it ran is not said again. */
 		if (u->stage != TR_STAGE_OVERDUE)
 			say(u, row, TR_SYMPTOM_FAILED);
+		else
+			tr_roster_hang_ended(row, entry_now(u->e));
 		break;
 	case UPSTREAM_ABANDONED:
 		break;
--- a/lib/cover.c
+++ b/lib/cover.c
@@ -1,9 +1,10 @@
 /*
- * The share of a service's targets that must be kept at work. Suspicion alone
- * could empty a service: gray spells end by themselves, and with a third of the
- * targets under suspicion the others get all the work. One would notice by
- * sound targets that get no request for seconds. So when too few are at work,
- * one more is due, whatever is suspected of it.
+ * The floor: a share of a service's sound targets must be at work, whatever is
+ * suspected of them, since what is wrong with them mostly ends by itself and
+ * nobody tells. Operators leave out the targets at which requests fail. So the
+ * share is kept among those that would be counted if all VMs ended now, which
+ * are those without a request in flight; while it is too small, each idle
+ * target is due for a request by a deadline of its own.
  */
 #include "cover.h"
 
@@ -11,67 +12,56 @@
 
 #include "clock.h"
 
-/* The span in which operators look is two seconds; a little less, so that the
- * request that is due is on its way before it ends. */
-#define USED_SPAN TR_MSEC(1450)
-/* A request that may be sent once more is due sooner, so that suspects get it
- * rather than one that must run once: at a service where one in five may, 0.043
- * instead of 0.045 of all requests failed (18 paired days). Half of the other
- * span gained no more. */
-#define SCOUT_SPAN TR_MSEC(800)
-/* Time in which the fleet sends the request that is due to a target, in s, each
- * VM by chance: several times what news takes, since what is sent to a gray
- * target is mostly lost, and short enough that it is on its way in the span. */
-#define EVEN_S 0.2
-/* A target that has failed is no sound one for so long (the operators' rule).
- * Nearly half of the suspects are so at any time, so it halves what must be
- * sent to them. */
-#define UNSOUND_FOR TR_SEC(2)
-/* Operators leave out the targets that are disturbed, some four in ten on the
- * days they look at, and nobody tells which they are: of the rest the share at
- * work is another one by chance, and the more so the fewer they are. So much
- * more is kept at work, in standard deviations of that. In the load test two
- * lose 0.009 more of what must run once at 140 targets and keep nothing more;
- * without any, one window in 8 is short at a service of 28. */
-#define COUNTED	   0.6
-#define DEVIATIONS 1.0
-/* From this share of failing requests on all are kept at work that can be:
- * operators look from there. */
+/* Operators look at spans of two seconds. A target counts as idle after the
+ * first of these times, and is sent a request within the second, so that it
+ * arrives before the span is over. */
+#define IDLE_AFTER  TR_MSEC(1450)
+#define SENT_WITHIN TR_MSEC(500)
+/* Requests that may be sent once more find out earlier, so that those that must
+ * run once are sent to fewer suspects. */
+#define IDLE_AFTER_REPEATABLE TR_MSEC(800)
+/* A target that has just come is not expected to be at work. */
+#define NEW_FOR TR_SEC(2)
+/* A target at which a request hangs is at work, for so long at most. */
+#define HANGS_FOR TR_MSEC(3300)
+/* So many targets more than the share are kept at work: of few each one counts.
+ */
+#define SPARE 1.25
+/* From this share of failing requests on any part of the targets may be
+ * counted.
+ */
 #define FAILING 0.1
-/* Targets that are gray with more than this chance are let idle: hardly one in
- * two of them is sound, and three in four requests at a gray one are lost. With
- * 0.5 one window in 14 is short at a service of 22 targets, one in 50 with 0.6,
- * for 0.004 of its requests; at 82 targets neither makes a difference (the load
- * test). The second holds while many fail; without it what fails there keeps
- * the failing share up by itself (0.070 instead of 0.032 of a quiet day's
- * requests failed, 96 VMs before 183 targets). */
-#define RISKIEST	 0.6
-#define RISKIEST_FAILING 0.7
 /* Requests a target within the last seconds from which on each can have its
  * own. */
 #define LEAST_WORK 1.0
 
-/* Begin to look at a service. scout tells that the request may be sent once
- * more. */
-void tr_cover_init(struct tr_cover *cover, bool scout)
+/* Begin to look at a service. may_repeat: the request may be sent once more. */
+void tr_cover_init(struct tr_cover *cover, bool may_repeat)
 {
 	*cover = (struct tr_cover){
-		.span = scout ? SCOUT_SPAN : USED_SPAN,
+		.idle_after = may_repeat ? IDLE_AFTER_REPEATABLE : IDLE_AFTER,
 	};
 }
 
 /* Keep those that are most probably well, in order. */
-static void add_idle(struct tr_cover *cover, uint32_t row, double risk)
+static void add_idle(struct tr_cover *cover, const struct tr_cover_idle *idle)
 {
 	unsigned i = cover->idle_count;
 
 	if (i < TR_COVER_IDLE)
 		cover->idle_count++;
-	else if (risk >= cover->idle[--i].risk)
+	else if (idle->risk >= cover->idle[--i].risk)
 		return;
-	for (; i && risk < cover->idle[i - 1].risk; i--)
+	for (; i && idle->risk < cover->idle[i - 1].risk; i--)
 		cover->idle[i] = cover->idle[i - 1];
-	cover->idle[i] = (struct tr_cover_idle){ row, risk };
+	cover->idle[i] = *idle;
+}
+
+/* Since when the target has been idle: a failure counts as work, because
+ * operators don't expect it to serve so soon after. */
+static apr_time_t idle_since(const struct tr_instance *row)
+{
+	return row->failed_at > row->used_at ? row->failed_at : row->used_at;
 }
 
 /*
@@ -81,63 +71,77 @@
 void tr_cover_see(struct tr_cover *cover, const struct tr_instance *row,
 		  uint32_t at, double risk, bool fits, apr_time_t now)
 {
-	apr_time_t idle = now - row->used_at;
+	apr_time_t late = now - idle_since(row) - cover->idle_after;
+	bool busy = tr_instance_there(row, now);
 	double well = 1 - risk;
 
-	if (idle < cover->span) {
-		cover->sound += well;
-		cover->used += well;
+	if (now - row->used_at < cover->idle_after) {
+		cover->at_work += well;
+		cover->at_rest += busy ? 0 : well;
 		return;
 	}
-	if ((row->failed_at && now - row->failed_at < UNSOUND_FOR) ||
-	    now - row->known_since < UNSOUND_FOR)
+	if (late < 0 || now - row->known_since < NEW_FOR ||
+	    (busy && now - row->used_at < HANGS_FOR))
 		return;
-	cover->sound += well;
+	cover->idle_well += well;
 	if (fits)
-		add_idle(cover, at, risk);
+		add_idle(cover,
+			 &(struct tr_cover_idle){
+				 .row = at,
+				 .risk = risk,
+				 .left = late < SENT_WITHIN ? SENT_WITHIN - late
+							    : 0,
+			 });
 }
 
-/* A target that another group keeps at work. */
-void tr_cover_see_away(struct tr_cover *cover, double risk)
+/* How many of the targets that would be counted now must be put to work. */
+static double missing(const struct tr_cover *cover, double share,
+		      double failing)
 {
-	cover->sound_away += 1 - risk;
+	double counted = cover->at_rest + cover->idle_well;
+
+	if (failing >= FAILING || counted < 1)
+		return cover->idle_well;
+	return fmin(share * counted + SPARE, counted) - cover->at_rest;
 }
 
-static double margin(const struct tr_cover *cover, double share)
+/* The chance that this request is the one to be sent to the target. */
+static double chance_of(const struct tr_cover_idle *idle, double rate)
 {
-	double counted = COUNTED * (cover->sound + cover->sound_away);
+	double requests = rate * (double)idle->left / 1e6;
 
-	if (counted < 1)
-		return 1 - share;
-	return DEVIATIONS * sqrt(share * (1 - share) / counted);
+	return requests > 1 ? 1 / requests : 1;
 }
 
 /*
  * The target that is due for this request so that the share is at work, or
  * TR_NO_ROW. drawn is a number drawn evenly from 0 to 1.
  *
- * Each target counts by the chance that it is well: a gray one is no sound one.
- * While each counted as one, seven in ten of all had to be at work where three
- * in ten were gray, so that of what must run once one in fifty was sent to
- * suspects for nothing else.
- *
  * All VMs see the same targets idle, and hear of each other's requests only
- * later. So each sends by a chance, by which all VMs together send one request
- * to each target that is due in some times what news takes.
+ * later. So each sends by a chance that grows until the deadline: the request
+ * is sent at a time that is spread evenly up to it, mostly by one VM, and at
+ * the deadline whatever is drawn. Targets whose time is over share the
+ * requests.
  */
 uint32_t tr_cover_due(const struct tr_cover *cover, double share,
 		      const struct tr_cover_work *work, double drawn)
 {
-	bool few_fail = work->failing < FAILING;
-	double riskiest = few_fail ? RISKIEST : RISKIEST_FAILING;
-	double wanted = cover->sound;
-	double at = drawn * work->rate * EVEN_S;
+	double left = missing(cover, share, work->failing);
+	double sum = 0;
+	unsigned n = 0;
 
-	if (few_fail)
-		wanted *= fmin(1, share + margin(cover, share));
-	if (work->outcomes < LEAST_WORK * cover->sound ||
-	    at >= wanted - cover->used || at >= cover->idle_count ||
-	    cover->idle[(unsigned)at].risk > riskiest)
+	if (work->outcomes < LEAST_WORK * (cover->at_work + cover->idle_well))
 		return TR_NO_ROW;
-	return cover->idle[(unsigned)at].row;
+	for (; n < cover->idle_count && left > 0; n++) {
+		left -= 1 - cover->idle[n].risk;
+		sum += chance_of(&cover->idle[n], work->rate);
+	}
+	if (sum > 1)
+		drawn *= sum;
+	for (unsigned i = 0; i < n; i++) {
+		drawn -= chance_of(&cover->idle[i], work->rate);
+		if (drawn < 0)
+			return cover->idle[i].row;
+	}
+	return TR_NO_ROW;
 }
--- a/lib/cover.h
+++ b/lib/cover.h
@@ -4,25 +4,27 @@
 #include "roster.h"
 
 /* Targets that may be due at the same time. */
-#define TR_COVER_IDLE 16
+#define TR_COVER_IDLE 32
 
-/* A target that has had no request for a while. */
+/* A target that has had no request for a while; left: until it must have one.
+ */
 struct tr_cover_idle {
 	uint32_t row;
 	double risk;
+	apr_time_t left;
 };
 
 /*
- * How much of a service is at work: its sound targets, each by the chance that
- * it is well, those of them that were given a request lately, and of the rest
- * those that are most probably well, in that order. sound_away: those of other
- * groups.
+ * How much of a service is at work: its targets, each by the chance that it is
+ * well; those that had a request within idle_after, of them those at rest,
+ * which have none in flight; and those that are idle, the one with the least
+ * time left first.
  */
 struct tr_cover {
-	apr_time_t span;
-	double sound;
-	double used;
-	double sound_away;
+	apr_time_t idle_after;
+	double at_work;
+	double at_rest;
+	double idle_well;
 	struct tr_cover_idle idle[TR_COVER_IDLE];
 	unsigned idle_count;
 };
@@ -35,10 +37,9 @@
 	double rate;
 };
 
-void tr_cover_init(struct tr_cover *cover, bool scout);
+void tr_cover_init(struct tr_cover *cover, bool may_repeat);
 void tr_cover_see(struct tr_cover *cover, const struct tr_instance *row,
 		  uint32_t at, double risk, bool fits, apr_time_t now);
-void tr_cover_see_away(struct tr_cover *cover, double risk);
 uint32_t tr_cover_due(const struct tr_cover *cover, double share,
 		      const struct tr_cover_work *work, double drawn);
 
--- a/lib/gray.c
+++ b/lib/gray.c
@@ -162,3 +162,10 @@
 {
 	return refused ? TR_SYMPTOM_FAILED : TR_SYMPTOM_LATE;
 }
+
+/* Is the symptom said when a request ends, and not while it runs? */
+bool tr_gray_is_end(enum tr_symptom symptom)
+{
+	return symptom != TR_SYMPTOM_LONG && symptom != TR_SYMPTOM_LATE &&
+	       symptom != TR_SYMPTOM_OVERDUE;
+}
--- a/lib/gray.h
+++ b/lib/gray.h
@@ -52,5 +52,6 @@
 enum tr_symptom tr_gray_stage_symptom(enum tr_stage stage);
 enum tr_symptom tr_gray_answer_symptom(enum tr_stage stage);
 enum tr_symptom tr_gray_unreached_symptom(bool refused);
+bool tr_gray_is_end(enum tr_symptom symptom);
 
 #endif
--- a/lib/place.c
+++ b/lib/place.c
@@ -277,13 +277,12 @@
 		if (p.risk < SUSPECT && takes < least_takes)
 			least_takes = takes;
 		fits = row->full_until <= now && in_time(wish, &p);
-		/* Others keep theirs at work, and tell of it too late. */
 		if (tr_roster_limit(roster, row)) {
 			limited += fits && i != drawn;
 			fits &= i == drawn;
-		} else if (row->away) {
-			tr_cover_see_away(&cover, p.risk);
-		} else {
+		} else if (!row->away) {
+			/* Other groups keep theirs at work, and tell of it too
+			 * late. */
 			tr_cover_see(&cover, row, i, p.risk, fits, now);
 		}
 		if (!fits)
--- a/lib/roster.c
+++ b/lib/roster.c
@@ -603,3 +603,9 @@
 	if (now - age > row->failed_at)
 		row->failed_at = now - age;
 }
+
+/* A request that was overdue at the target has ended without an answer. */
+void tr_roster_hang_ended(struct tr_instance *row, apr_time_t now)
+{
+	row->failed_at = now;
+}
--- a/lib/roster.h
+++ b/lib/roster.h
@@ -38,8 +38,10 @@
  * that rest. limit is the place of its row among the limits that targets have
  * named, TR_NO_ROW for none; says_leaving and rests_until are what else it said
  * of itself in its answers. Unlike leaving, which is the platform's word,
- * says_leaving holds until the target's end. dirty: something is new to be told
- * of it; tell_again: the end of this VM's last request there was told once.
+ * says_leaving holds until the target's end. failed_at: when a
+ * request there last turned out to have failed, or ended. dirty: something is
+ * new to be told of it; tell_again: the end of this VM's last request there was
+ * told once.
  */
 struct tr_instance {
 	bool used;
@@ -147,5 +149,6 @@
 /* Outcomes of the whole fleet's requests, as far as they are told. */
 void tr_roster_outcome(struct tr_roster *roster, struct tr_instance *row,
 		       enum tr_symptom symptom, unsigned times, apr_time_t now);
+void tr_roster_hang_ended(struct tr_instance *row, apr_time_t now);
 
 #endif
--- a/lib/worked.c
+++ b/lib/worked.c
@@ -48,7 +48,7 @@
 	s->lately_at = now;
 	if (symptom == TR_SYMPTOM_OVERDUE || symptom == TR_SYMPTOM_FAILED)
 		s->lately_bad += times;
-	else if (symptom != TR_SYMPTOM_LONG && symptom != TR_SYMPTOM_LATE)
+	else if (tr_gray_is_end(symptom))
 		s->lately_good += times;
 }
 
