--- a/entry/caller.c
+++ b/entry/caller.c
@@ -27,7 +27,7 @@
 
 static apr_time_t now_of(const struct caller *c)
 {
-	return tr_clock_now(loop_clock(c->door->loop));
+	return tr_clock_now(loop_clock(c->listener->loop));
 }
 
 const char *status_text(int status)
@@ -42,10 +42,10 @@
 	if (c->prev)
 		c->prev->next = c->next;
 	else
-		c->door->callers = c->next;
+		c->listener->callers = c->next;
 	if (c->next)
 		c->next->prev = c->prev;
-	c->door->count--;
+	c->listener->count--;
 }
 
 static void free_caller(struct caller *c)
@@ -54,7 +54,7 @@
 		c->dead = true;
 		return;
 	}
-	loop_cancel(c->door->loop, c->timer);
+	loop_cancel(c->listener->loop, c->timer);
 	stream_close(&c->stream);
 	unlink_caller(c);
 	message_free(&c->in);
@@ -68,14 +68,14 @@
 	bool handling = c->handling;
 
 	c->handling = false;
-	if (handling && c->door->calls->gone)
-		c->door->calls->gone(c->door->ctx, c);
+	if (handling && c->listener->calls->gone)
+		c->listener->calls->gone(c->listener->ctx, c);
 	free_caller(c);
 }
 
 static apr_time_t closes_at(const struct caller *c)
 {
-	const struct tr_caller_limits *limits = &c->door->limits;
+	const struct tr_caller_limits *limits = &c->listener->limits;
 
 	if (c->lingering)
 		return c->active_at + LINGER;
@@ -97,9 +97,10 @@
 
 	if (c->timer && c->timer_at <= at)
 		return;
-	loop_cancel(c->door->loop, c->timer);
+	loop_cancel(c->listener->loop, c->timer);
 	c->timer_at = at;
-	c->timer = loop_after(c->door->loop, left > 0 ? left : 0, timed_out, c);
+	c->timer = loop_after(c->listener->loop, left > 0 ? left : 0, timed_out,
+			      c);
 }
 
 static void refuse(struct caller *c, int status)
@@ -169,7 +170,7 @@
 {
 	c->handling = true;
 	c->close_after = !c->in.keep_alive;
-	c->door->calls->handle(c->door->ctx, c);
+	c->listener->calls->handle(c->listener->ctx, c);
 }
 
 static void keep_behind(struct caller *c, const char *data, size_t len)
@@ -180,7 +181,7 @@
 		c->behind = g_byte_array_new();
 	g_byte_array_append(c->behind, (const guint8 *)data, (guint)len);
 	if (c->behind->len > BEHIND_MOST)
-		loop_unwatch(c->door->loop, c->stream.fd);
+		loop_unwatch(c->listener->loop, c->stream.fd);
 }
 
 static void received(void *ctx, const char *data, size_t len)
@@ -252,7 +253,7 @@
 {
 	c->lingering = true;
 	shutdown(c->stream.fd, SHUT_WR);
-	loop_cancel(c->door->loop, c->timer);
+	loop_cancel(c->listener->loop, c->timer);
 	c->timer = NULL;
 	set_timer(c);
 }
@@ -260,7 +261,7 @@
 /* Answer the request that is being handled. The caller may be gone after. */
 void caller_answer(struct caller *c, const struct caller_answer *a)
 {
-	bool close = a->close || c->close_after || c->door->closing;
+	bool close = a->close || c->close_after || c->listener->closing;
 	GString *head = g_string_sized_new(512);
 
 	g_string_append_printf(head, "HTTP/1.1 %d %s\r\n", a->status,
@@ -289,12 +290,12 @@
 	}
 	if (!c->behind)
 		return;
-	loop_cancel(c->door->loop, c->timer);
+	loop_cancel(c->listener->loop, c->timer);
 	c->timer_at = c->active_at;
-	c->timer = loop_after(c->door->loop, 0, serve_behind, c);
+	c->timer = loop_after(c->listener->loop, 0, serve_behind, c);
 }
 
-static void take(struct door *door, int fd)
+static void take(struct listener *listener, int fd)
 {
 	struct caller *c = calloc(1, sizeof(*c));
 
@@ -302,22 +303,22 @@
 		close(fd);
 		return;
 	}
-	c->door = door;
-	c->next = door->callers;
+	c->listener = listener;
+	c->next = listener->callers;
 	if (c->next)
 		c->next->prev = c;
-	door->callers = c;
-	door->count++;
-	message_init(&c->in, HTTP_REQUEST, door->limits.header_bytes,
-		     door->limits.body_bytes);
-	stream_adopt(&c->stream, door->loop, fd, &stream_calls, c);
+	listener->callers = c;
+	listener->count++;
+	message_init(&c->in, HTTP_REQUEST, listener->limits.header_bytes,
+		     listener->limits.body_bytes);
+	stream_adopt(&c->stream, listener->loop, fd, &stream_calls, c);
 	c->active_at = now_of(c);
 	set_timer(c);
 }
 
 static void arrivals(void *ctx, int fd, int events)
 {
-	struct door *door = ctx;
+	struct listener *listener = ctx;
 
 	(void)events;
 	for (int i = 0; i < ACCEPTS; i++) {
@@ -326,50 +327,51 @@
 
 		if (conn < 0)
 			return;
-		take(door, conn);
+		take(listener, conn);
 	}
 }
 
 /* Listen. 0, or -1 with errno. */
-int door_open(struct door *door, struct loop *loop, const char *address,
-	      const struct door_calls *calls, void *ctx)
+int listener_open(struct listener *listener, struct loop *loop,
+		  const char *address, const struct listener_calls *calls,
+		  void *ctx)
 {
-	memset(door, 0, sizeof(*door));
-	door->loop = loop;
-	door->calls = calls;
-	door->ctx = ctx;
-	door->limits = first_limits;
-	door->fd = stream_listen(address);
-	if (door->fd < 0)
+	memset(listener, 0, sizeof(*listener));
+	listener->loop = loop;
+	listener->calls = calls;
+	listener->ctx = ctx;
+	listener->limits = first_limits;
+	listener->fd = stream_listen(address);
+	if (listener->fd < 0)
 		return -1;
-	return loop_watch(loop, door->fd, LOOP_READ, arrivals, door);
+	return loop_watch(loop, listener->fd, LOOP_READ, arrivals, listener);
 }
 
 /* Take no new connections from here on. */
-void door_refuse_new(struct door *door)
+void listener_refuse_new(struct listener *listener)
 {
-	if (door->fd < 0)
+	if (listener->fd < 0)
 		return;
-	loop_unwatch(door->loop, door->fd);
-	close(door->fd);
-	door->fd = -1;
+	loop_unwatch(listener->loop, listener->fd);
+	close(listener->fd);
+	listener->fd = -1;
 }
 
 /* Close the connections that wait for a request. */
-void door_close_idle(struct door *door)
+void listener_close_idle(struct listener *listener)
 {
 	struct caller *next;
 
-	for (struct caller *c = door->callers; c; c = next) {
+	for (struct caller *c = listener->callers; c; c = next) {
 		next = c->next;
 		if (!c->handling && !c->in.begun && !c->behind)
 			free_caller(c);
 	}
 }
 
-void door_close(struct door *door)
+void listener_close(struct listener *listener)
 {
-	door_refuse_new(door);
-	while (door->callers)
-		hang_up(door->callers);
+	listener_refuse_new(listener);
+	while (listener->callers)
+		hang_up(listener->callers);
 }
--- a/entry/caller.h
+++ b/entry/caller.h
@@ -5,14 +5,14 @@
 #include "route.h"
 #include "stream.h"
 
-struct door;
+struct listener;
 
 /*
  * A connection that was accepted, with the one request that is being read or
  * answered on it. work and counted belong to whoever handles the request.
  */
 struct caller {
-	struct door *door;
+	struct listener *listener;
 	struct caller *next;
 	struct caller *prev;
 	struct stream stream;
@@ -32,17 +32,17 @@
 	void *work;
 };
 
-/* What is done with requests that come through a door. */
-struct door_calls {
+/* What is done with requests that come through a listener. */
+struct listener_calls {
 	void (*handle)(void *ctx, struct caller *caller);
 	void (*gone)(void *ctx, struct caller *caller);
 };
 
 /* A listening address and its connections. */
-struct door {
+struct listener {
 	struct loop *loop;
 	int fd;
-	const struct door_calls *calls;
+	const struct listener_calls *calls;
 	void *ctx;
 	struct tr_caller_limits limits;
 	struct caller *callers;
@@ -59,11 +59,12 @@
 	bool close;
 };
 
-int door_open(struct door *door, struct loop *loop, const char *address,
-	      const struct door_calls *calls, void *ctx);
-void door_refuse_new(struct door *door);
-void door_close_idle(struct door *door);
-void door_close(struct door *door);
+int listener_open(struct listener *listener, struct loop *loop,
+		  const char *address, const struct listener_calls *calls,
+		  void *ctx);
+void listener_refuse_new(struct listener *listener);
+void listener_close_idle(struct listener *listener);
+void listener_close(struct listener *listener);
 void caller_answer(struct caller *caller, const struct caller_answer *answer);
 const char *status_text(int status);
 
--- a/entry/desk.c
+++ b/entry/desk.c
@@ -182,6 +182,6 @@
 	g_string_free(text, TRUE);
 }
 
-const struct door_calls desk_directory = { lookup, NULL };
-const struct door_calls desk_readiness = { readiness, NULL };
-const struct door_calls desk_metrics = { metrics, NULL };
+const struct listener_calls desk_directory = { lookup, NULL };
+const struct listener_calls desk_readiness = { readiness, NULL };
+const struct listener_calls desk_metrics = { metrics, NULL };
--- a/entry/desk.h
+++ b/entry/desk.h
@@ -3,8 +3,8 @@
 
 #include "entry.h"
 
-extern const struct door_calls desk_directory;
-extern const struct door_calls desk_readiness;
-extern const struct door_calls desk_metrics;
+extern const struct listener_calls desk_directory;
+extern const struct listener_calls desk_readiness;
+extern const struct listener_calls desk_metrics;
 
 #endif
--- a/entry/entry.h
+++ b/entry/entry.h
@@ -83,10 +83,10 @@
 	GPtrArray *held;
 	struct mesh *mesh;
 	struct reader *reader;
-	struct door front;
-	struct door directory;
-	struct door readiness;
-	struct door metrics;
+	struct listener front;
+	struct listener directory;
+	struct listener readiness;
+	struct listener metrics;
 	struct exchange *exchanges;
 	unsigned exchanges_count;
 	struct entry_counts counts;
--- a/entry/exchange_arrive.c
+++ b/entry/exchange_arrive.c
@@ -283,4 +283,4 @@
 	}
 }
 
-const struct door_calls exchange_door = { handle, gone };
+const struct listener_calls exchange_listener = { handle, gone };
--- a/entry/pull.c
+++ b/entry/pull.c
@@ -337,7 +337,7 @@
 		caller_answer(caller, &answer);
 }
 
-static const struct door_calls calls = { .handle = handle };
+static const struct listener_calls calls = { .handle = handle };
 
 /* Answer peers on the address. 0, or -1 with errno. */
 int pull_open(struct pull *pull, struct entry *e, const char *address,
@@ -350,14 +350,14 @@
 	pull->link.bytes_a_second = e->settings->link_mbps * 1e6 / 8;
 	fetcher_init(&pull->routes, e->loop, e->settings->ip);
 	fetcher_init(&pull->targets, e->loop, e->settings->ip);
-	return door_open(&pull->door, e->loop, address, &calls, pull);
+	return listener_open(&pull->listener, e->loop, address, &calls, pull);
 }
 
 void pull_release(struct pull *pull)
 {
 	fetcher_release(&pull->routes);
 	fetcher_release(&pull->targets);
-	door_close(&pull->door);
+	listener_close(&pull->listener);
 	g_clear_pointer(&pull->packed, g_bytes_unref);
 	g_clear_pointer(&pull->list, g_bytes_unref);
 }
--- a/entry/pull.h
+++ b/entry/pull.h
@@ -23,7 +23,7 @@
 	uint64_t list_digest;
 	size_t list_length;
 	uint64_t list_text_digest;
-	struct door door;
+	struct listener listener;
 };
 
 int pull_open(struct pull *pull, struct entry *e, const char *address,
--- a/entry/toucanreel_entry.c
+++ b/entry/toucanreel_entry.c
@@ -62,9 +62,9 @@
 		(double)(now - d->stop_since) / (double)d->settings->grace_us;
 
 	if (gone > STOP_IDLE_SHARE)
-		door_close_idle(&e->front);
+		listener_close_idle(&e->front);
 	if (gone > STOP_REFUSE_SHARE)
-		door_refuse_new(&e->front);
+		listener_refuse_new(&e->front);
 	if (gone > STOP_END_SHARE)
 		exchange_answer_rest(e);
 	if (gone > STOP_END_SHARE || (gone > STOP_REFUSE_SHARE &&
@@ -95,7 +95,7 @@
 	    s->peer_port != d->settings->peer_port)
 		eventlog(EVENT_FAILURE, "reload-partial",
 			 "expected=\"a restart for new addresses\"");
-	/* Strings of the old settings are in use by the open doors. */
+	/* Strings of the old settings are in use by the open listeners. */
 	d->old = g_slist_prepend(d->old, d->settings);
 	d->settings = s;
 	e->settings = s;
@@ -207,11 +207,12 @@
 	mesh_tell_now(e->mesh);
 }
 
-static int open_door(struct daemon *d, struct door *door, const char *field,
-		     const char *address, const struct door_calls *calls,
-		     struct tr_error *err)
+static int open_listener(struct daemon *d, struct listener *listener,
+			 const char *field, const char *address,
+			 const struct listener_calls *calls,
+			 struct tr_error *err)
 {
-	if (!door_open(door, d->e.loop, address, calls, &d->e))
+	if (!listener_open(listener, d->e.loop, address, calls, &d->e))
 		return 0;
 	return tr_error_set(err, TR_PORT_IN_USE, field, address,
 			    "expected an address that can be bound: %s",
@@ -228,17 +229,18 @@
 	if (!e->mesh)
 		return -1;
 	e->reader = reader_new(e);
-	if (open_door(d, &e->front, "front", s->front, &exchange_door, err) ||
-	    open_door(d, &e->directory, "directory", s->directory,
-		      &desk_directory, err) ||
-	    open_door(d, &e->readiness, "ready", s->ready, &desk_readiness,
-		      err))
+	if (open_listener(d, &e->front, "front", s->front, &exchange_listener,
+			  err) ||
+	    open_listener(d, &e->directory, "directory", s->directory,
+			  &desk_directory, err) ||
+	    open_listener(d, &e->readiness, "ready", s->ready, &desk_readiness,
+			  err))
 		return -1;
 	if (!s->metrics_port)
 		return 0;
 	snprintf(address, sizeof(address), "%s:%u", s->ip, s->metrics_port);
-	return open_door(d, &e->metrics, "metrics_port", address, &desk_metrics,
-			 err);
+	return open_listener(d, &e->metrics, "metrics_port", address,
+			     &desk_metrics, err);
 }
 
 static int prepare(struct daemon *d, apr_pool_t *pool)
@@ -271,12 +273,12 @@
 {
 	struct entry *e = &d->e;
 
-	door_close(&e->front);
+	listener_close(&e->front);
 	exchange_end_all(e);
 	kept_release(e);
-	door_close(&e->directory);
-	door_close(&e->readiness);
-	door_close(&e->metrics);
+	listener_close(&e->directory);
+	listener_close(&e->readiness);
+	listener_close(&e->metrics);
 	reader_free(e->reader);
 	mesh_close(e->mesh);
 	tr_membership_release(&e->members);
--- a/lib/place.c
+++ b/lib/place.c
@@ -20,14 +20,12 @@
 /* One that may be sent once more costs its second attempt: a connection and
  * some of the fleet's bound on repeats, beside what makes its answer late. So
  * reads find out which targets are well again, and what must run once goes
- * where they were answered. Against a fixed 0.45, with which reads avoid
- * suspects like all others, it gains 0.010 of worth (18 paired days). */
+ * where they were answered. */
 #define REPEAT_COST 0.05
 /* An answer after the aim is worth so much less. A failure costs more than its
  * credit, since operators count the nines of what is served at all: a wait,
  * also one a little beyond the aim, goes before a target that is known to be
- * gray. Where each millisecond of a wait costs something instead, half of what
- * fails on a day of high load is sent to targets with a chance of 0.7 and more.
+ * gray.
  */
 #define LATE_COST 0.45
 /* Times of work are about log-normal; the logistic curve of this steepness
@@ -37,21 +35,17 @@
  * beside the wait: among alike targets the idle ones come first. */
 #define BUSY_COST 0.05
 /* A target to which a connection rests here costs so much less: more than the
- * blur, and less than a busy slot. A third fewer connections are opened by
- * reads (mean worth with trouble 0.7048 instead of 0.7004, six days of 104
- * VMs). */
+ * blur, and less than a busy slot. */
 #define KEPT_GAIN 0.03
 /* The cost of crossing data centres, for the bytes that operators pay, and a
- * body that is moved adds to it. Against 0.02, which a busy slot outweighs, a
- * third fewer bytes cross (0.013 instead of 0.021 of a day's worth), and no
- * answer comes later for it (18 paired days). */
+ * body that is moved adds to it. More than a busy slot. */
 #define AWAY_COST      0.1
 #define AWAY_BODY      300000.0
 #define AWAY_COST_MOST 0.3
 /* Costs are blurred by so much (the scale of a Gumbel variable, which makes the
  * choice a softmax): what other VMs have sent in the last tenth of a second is
- * not known yet, and if all took the one cheapest target it would get six
- * requests at once, all of which a sudden hang takes with it. */
+ * not known yet, and if all took the one cheapest target a sudden hang there
+ * would take several requests with it. */
 #define BLUR 0.02
 /* From here on a target counts as a suspect, whose queue says nothing of how
  * long work takes. */
