--- a/lib/cover.c
+++ b/lib/cover.c
@@ -126,14 +126,14 @@
 uint32_t tr_cover_due(const struct tr_cover *cover, double share,
 		      const struct tr_cover_work *work, double drawn)
 {
-	double left = missing(cover, share, work->failing);
+	double lacking = missing(cover, share, work->failing);
 	double sum = 0;
 	unsigned n = 0;
 
 	if (work->outcomes < LEAST_WORK * (cover->at_work + cover->idle_well))
 		return TR_NO_ROW;
-	for (; n < cover->idle_count && left > 0; n++) {
-		left -= 1 - cover->idle[n].risk;
+	for (; n < cover->idle_count && lacking > 0; n++) {
+		lacking -= 1 - cover->idle[n].risk;
 		sum += chance_of(&cover->idle[n], work->rate);
 	}
 	if (sum > 1)
