--- a/entry/mesh_rows.c
+++ b/entry/mesh_rows.c
@@ -4,7 +4,7 @@
 
 #include "mesh_internal.h"
 
-/* Rows told again though nothing is new, in case the last telling was lost. */
+/* Unchanged rows repeated in each message, in case an earlier one was lost. */
 #define ROWS_AGAIN 2
 /* Of them, those where a VM's last request has ended since: until that is heard
  * others count it as in flight. */
--- a/lib/send_limit.c
+++ b/lib/send_limit.c
@@ -23,8 +23,8 @@
 /* What was sent beyond the limit is made up for, but for no longer than this,
  * in s: what a VM hears of another for the first time may be long ago. */
 #define DEBT_MOST_S 4
-/* A target that takes nothing is asked so often all the same, in requests a
- * second: its answers are the only word that the limit has ended. */
+/* Least rate for a target whose limit is 0, in requests a second: only its
+ * answers tell that the limit has ended. */
 #define RATE_LEAST 0.1
 /* An answer without a limit counts from so long after the last that named one
  * on: answers overtake each other. */
@@ -104,9 +104,9 @@
 }
 
 /*
- * When the target said what another VM tells of it, with its age. The message's
- * way counts as the longest that it usually takes: else each telling makes the
- * word a little younger, and VMs that tell each other keep it young for ever.
+ * When the target named what another VM reports of it, with the report's age.
+ * The longest usual delivery time is added: without it each report would look
+ * younger than the last, and VMs would refresh each other's for ever.
  */
 apr_time_t tr_send_limit_said_at(apr_time_t told_age, apr_time_t now)
 {
