Log what the floor asks for of a service that is short of it

The incident's logs could not tell why none of a service's requests were sent to idle targets: too few of them, no target that takes one, or a share that is kept. floor-short says what the floor misses, whether it asks, and by what it judges; two VMs write it twice a second for a service that is short.

No decision changes: what tr_cover_due asks first has a name of its own, tr_cover_verdict.

--- a/entry/entry.h
+++ b/entry/entry.h
@@ -77,6 +77,7 @@
 	bool ready;
 	apr_time_t stepped_at;
 	apr_time_t idle_looked_at;
+	apr_time_t floors_looked_at;
 	apr_time_t hold_until;
 	apr_time_t started_at;
 	apr_time_t settles_at;
--- a/entry/idle.c
+++ b/entry/idle.c
@@ -1,7 +1,12 @@
 /* Log lines on targets that serve and get no requests: what this VM believes of
- * them, which tells why none of the fleet's requests went there. */
+ * them, which tells why none of the fleet's requests went there, and what the
+ * floor asks for. */
 #include "idle.h"
 
+#include <stdlib.h>
+
+#include "cover.h"
+#include "entry_settings.h"
 #include "eventlog.h"
 #include "hash.h"
 
@@ -10,22 +15,23 @@
 #define IDLE_FOR TR_SEC(2)
 /* How often all targets are looked at. */
 #define LOOK_EVERY TR_MSEC(200)
-/* VMs that write a line on the same target. */
+/* How often the floor of all services is looked at. */
+#define FLOOR_EVERY TR_MSEC(500)
+/* VMs that write a line on the same target or service. */
 #define WRITERS 2
 
-/* Is this VM one of those that write on the target? They are drawn by hash, so
+/* Is this VM one of those that write on what has this hash? They are drawn, so
  * that the number of lines doesn't grow with the fleet. */
-static bool is_writer(const struct tr_membership *m,
-		      const struct tr_instance *row, apr_time_t now)
+static bool is_writer(const struct tr_membership *m, uint64_t hash,
+		      apr_time_t now)
 {
-	uint64_t own = tr_hash_pair(m->nodes[0].ip, row->hash);
+	uint64_t own = tr_hash_pair(m->nodes[0].ip, hash);
 	unsigned before = 0;
 
 	for (unsigned i = 1; i < m->count && before < WRITERS; i++) {
 		const struct tr_node *node = &m->nodes[i];
 
-		before += node->near &&
-			  tr_hash_pair(node->ip, row->hash) < own &&
+		before += node->near && tr_hash_pair(node->ip, hash) < own &&
 			  tr_node_alive(m, node, now);
 	}
 	return before < WRITERS;
@@ -53,12 +59,73 @@
 		 tr_roster_limit(&e->roster, row) != NULL);
 }
 
+static const char *const verdict_words[] = {
+	[TR_COVER_ENOUGH] = "enough",
+	[TR_COVER_FEW_REQUESTS] = "few-requests",
+	[TR_COVER_SHORT] = "short",
+};
+
+/* Say what the floor asks for of a service that is short of it. */
+static void log_floor(struct entry *e, uint32_t service,
+		      const struct tr_cover *cover, apr_time_t now)
+{
+	const struct tr_worked_service *svc = &e->roster.services[service];
+	const struct tr_cover_work work = {
+		.outcomes = tr_worked_lately(svc),
+		.failing = tr_worked_failing(svc),
+		.rate = tr_allowance_rate(entry_allowance(e, service),
+					  &e->repeat_bound, now),
+	};
+	double missing;
+	enum tr_cover_verdict verdict = tr_cover_verdict(
+		cover, e->settings->bounds.floor_share, &work, &missing);
+
+	if (verdict == TR_COVER_ENOUGH ||
+	    !is_writer(&e->members, tr_hash_string(svc->name), now))
+		return;
+	eventlog(EVENT_BELIEF, "floor-short",
+		 "service=%s verdict=%s missing=%.1f at_work=%.1f at_rest=%.1f "
+		 "idle=%.1f idle_fitting=%u ended=%.1f failing=%.3f rate=%.1f",
+		 svc->name, verdict_words[verdict], missing, cover->at_work,
+		 cover->at_rest, cover->idle_well, cover->idle_count,
+		 work.outcomes, work.failing, work.rate);
+}
+
+/* Look at the floor of all services, as requests that must run once do. */
+static void look_at_floors(struct entry *e, apr_time_t now)
+{
+	struct tr_roster *roster = &e->roster;
+	struct tr_cover *covers =
+		calloc(roster->services_count, sizeof(*covers));
+
+	if (!covers)
+		return;
+	for (uint32_t s = 0; s < roster->services_count; s++)
+		tr_cover_init(&covers[s], false);
+	for (uint32_t i = 0; i < roster->count; i++) {
+		const struct tr_instance *row = &roster->rows[i];
+
+		if (tr_instance_usable(row, now) && !row->away &&
+		    !tr_roster_limit(roster, row))
+			tr_cover_see(&covers[row->service], row, i,
+				     tr_gray_probability(&row->gray, now),
+				     row->full_until <= now, now);
+	}
+	for (uint32_t s = 0; s < roster->services_count; s++)
+		log_floor(e, s, &covers[s], now);
+	free(covers);
+}
+
 /* Look for targets of this group that have become idle. */
 void idle_step(struct entry *e, apr_time_t now)
 {
 	if (now - e->idle_looked_at < LOOK_EVERY)
 		return;
 	e->idle_looked_at = now;
+	if (now - e->floors_looked_at >= FLOOR_EVERY) {
+		e->floors_looked_at = now;
+		look_at_floors(e, now);
+	}
 	for (unsigned i = 0; i < e->roster.count; i++) {
 		struct tr_instance *row = &e->roster.rows[i];
 		bool is_idle = row->used && !row->gone && !row->leaving &&
@@ -66,7 +133,7 @@
 			       now - row->known_since >= IDLE_FOR;
 
 		if (is_idle && !row->idle_logged &&
-		    is_writer(&e->members, row, now))
+		    is_writer(&e->members, row->hash, now))
 			log_idle(e, row, now);
 		row->idle_logged = is_idle;
 	}
--- a/lib/cover.c
+++ b/lib/cover.c
@@ -95,8 +95,8 @@
 }
 
 /* How many of the targets that would be counted now must be put to work. */
-static double missing(const struct tr_cover *cover, double share,
-		      double failing)
+static double missing_of(const struct tr_cover *cover, double share,
+			 double failing)
 {
 	double counted = cover->at_rest + cover->idle_well;
 
@@ -105,6 +105,21 @@
 	return fmin(share * counted + SPARE, counted) - cover->at_rest;
 }
 
+/* Does the floor ask for requests? missing: how many targets must be put to
+ * work. */
+enum tr_cover_verdict tr_cover_verdict(const struct tr_cover *cover,
+				       double share,
+				       const struct tr_cover_work *work,
+				       double *missing)
+{
+	*missing = missing_of(cover, share, work->failing);
+	if (*missing <= 0)
+		return TR_COVER_ENOUGH;
+	if (work->outcomes < LEAST_WORK * (cover->at_work + cover->idle_well))
+		return TR_COVER_FEW_REQUESTS;
+	return TR_COVER_SHORT;
+}
+
 /* The chance that this request is the one to be sent to the target. */
 static double chance_of(const struct tr_cover_idle *idle, double rate)
 {
@@ -126,11 +141,11 @@
 uint32_t tr_cover_due(const struct tr_cover *cover, double share,
 		      const struct tr_cover_work *work, double drawn)
 {
-	double lacking = missing(cover, share, work->failing);
+	double lacking;
 	double sum = 0;
 	unsigned n = 0;
 
-	if (work->outcomes < LEAST_WORK * (cover->at_work + cover->idle_well))
+	if (tr_cover_verdict(cover, share, work, &lacking) != TR_COVER_SHORT)
 		return TR_NO_ROW;
 	for (; n < cover->idle_count && lacking > 0; n++) {
 		lacking -= 1 - cover->idle[n].risk;
--- a/lib/cover.h
+++ b/lib/cover.h
@@ -37,9 +37,20 @@
 	double rate;
 };
 
+/* What the floor asks for of a service. */
+enum tr_cover_verdict {
+	TR_COVER_ENOUGH,
+	TR_COVER_FEW_REQUESTS,
+	TR_COVER_SHORT,
+};
+
 void tr_cover_init(struct tr_cover *cover, bool may_repeat);
 void tr_cover_see(struct tr_cover *cover, const struct tr_instance *row,
 		  uint32_t at, double risk, bool fits, apr_time_t now);
+enum tr_cover_verdict tr_cover_verdict(const struct tr_cover *cover,
+				       double share,
+				       const struct tr_cover_work *work,
+				       double *missing);
 uint32_t tr_cover_due(const struct tr_cover *cover, double share,
 		      const struct tr_cover_work *work, double drawn);
 
--- a/tests/cover_test.cc
+++ b/tests/cover_test.cc
@@ -224,6 +224,28 @@
 	EXPECT_GE(seen.size(), 14u);
 }
 
+/* Guards against a log that doesn't tell why nothing is sent for the floor. */
+TEST_F(Cover, TheVerdictTellsAThinServiceFromOneAtWork)
+{
+	const tr_cover_work thin = { 1, 0, 0 };
+	const tr_cover_work busy = { 1000, 0, 0 };
+	tr_cover cover;
+	double missing;
+
+	add(7, TR_MSEC(500));
+	add(3, TR_SEC(5));
+	tr_cover_init(&cover, false);
+	for (uint32_t i = 0; i < rows.size(); i++)
+		tr_cover_see(&cover, &rows[i], i, 0, true, now);
+	EXPECT_EQ(tr_cover_verdict(&cover, 0.7, &busy, &missing),
+		  TR_COVER_SHORT);
+	EXPECT_NEAR(missing, 1.25, 0.01);
+	EXPECT_EQ(tr_cover_verdict(&cover, 0.7, &thin, &missing),
+		  TR_COVER_FEW_REQUESTS);
+	EXPECT_EQ(tr_cover_verdict(&cover, 0.5, &busy, &missing),
+		  TR_COVER_ENOUGH);
+}
+
 TEST_F(Cover, OfAServiceWithHardlyAnyRequestsNothingIsDue)
 {
 	add(3, TR_MSEC(500));
