Tests of a floor that is asked for too late where requests come again

Callers' uploads met a service of 28 targets that gets 20 requests a second after 14 s without any; operators saw 7 of 9 sound targets idle.

--- a/tests/cover_test.cc
+++ b/tests/cover_test.cc
@@ -254,6 +254,17 @@
 	EXPECT_NE(due(10), TR_NO_ROW);
 }
 
+/* Guards against a service that gets requests again, after seconds without, of
+ * which those that answer first get all: none has ended yet, enough come. */
+TEST_F(Cover, WhereEnoughRequestsComeTheFirstOnesAreDueToo)
+{
+	add(1, TR_MSEC(100));
+	add(27, TR_SEC(14));
+	EXPECT_NE(due(0, false, 0, 20), TR_NO_ROW);
+	EXPECT_NE(due(2, false, 0.3, 20), TR_NO_ROW);
+	EXPECT_EQ(due(2, false, 0.3, 5), TR_NO_ROW);
+}
+
 TEST_F(Cover, ATargetThatHasJustComeIsNotMissedYet)
 {
 	add(7, TR_MSEC(500));
--- a/tests/floor_load_test.cc
+++ b/tests/floor_load_test.cc
@@ -27,6 +27,7 @@
 	apr_time_t turns_at = 0;
 	apr_time_t gray_until = 0;
 	std::vector<apr_time_t> arrivals;
+	std::vector<apr_time_t> losses;
 };
 
 struct Request {
@@ -59,6 +60,8 @@
 	unsigned short_windows = 0;
 	unsigned ends = 0;
 	unsigned short_ends = 0;
+	unsigned failing_windows = 0;
+	unsigned short_failing_windows = 0;
 
 	explicit Service(unsigned n, unsigned away = 0, uint64_t seed = 5)
 	{
@@ -156,6 +159,8 @@
 		row->in_flight++;
 		row->used_at = now;
 		t.arrivals.push_back(now);
+		if (hangs)
+			t.losses.push_back(now);
 		lost += hangs;
 		running.push_back({ p.row, now,
 				    now + (hangs ? HANGS_FOR : TR_MSEC(250)),
@@ -230,6 +235,33 @@
 		short_ends += at_work < 0.7 * well;
 	}
 
+	static unsigned lately(const std::vector<apr_time_t> &times,
+			       apr_time_t since)
+	{
+		return (unsigned)(times.end() - std::lower_bound(times.begin(),
+								 times.end(),
+								 since));
+	}
+
+	/* The operators' rule: while over a tenth of the requests of two
+	 * seconds, but under half, are lost, the share of the counted targets
+	 * has got some of them. */
+	void look_by_the_rule(double counted)
+	{
+		unsigned all = 0;
+		unsigned failed = 0;
+
+		for (const Target &t : targets) {
+			all += lately(t.arrivals, now - WINDOW);
+			failed += lately(t.losses, now - WINDOW);
+		}
+		look(counted);
+		if (failed * 10 <= all || failed * 2 >= all || !used)
+			return;
+		failing_windows++;
+		short_failing_windows += used < 0.7 * sound;
+	}
+
 	void play(apr_time_t length, double a_second, double counted)
 	{
 		apr_time_t end = now + length;
@@ -334,6 +366,30 @@
 	EXPECT_LE((double)short_windows / windows, 0.03);
 }
 
+/* Guards against a service that gets requests again, after seconds without,
+ * and has most of its sound targets idle meanwhile. */
+TEST(FloorLoad, AServiceThatGetsRequestsAgainKeepsItsFloor)
+{
+	unsigned windows = 0;
+	unsigned short_windows = 0;
+
+	for (unsigned seed = 1; seed <= 500; seed++) {
+		Service svc(28, 0, seed * 7919);
+
+		svc.play(TR_SEC(7), 90, 1);
+		svc.play(TR_SEC(14), 0, 1);
+		svc.play(TR_SEC(2), 20, 1);
+		for (int i = 0; i < 16; i++) {
+			svc.look_by_the_rule(seed % 2 ? 1 : 0.35);
+			svc.play(TR_MSEC(250), 20, 1);
+		}
+		windows += svc.failing_windows;
+		short_windows += svc.short_failing_windows;
+	}
+	EXPECT_GT(windows, 0u);
+	EXPECT_EQ(short_windows, 0u) << "of " << windows;
+}
+
 /* Guards against sound targets that are idle when all VMs end, while most of
  * those at work have a request in flight and are not counted. */
 TEST(FloorLoad, WhenAllVmsEndThoseAtRestWereAtWork)
