The floor asks as soon as enough requests come, not once they have ended

Callers' uploads failed in one of three cases at a service of 28 targets that got 20 requests a second after 14 s without any, and 7 of 9 sound targets had none for two seconds.

Cause: the floor asked for nothing until as many requests had ended within the last two seconds as there are targets. With 20 a second that takes two seconds, in which the first targets that answer get the requests.

Now the count fades with time, and the floor asks when the requests that come within the operators' span suffice for the share. While too few have ended to tell which part fails, any part of the targets may be counted, as while many fail.

Ruled out: targets held to be full, resting, limited or unreachable (all 28 fit); refusals, which are another service's.

--- a/entry/idle.c
+++ b/entry/idle.c
@@ -71,7 +71,7 @@
 {
 	const struct tr_worked_service *svc = &e->roster.services[service];
 	const struct tr_cover_work work = {
-		.outcomes = tr_worked_lately(svc),
+		.outcomes = tr_worked_lately(svc, now),
 		.failing = tr_worked_failing(svc),
 		.rate = tr_allowance_rate(entry_allowance(e, service),
 					  &e->repeat_bound, now),
--- a/lib/cover.c
+++ b/lib/cover.c
@@ -31,9 +31,11 @@
  * counted.
  */
 #define FAILING 0.1
-/* Requests a target within the last seconds from which on each can have its
- * own. */
+/* Requests a target that ended within the last seconds, from which on the part
+ * that failed is known. */
 #define LEAST_WORK 1.0
+/* The span in which the share of the targets must be at work, in seconds. */
+#define SPAN_S 2.0
 
 /* Begin to look at a service. may_repeat: the request may be sent once more. */
 void tr_cover_init(struct tr_cover *cover, bool may_repeat)
@@ -94,17 +96,38 @@
 			 });
 }
 
-/* How many of the targets that would be counted now must be put to work. */
+/* Have so many requests ended lately that the part of them that failed tells
+ * anything? */
+static bool many_ended(const struct tr_cover *cover,
+		       const struct tr_cover_work *work)
+{
+	return work->outcomes >=
+	       LEAST_WORK * (cover->at_work + cover->idle_well);
+}
+
+/* How many of the targets that would be counted now must be put to work. While
+ * many requests fail, or may as far as is known, any part may be counted. */
 static double missing_of(const struct tr_cover *cover, double share,
-			 double failing)
+			 const struct tr_cover_work *work)
 {
 	double counted = cover->at_rest + cover->idle_well;
 
-	if (failing >= FAILING || counted < 1)
+	if (work->failing >= FAILING || !many_ended(cover, work) || counted < 1)
 		return cover->idle_well;
 	return fmin(share * counted + SPARE, counted) - cover->at_rest;
 }
 
+/* Do so many requests come that the share can be kept? Where a service gets
+ * requests again after a while, those that came have not ended yet. */
+static bool can_reach(const struct tr_cover *cover, double share,
+		      const struct tr_cover_work *work)
+{
+	double targets = cover->at_work + cover->idle_well;
+
+	return many_ended(cover, work) ||
+	       work->rate * SPAN_S >= share * targets;
+}
+
 /* Does the floor ask for requests? missing: how many targets must be put to
  * work. */
 enum tr_cover_verdict tr_cover_verdict(const struct tr_cover *cover,
@@ -112,10 +135,10 @@
 				       const struct tr_cover_work *work,
 				       double *missing)
 {
-	*missing = missing_of(cover, share, work->failing);
+	*missing = missing_of(cover, share, work);
 	if (*missing <= 0)
 		return TR_COVER_ENOUGH;
-	if (work->outcomes < LEAST_WORK * (cover->at_work + cover->idle_well))
+	if (!can_reach(cover, share, work))
 		return TR_COVER_FEW_REQUESTS;
 	return TR_COVER_SHORT;
 }
--- a/lib/place.c
+++ b/lib/place.c
@@ -208,11 +208,11 @@
 /* The target that the floor asks this request for, or TR_NO_ROW. */
 static uint32_t due_of(const struct tr_roster *roster,
 		       const struct tr_wish *wish, const struct tr_cover *cover,
-		       struct tr_random *random)
+		       struct tr_random *random, apr_time_t now)
 {
 	const struct tr_worked_service *svc = &roster->services[wish->service];
 	const struct tr_cover_work work = {
-		.outcomes = tr_worked_lately(svc),
+		.outcomes = tr_worked_lately(svc, now),
 		.failing = tr_worked_failing(svc),
 		.rate = wish->wanted,
 	};
@@ -288,7 +288,7 @@
 			*placing = p;
 	}
 	placing->due = false;
-	due = due_of(roster, wish, &cover, random);
+	due = due_of(roster, wish, &cover, random, now);
 	if (due != TR_NO_ROW) {
 		placing->row = due;
 		placing->due = true;
--- a/lib/worked.c
+++ b/lib/worked.c
@@ -37,11 +37,17 @@
 	s->gray_share = GRAY_FIRST;
 }
 
+/* What is left now of the outcomes that were counted at the last one. */
+static double lately_kept(const struct tr_worked_service *s, apr_time_t now)
+{
+	return exp(-(double)(now - s->lately_at) / 1e6 / LATELY_S);
+}
+
 /* So many requests of the service have come to that, at whichever VM. */
 void tr_worked_outcomes(struct tr_worked_service *s, enum tr_symptom symptom,
 			unsigned times, apr_time_t now)
 {
-	double keep = exp(-(double)(now - s->lately_at) / 1e6 / LATELY_S);
+	double keep = lately_kept(s, now);
 
 	s->lately_good *= keep;
 	s->lately_bad *= keep;
@@ -52,11 +58,10 @@
 		s->lately_good += times;
 }
 
-/* How many of the service's requests came to an end lately, by the last one
- * that this VM has heard of. */
-double tr_worked_lately(const struct tr_worked_service *s)
+/* How many of the service's requests came to an end lately. */
+double tr_worked_lately(const struct tr_worked_service *s, apr_time_t now)
 {
-	return s->lately_bad + s->lately_good;
+	return (s->lately_bad + s->lately_good) * lately_kept(s, now);
 }
 
 /* Which part of them failed. */
--- a/lib/worked.h
+++ b/lib/worked.h
@@ -31,7 +31,7 @@
 void tr_worked_init(struct tr_worked_service *s, const char *name);
 void tr_worked_outcomes(struct tr_worked_service *s, enum tr_symptom symptom,
 			unsigned times, apr_time_t now);
-double tr_worked_lately(const struct tr_worked_service *s);
+double tr_worked_lately(const struct tr_worked_service *s, apr_time_t now);
 double tr_worked_failing(const struct tr_worked_service *s);
 void tr_worked_took(struct tr_worked_service *s, apr_time_t took,
 		    bool undisturbed);
