VMs that are left read the store without waiting for those that are lost

Cause: when the readers are lost, the others step in by a turn of 120 ms each, and a VM counted until four of its routine messages were missing, 6.2 s at 100 VMs. So the three VMs that were left waited for the turns of up to 97 others; once those ran again they counted too, and waited themselves for a list. The list of the two VMs was 3.6 s old when somebody read (view_age_ms of their request lines).

Now the turn counts those that are heard as usual and have a list. Ruled out: leaving them out as readers too, since at the start of a fleet each VM would read until it hears of the others' lists.

Membership.ThoseThatHaveFallenSilentDontKeepTheirTurn failed before (12 for at most 2). In ThoseThatCannotReadKeepTheirTurn VMs now have a list, as those that run do.

--- a/lib/membership.c
+++ b/lib/membership.c
@@ -404,6 +404,14 @@
 	return span < most ? span : most;
 }
 
+static bool is_heard_lately(const struct tr_membership *m,
+			    const struct tr_node *node, apr_time_t now)
+{
+	if (!node->near)
+		return tr_node_alive(m, node, now);
+	return heard_within(m, node, silence(m, node, now), now);
+}
+
 /*
  * The part of the fleet that was heard a moment ago: of this group, those that
  * are not silent for much longer than usual; of the others, those that are
@@ -421,9 +429,8 @@
 	for (unsigned i = 0; i < m->count; i++) {
 		const struct tr_node *node = &m->nodes[i];
 
-		lately += node->near &&
-			  heard_within(m, node, silence(m, node, now), now);
-		there += !node->near && tr_node_alive(m, node, now);
+		lately += node->near && is_heard_lately(m, node, now);
+		there += !node->near && is_heard_lately(m, node, now);
 	}
 	return (double)lately / m->near_count * (m->near_count + there) /
 	       tr_membership_size(m);
@@ -442,10 +449,13 @@
 }
 
 /*
- * How many VMs that live come before this one when the list has grown old and
- * somebody must read. Those that could not read count too: else, while the
- * store is away, each that fails makes room for the next, and all of a large
- * fleet call it; 442 VMs made 4,062 calls on a day with one such time.
+ * How many VMs come before this one when the list has grown old and somebody
+ * must read. Those that are silent for longer than usual don't count, nor those
+ * that have just started and have no list: until they are held to be lost, or
+ * have one, the list would grow older than operators allow. Those that could
+ * not read count too: else, while the store is away, each that fails makes room
+ * for the next, and all of a large fleet call it; 442 VMs made 4,062 calls on a
+ * day with one such time.
  */
 unsigned tr_membership_turn(const struct tr_membership *m, apr_time_t now)
 {
@@ -454,7 +464,8 @@
 
 	for (unsigned i = 1; i < m->count; i++)
 		before += score(&m->nodes[i]) > mine && !m->nodes[i].leaving &&
-			  tr_node_alive(m, &m->nodes[i], now);
+			  m->nodes[i].held[TR_HOLDS_LIST] &&
+			  is_heard_lately(m, &m->nodes[i], now);
 	return before;
 }
 
--- a/tests/membership_test.cc
+++ b/tests/membership_test.cc
@@ -35,6 +35,7 @@
 		news.sequence = sequence;
 		news.data_centre = centre;
 		news.ready = true;
+		news.held[TR_HOLDS_LIST] = 1;
 		return tr_membership_heard(&m, &news, now,
 					   restarted ? restarted : &ignored);
 	}
@@ -190,6 +191,36 @@
 	EXPECT_TRUE(tr_membership_reads(&m, now));
 }
 
+/* Guards against the few VMs that are left after a loss of most, which wait for
+ * those that are lost to read the store. */
+TEST_F(Membership, ThoseThatHaveFallenSilentDontKeepTheirTurn)
+{
+	for (uint64_t i = 1; i <= 60; i++) {
+		for (uint32_t ip = 2; ip <= 100; ip++)
+			hear(ip, ip, i);
+		now += TR_MSEC(50);
+	}
+	EXPECT_GT(tr_membership_turn(&m, now), 2u);
+	for (uint64_t i = 61; i <= 70; i++) {
+		hear(2, 2, i);
+		hear(3, 3, i);
+		now += TR_MSEC(50);
+	}
+	EXPECT_LE(tr_membership_turn(&m, now), 2u);
+}
+
+/* Guards against VMs that leave the reading to others which have just started
+ * and wait for a list themselves. */
+TEST_F(Membership, ThoseThatHaveNoListAreNotWaitedFor)
+{
+	for (uint32_t ip = 2; ip <= 60; ip++)
+		hear(ip, ip, 1);
+	EXPECT_GT(tr_membership_turn(&m, now), 0u);
+	for (unsigned i = 1; i < m.count; i++)
+		m.nodes[i].held[TR_HOLDS_LIST] = 0;
+	EXPECT_EQ(tr_membership_turn(&m, now), 0u);
+}
+
 /*
  * Symptom: while the store is away, the whole fleet calls it. Sequence: the
  * first in the order fail and say so; those after them are first now, call,
