--- a/entry/desk.c
+++ b/entry/endpoints.c
@@ -1,5 +1,5 @@
 /* What this VM says of the fleet and of itself: lookups, readiness, metrics. */
-#include "desk.h"
+#include "endpoints.h"
 
 #include <arpa/inet.h>
 #include <inttypes.h>
@@ -182,6 +182,6 @@
 	g_string_free(text, TRUE);
 }
 
-const struct listener_calls desk_directory = { lookup, NULL };
-const struct listener_calls desk_readiness = { readiness, NULL };
-const struct listener_calls desk_metrics = { metrics, NULL };
+const struct listener_calls endpoints_directory = { lookup, NULL };
+const struct listener_calls endpoints_readiness = { readiness, NULL };
+const struct listener_calls endpoints_metrics = { metrics, NULL };
--- a/entry/toucanreel_entry.c
+++ b/entry/toucanreel_entry.c
@@ -12,7 +12,7 @@
 #include <sys/stat.h>
 #include <unistd.h>
 
-#include "desk.h"
+#include "endpoints.h"
 #include "entry_settings.h"
 #include "error.h"
 #include "eventlog.h"
@@ -232,15 +232,15 @@
 	if (open_listener(d, &e->front, "front", s->front, &exchange_listener,
 			  err) ||
 	    open_listener(d, &e->directory, "directory", s->directory,
-			  &desk_directory, err) ||
-	    open_listener(d, &e->readiness, "ready", s->ready, &desk_readiness,
-			  err))
+			  &endpoints_directory, err) ||
+	    open_listener(d, &e->readiness, "ready", s->ready,
+			  &endpoints_readiness, err))
 		return -1;
 	if (!s->metrics_port)
 		return 0;
 	snprintf(address, sizeof(address), "%s:%u", s->ip, s->metrics_port);
 	return open_listener(d, &e->metrics, "metrics_port", address,
-			     &desk_metrics, err);
+			     &endpoints_metrics, err);
 }
 
 static int prepare(struct daemon *d, apr_pool_t *pool)
