--- a/entry/exchange.c
+++ b/entry/exchange.c
@@ -54,14 +54,14 @@
 {
 	const struct entry *e = x->e;
 	apr_time_t now = entry_now(e);
-	struct tr_worked_service *svc = &x->e->roster.services[x->service];
+	struct tr_service_stats *svc = &x->e->roster.services[x->service];
 	apr_time_t aim = x->route->latency_aim;
 	enum tr_place_result res;
 	struct tr_wish wish = {
 		.service = x->service,
 		.usual = exchange_usual(x),
-		.spread = tr_worked_spread(svc),
-		.fail_age = tr_worked_fail_age(svc, aim),
+		.spread = tr_service_stats_spread(svc),
+		.fail_age = tr_service_stats_fail_age(svc, aim),
 		.standing_queue = svc->standing_queue,
 		.may_repeat = x->route->kind == TR_KIND_SAFE &&
 			      x->runs + 1 < x->route->attempts,
@@ -80,7 +80,7 @@
 
 	res = tr_place(&e->roster, &wish, &x->e->random, now, p);
 	if (res != TR_PLACE_NONE_KNOWN)
-		tr_worked_expects(svc, p->least_takes, aim, now);
+		tr_service_stats_expect(svc, p->least_takes, aim, now);
 	return res;
 }
 
@@ -88,7 +88,8 @@
  * sooner than work with an exponential tail is. */
 static double spread_at(const struct exchange *x, const struct tr_placing *p)
 {
-	double spread = tr_worked_spread(&x->e->roster.services[x->service]);
+	double spread =
+		tr_service_stats_spread(&x->e->roster.services[x->service]);
 
 	return p->wait && spread < QUEUED_SPREAD ? QUEUED_SPREAD : spread;
 }
--- a/entry/idle.c
+++ b/entry/idle.c
@@ -69,10 +69,10 @@
 static void log_floor(struct entry *e, uint32_t service,
 		      const struct tr_cover *cover, apr_time_t now)
 {
-	const struct tr_worked_service *svc = &e->roster.services[service];
+	const struct tr_service_stats *svc = &e->roster.services[service];
 	const struct tr_cover_work work = {
-		.outcomes = tr_worked_lately(svc, now),
-		.failing = tr_worked_failing(svc),
+		.outcomes = tr_service_stats_ended(svc, now),
+		.failing = tr_service_stats_failing(svc),
 		.rate = tr_allowance_rate(entry_allowance(e, service),
 					  &e->repeat_bound, now),
 	};
--- a/entry/upstream.c
+++ b/entry/upstream.c
@@ -62,8 +62,8 @@
 	tr_roster_changed(&u->e->roster, row);
 	tr_roster_outcome(&u->e->roster, row, symptom, 1, now);
 	if (symptom == TR_SYMPTOM_FAILED || symptom == TR_SYMPTOM_OVERDUE)
-		tr_worked_failed(&u->e->roster.services[row->service],
-				 now - u->sent_at);
+		tr_service_stats_failed(&u->e->roster.services[row->service],
+					now - u->sent_at);
 	if (is_news)
 		mesh_tell_now(u->e->mesh);
 	else
@@ -81,8 +81,8 @@
 
 	say(u, row, tr_gray_answer_symptom(u->stage));
 	if (row->cold_until < now)
-		tr_worked_took(&roster->services[row->service],
-			       took < most ? took : most, calm);
+		tr_service_stats_took(&roster->services[row->service],
+				      took < most ? took : most, calm);
 }
 
 /*
--- a/lib/place.c
+++ b/lib/place.c
@@ -210,10 +210,10 @@
 		       const struct tr_wish *wish, const struct tr_cover *cover,
 		       struct tr_random *random, apr_time_t now)
 {
-	const struct tr_worked_service *svc = &roster->services[wish->service];
+	const struct tr_service_stats *svc = &roster->services[wish->service];
 	const struct tr_cover_work work = {
-		.outcomes = tr_worked_lately(svc, now),
-		.failing = tr_worked_failing(svc),
+		.outcomes = tr_service_stats_ended(svc, now),
+		.failing = tr_service_stats_failing(svc),
 		.rate = wish->wanted,
 	};
 
--- a/lib/roster.c
+++ b/lib/roster.c
@@ -53,7 +53,7 @@
 /* The service's place, made when the name is new. */
 uint32_t tr_roster_service(struct tr_roster *roster, const char *name)
 {
-	struct tr_worked_service *grown;
+	struct tr_service_stats *grown;
 
 	for (unsigned i = 0; i < roster->services_count; i++)
 		if (!strcmp(roster->services[i].name, name))
@@ -64,7 +64,7 @@
 		abort();
 	roster->services = grown;
 	grown += roster->services_count;
-	tr_worked_init(grown, name);
+	tr_service_stats_init(grown, name);
 	return roster->services_count++;
 }
 
@@ -384,8 +384,8 @@
 		double share = mean_chance(roster, s, now);
 
 		if (share >= 0)
-			tr_worked_gray(&roster->services[s], share,
-				       (double)passed / 1e6);
+			tr_service_stats_gray(&roster->services[s], share,
+					      (double)passed / 1e6);
 	}
 	for (unsigned i = 0; i < roster->count; i++) {
 		struct tr_instance *row = &roster->rows[i];
@@ -592,8 +592,8 @@
 	apr_time_t age = 0;
 
 	tr_gray_add(&row->gray, symptom, times, now);
-	tr_worked_outcomes(&roster->services[row->service], symptom, times,
-			   now);
+	tr_service_stats_outcomes(&roster->services[row->service], symptom,
+				  times, now);
 	if (symptom == TR_SYMPTOM_OVERDUE)
 		age = tr_gray_stage_after(TR_STAGE_OVERDUE,
 					  tr_worktime_mean(takes, 0),
--- a/lib/roster.h
+++ b/lib/roster.h
@@ -8,7 +8,7 @@
 #include "gray.h"
 #include "index.h"
 #include "send_limit.h"
-#include "worked.h"
+#include "service_stats.h"
 
 #define TR_ADDRESS_MAX 23
 
@@ -105,7 +105,7 @@
 	bool homes_due;
 	bool away_changed;
 	apr_time_t stepped_at;
-	struct tr_worked_service *services;
+	struct tr_service_stats *services;
 	unsigned services_count;
 	uint64_t as_of;
 	apr_time_t current_at;
--- a/lib/worked.c
+++ b/lib/service_stats.c
@@ -1,5 +1,5 @@
 /* What the work of a service has been like, as this VM and its peers saw it. */
-#include "worked.h"
+#include "service_stats.h"
 #include "mechanism.h"
 
 #include <math.h>
@@ -30,7 +30,7 @@
 #define GRAY_MOST  0.4
 
 /* Begin with nothing known. */
-void tr_worked_init(struct tr_worked_service *s, const char *name)
+void tr_service_stats_init(struct tr_service_stats *s, const char *name)
 {
 	memset(s, 0, sizeof(*s));
 	strncpy(s->name, name, TR_ID_MAX);
@@ -38,14 +38,15 @@
 }
 
 /* What is left now of the outcomes that were counted at the last one. */
-static double lately_kept(const struct tr_worked_service *s, apr_time_t now)
+static double lately_kept(const struct tr_service_stats *s, apr_time_t now)
 {
 	return exp(-(double)(now - s->lately_at) / 1e6 / LATELY_S);
 }
 
 /* So many requests of the service have come to that, at whichever VM. */
-void tr_worked_outcomes(struct tr_worked_service *s, enum tr_symptom symptom,
-			unsigned times, apr_time_t now)
+void tr_service_stats_outcomes(struct tr_service_stats *s,
+			       enum tr_symptom symptom, unsigned times,
+			       apr_time_t now)
 {
 	double keep = lately_kept(s, now);
 
@@ -59,13 +60,13 @@
 }
 
 /* How many of the service's requests came to an end lately. */
-double tr_worked_lately(const struct tr_worked_service *s, apr_time_t now)
+double tr_service_stats_ended(const struct tr_service_stats *s, apr_time_t now)
 {
 	return (s->lately_bad + s->lately_good) * lately_kept(s, now);
 }
 
 /* Which part of them failed. */
-double tr_worked_failing(const struct tr_worked_service *s)
+double tr_service_stats_failing(const struct tr_service_stats *s)
 {
 	double all = s->lately_bad + s->lately_good;
 
@@ -74,8 +75,8 @@
 
 /* An answer of the service took so long; undisturbed: by no other work, at a
  * target that is probably well. */
-void tr_worked_took(struct tr_worked_service *s, apr_time_t took,
-		    bool undisturbed)
+void tr_service_stats_took(struct tr_service_stats *s, apr_time_t took,
+			   bool undisturbed)
 {
 	tr_worktime_took(&s->takes, took);
 	if (undisturbed)
@@ -83,14 +84,14 @@
 }
 
 /* How long work of the service usually takes, in us. */
-apr_time_t tr_worked_takes(const struct tr_worked_service *s,
-			   apr_time_t latency_aim)
+apr_time_t tr_service_stats_usual(const struct tr_service_stats *s,
+				  apr_time_t latency_aim)
 {
 	return tr_worktime_mean(&s->takes, latency_aim / FIRST_GUESS);
 }
 
 /* How far apart its times are; see tr_worktime_spread. */
-double tr_worked_spread(const struct tr_worked_service *s)
+double tr_service_stats_spread(const struct tr_service_stats *s)
 {
 	if (!tr_mechanism_on(TR_MECH_SERVICE_SPREAD))
 		return ANY_SPREAD;
@@ -98,7 +99,7 @@
 }
 
 /* An attempt has turned out to have failed, so long after it was sent. */
-void tr_worked_failed(struct tr_worked_service *s, apr_time_t age)
+void tr_service_stats_failed(struct tr_service_stats *s, apr_time_t age)
 {
 	if (s->fail_age_us <= 0)
 		s->fail_age_us = (double)age;
@@ -108,8 +109,8 @@
 /* How old attempts are when they turn out to have failed, in us: some
  * milliseconds where targets answer with errors, longer than work usually
  * takes where they hang. */
-apr_time_t tr_worked_fail_age(const struct tr_worked_service *s,
-			      apr_time_t latency_aim)
+apr_time_t tr_service_stats_fail_age(const struct tr_service_stats *s,
+				     apr_time_t latency_aim)
 {
 	if (s->fail_age_us <= 0)
 		return latency_aim / FIRST_FAIL_AGE;
@@ -123,8 +124,8 @@
  * rest a queue that is kept at the aim would be let grow again at each moment
  * at which it is a little shorter.
  */
-void tr_worked_expects(struct tr_worked_service *s, apr_time_t takes,
-		       apr_time_t latency_aim, apr_time_t now)
+void tr_service_stats_expect(struct tr_service_stats *s, apr_time_t takes,
+			     apr_time_t latency_aim, apr_time_t now)
 {
 	apr_time_t passed = now - s->expected_at;
 	apr_time_t most = BURST_AIMS * latency_aim;
@@ -145,7 +146,8 @@
 
 /* The mean chance of its targets of being gray is this now, and was looked at
  * so many seconds ago before. */
-void tr_worked_gray(struct tr_worked_service *s, double share, double passed_s)
+void tr_service_stats_gray(struct tr_service_stats *s, double share,
+			   double passed_s)
 {
 	if (!tr_mechanism_on(TR_MECH_LEARNED_SHARE))
 		return;
--- a/tests/floor_load_test.cc
+++ b/tests/floor_load_test.cc
@@ -133,7 +133,7 @@
 
 	void send()
 	{
-		tr_worked_service *svc = &roster.services[0];
+		tr_service_stats *svc = &roster.services[0];
 		tr_placing p;
 		tr_wish wish{};
 
@@ -151,7 +151,7 @@
 			lost++;
 			return;
 		}
-		tr_worked_expects(svc, p.least_takes, wish.aim_left, now);
+		tr_service_stats_expect(svc, p.least_takes, wish.aim_left, now);
 		tr_instance *row = &roster.rows[p.row];
 		Target &t = targets[p.row];
 		bool hangs = t.gray && tr_random_unit(&random) < 0.75;
--- a/tests/place_test.cc
+++ b/tests/place_test.cc
@@ -223,8 +223,8 @@
 	for (int i = 0; i < 800; i++) {
 		tr_placing p;
 
-		tr_worked_outcomes(&roster.services[wish.service],
-				   TR_SYMPTOM_GOOD, 1, now);
+		tr_service_stats_outcomes(&roster.services[wish.service],
+					  TR_SYMPTOM_GOOD, 1, now);
 		ASSERT_EQ(tr_place(&roster, &wish, &random, now, &p),
 			  TR_PLACE_FOUND);
 		counts[p.row] += i >= 600;
@@ -254,7 +254,8 @@
 		tr_gray_add(&roster.rows[i].gray, TR_SYMPTOM_FAILED, 1,
 			    now - TR_SEC(4));
 	}
-	tr_worked_outcomes(&roster.services[0], TR_SYMPTOM_GOOD, 1000, now);
+	tr_service_stats_outcomes(&roster.services[0], TR_SYMPTOM_GOOD, 1000,
+				  now);
 	for (const auto &[row, n] : draw(20))
 		EXPECT_GE(row, 16u);
 }
@@ -382,8 +383,8 @@
 	}
 	wish.heard = 1;
 	for (int i = 0; i < 200; i++) {
-		tr_worked_outcomes(&roster.services[wish.service],
-				   TR_SYMPTOM_GOOD, 1, now);
+		tr_service_stats_outcomes(&roster.services[wish.service],
+					  TR_SYMPTOM_GOOD, 1, now);
 		ASSERT_EQ(tr_place(&roster, &wish, &random, now, &p),
 			  TR_PLACE_FOUND);
 		counts[p.row]++;
@@ -542,7 +543,7 @@
 	void place(apr_time_t now)
 	{
 		int vm = (int)tr_random_below(&random, VMS);
-		tr_worked_service *svc = &views[vm].services[0];
+		tr_service_stats *svc = &views[vm].services[0];
 		tr_wish wish{};
 		tr_placing p;
 
@@ -555,7 +556,7 @@
 		tr_place_result res =
 			tr_place(&views[vm], &wish, &random, now, &p);
 
-		tr_worked_expects(svc, p.least_takes, AIM, now);
+		tr_service_stats_expect(svc, p.least_takes, AIM, now);
 		if (res == TR_PLACE_FOUND)
 			send(vm, p.row, now);
 		else
--- a/tests/roster_test.cc
+++ b/tests/roster_test.cc
@@ -196,11 +196,11 @@
 {
 	uint32_t s = tr_roster_service(&roster, "svc");
 
-	EXPECT_EQ(tr_worked_takes(&roster.services[s], TR_SEC(1)),
+	EXPECT_EQ(tr_service_stats_usual(&roster.services[s], TR_SEC(1)),
 		  TR_MSEC(250));
 	for (int i = 0; i < 100; i++)
-		tr_worked_took(&roster.services[s], TR_MSEC(100), true);
-	EXPECT_NEAR(tr_worked_takes(&roster.services[s], TR_SEC(1)),
+		tr_service_stats_took(&roster.services[s], TR_MSEC(100), true);
+	EXPECT_NEAR(tr_service_stats_usual(&roster.services[s], TR_SEC(1)),
 		    TR_MSEC(100), TR_MSEC(15));
 }
 
@@ -418,28 +418,28 @@
 
 TEST(Worked, TheAgeOfFailuresIsLearned)
 {
-	tr_worked_service s;
+	tr_service_stats s;
 
-	tr_worked_init(&s, "svc");
-	EXPECT_EQ(tr_worked_fail_age(&s, TR_SEC(1)), TR_MSEC(500));
-	tr_worked_failed(&s, TR_MSEC(3));
-	EXPECT_EQ(tr_worked_fail_age(&s, TR_SEC(1)), TR_MSEC(3));
+	tr_service_stats_init(&s, "svc");
+	EXPECT_EQ(tr_service_stats_fail_age(&s, TR_SEC(1)), TR_MSEC(500));
+	tr_service_stats_failed(&s, TR_MSEC(3));
+	EXPECT_EQ(tr_service_stats_fail_age(&s, TR_SEC(1)), TR_MSEC(3));
 	for (int i = 0; i < 100; i++)
-		tr_worked_failed(&s, TR_MSEC(600));
-	EXPECT_GT(tr_worked_fail_age(&s, TR_SEC(1)), TR_MSEC(500));
+		tr_service_stats_failed(&s, TR_MSEC(600));
+	EXPECT_GT(tr_service_stats_fail_age(&s, TR_SEC(1)), TR_MSEC(500));
 }
 
 TEST(Worked, AQueueStandsOnceItHasLastedLongerThanABurst)
 {
 	apr_time_t now = TR_SEC(10);
-	tr_worked_service s;
+	tr_service_stats s;
 	auto expects = [&](apr_time_t takes, apr_time_t span) {
 		for (apr_time_t end = now + span; now < end;
 		     now += TR_MSEC(100))
-			tr_worked_expects(&s, takes, TR_SEC(1), now);
+			tr_service_stats_expect(&s, takes, TR_SEC(1), now);
 	};
 
-	tr_worked_init(&s, "svc");
+	tr_service_stats_init(&s, "svc");
 	expects(TR_MSEC(500), TR_SEC(2));
 	expects(TR_MSEC(1200), TR_MSEC(800));
 	EXPECT_FALSE(s.standing_queue);
