--- a/entry/exchange.c
+++ b/entry/exchange.c
@@ -57,7 +57,7 @@
 	struct tr_service_stats *svc = &x->e->roster.services[x->service];
 	apr_time_t aim = x->route->latency_aim;
 	enum tr_place_result res;
-	struct tr_wish wish = {
+	struct tr_place_request req = {
 		.service = x->service,
 		.usual = exchange_usual(x),
 		.spread = tr_service_stats_spread(svc),
@@ -78,7 +78,7 @@
 		.heard = exchange_heard(x),
 	};
 
-	res = tr_place(&e->roster, &wish, &x->e->random, now, p);
+	res = tr_place(&e->roster, &req, &x->e->random, now, p);
 	if (res != TR_PLACE_NONE_KNOWN)
 		tr_service_stats_expect(svc, p->least_takes, aim, now);
 	return res;
--- a/entry/exchange_reply.c
+++ b/entry/exchange_reply.c
@@ -136,13 +136,13 @@
 	apr_time_t after;
 
 	if (status == 503) {
-		const struct tr_wish wish = {
+		const struct tr_place_request req = {
 			.service = x->service,
 			.usual = exchange_usual(x),
 			.heard = exchange_heard(x),
 		};
 
-		after = tr_place_return_after(&e->roster, &wish, &e->random,
+		after = tr_place_return_after(&e->roster, &req, &e->random,
 					      entry_now(e));
 		if (after < x->return_after)
 			after = x->return_after;
--- a/lib/detector.c
+++ b/lib/detector.c
@@ -59,7 +59,7 @@
 
 /*
  * Begin a trickle: requests of the cell, evenly spaced over the detection time
- * that the team wishes for, which tell whether the trouble lasts.
+ * that the team asks for, which tell whether the trouble lasts.
  */
 static void start_trickle(const struct tr_board *board,
 			  const struct tr_service *svc,
--- a/lib/evidence.c
+++ b/lib/evidence.c
@@ -22,11 +22,11 @@
 #define LEAST_PER_DAY	 86400.0
 
 /*
- * Thresholds for a team's wish. A CUSUM with threshold h raises a false alarm
- * about once in e^h outcomes (Lorden 1971), so the accepted false ejections a
- * day and the outcomes a day of one target give h. A team that accepts less
- * than one a day is also slower to take a failure for more than the noise that
- * healthy targets show.
+ * Thresholds for what a team asks for. A CUSUM with threshold h raises a false
+ * alarm about once in e^h outcomes (Lorden 1971), so the accepted false
+ * ejections a day and the outcomes a day of one target give h. A team that
+ * accepts less than one a day is also slower to take a failure for more than
+ * the noise that healthy targets show.
  */
 void tr_rules_make(struct tr_evidence_rules *rules,
 		   const struct tr_ejection_rules *team,
--- a/lib/place.c
+++ b/lib/place.c
@@ -67,10 +67,10 @@
 	return -log(-log(u > 1e-12 && u < 1 ? u : 0.5));
 }
 
-static bool was_tried(const struct tr_wish *wish, uint32_t row)
+static bool was_tried(const struct tr_place_request *req, uint32_t row)
 {
-	for (unsigned i = 0; i < wish->tried_count; i++)
-		if (wish->tried[i] == row)
+	for (unsigned i = 0; i < req->tried_count; i++)
+		if (req->tried[i] == row)
 			return true;
 	return false;
 }
@@ -95,56 +95,57 @@
 	return 1 / (1 + pow((double)limit / takes, STEEPNESS / spread));
 }
 
-static double late_cost(const struct tr_wish *wish, double takes)
+static double late_cost(const struct tr_place_request *req, double takes)
 {
-	return LATE_COST * chance_beyond(takes, wish->aim_left, wish->spread);
+	return LATE_COST * chance_beyond(takes, req->aim_left, req->spread);
 }
 
 /* What a failure costs: all, or that the answer comes from a second attempt,
  * which begins when the first one turns out to have failed. */
-static double loss_of(const struct tr_wish *wish)
+static double loss_of(const struct tr_place_request *req)
 {
-	double again = (double)(wish->fail_age + wish->usual);
+	double again = (double)(req->fail_age + req->usual);
 
-	if (!wish->may_repeat || !tr_mechanism_on(TR_MECH_SCOUTS))
+	if (!req->may_repeat || !tr_mechanism_on(TR_MECH_SCOUTS))
 		return LOSS;
-	return REPEAT_COST + late_cost(wish, again) -
-	       late_cost(wish, (double)wish->usual);
+	return REPEAT_COST + late_cost(req, again) -
+	       late_cost(req, (double)req->usual);
 }
 
 static double away_cost(const struct tr_instance *row,
-			const struct tr_wish *wish)
+			const struct tr_place_request *req)
 {
-	double away = AWAY_COST + (double)wish->body_bytes / AWAY_BODY;
+	double away = AWAY_COST + (double)req->body_bytes / AWAY_BODY;
 
-	if (!strcmp(row->data_centre, wish->data_centre) ||
+	if (!strcmp(row->data_centre, req->data_centre) ||
 	    !tr_mechanism_on(TR_MECH_CENTRE_PREFERENCE))
 		return 0;
 	return fmin(away, AWAY_COST_MOST);
 }
 
 static double kept_gain(const struct tr_instance *row,
-			const struct tr_wish *wish)
+			const struct tr_place_request *req)
 {
-	return wish->keeps && row->kept ? KEPT_GAIN : 0;
+	return req->keeps && row->kept ? KEPT_GAIN : 0;
 }
 
-static double cost_of(const struct tr_instance *row, const struct tr_wish *wish,
-		      double loss, apr_time_t now, struct tr_placing *p)
+static double cost_of(const struct tr_instance *row,
+		      const struct tr_place_request *req, double loss,
+		      apr_time_t now, struct tr_placing *p)
 {
 	uint32_t there = tr_instance_there(row, now);
-	double takes = (double)wish->usual;
+	double takes = (double)req->usual;
 	double share;
 
-	p->wait = expected_wait(row, wish->usual, there);
+	p->wait = expected_wait(row, req->usual, there);
 	p->risk = tr_gray_probability(&row->gray, now);
 	/* Work that is under way shares the target's speed to some extent; an
 	 * idle one comes first. */
 	share = (double)there / row->slots;
 	takes += (double)p->wait;
-	return p->risk * loss + late_cost(wish, takes) +
-	       LOSS * chance_beyond(takes, wish->time_left, wish->spread) +
-	       share * BUSY_COST + away_cost(row, wish) - kept_gain(row, wish);
+	return p->risk * loss + late_cost(req, takes) +
+	       LOSS * chance_beyond(takes, req->time_left, req->spread) +
+	       share * BUSY_COST + away_cost(row, req) - kept_gain(row, req);
 }
 
 /*
@@ -152,24 +153,25 @@
  * longer than the aim: else, at twice the load, every answer comes late and as
  * many are refused. For the length of a burst it may.
  */
-static bool in_time(const struct tr_wish *wish, const struct tr_placing *p)
+static bool in_time(const struct tr_place_request *req,
+		    const struct tr_placing *p)
 {
-	apr_time_t left = wish->time_left;
+	apr_time_t left = req->time_left;
 
 	if (!tr_mechanism_on(TR_MECH_EARLY_REFUSAL))
 		return true;
-	if (wish->standing_queue && wish->aim_left > wish->usual)
-		left = wish->aim_left;
-	return (double)p->wait + (double)wish->usual * LEAST_WORK <=
+	if (req->standing_queue && req->aim_left > req->usual)
+		left = req->aim_left;
+	return (double)p->wait + (double)req->usual * LEAST_WORK <=
 	       (double)left;
 }
 
 /* Can the request go to the target, if its limit allows? */
 static bool is_candidate(const struct tr_instance *row, uint32_t at,
-			 const struct tr_wish *wish, apr_time_t now)
+			 const struct tr_place_request *req, apr_time_t now)
 {
-	return row->used && row->service == wish->service &&
-	       tr_instance_usable(row, now) && !was_tried(wish, at);
+	return row->used && row->service == req->service &&
+	       tr_instance_usable(row, now) && !was_tried(req, at);
 }
 
 /*
@@ -178,7 +180,7 @@
  * another group are left to that, which counts what is sent there.
  */
 static uint32_t draw_limited(const struct tr_roster *roster,
-			     const struct tr_wish *wish,
+			     const struct tr_place_request *req,
 			     struct tr_random *random, apr_time_t now)
 {
 	uint32_t drawn = TR_NO_ROW;
@@ -191,35 +193,36 @@
 		const struct tr_send_limit *l = tr_roster_limit(roster, row);
 		double tokens;
 
-		if (!l || row->away || !is_candidate(row, i, wish, now))
+		if (!l || row->away || !is_candidate(row, i, req, now))
 			continue;
-		tokens = tr_send_limit_tokens(l, wish->heard, now);
+		tokens = tr_send_limit_tokens(l, req->heard, now);
 		if (tokens < 1)
 			continue;
 		sum += tokens;
 		if (tr_random_unit(random) * sum < tokens)
 			drawn = i;
 	}
-	if (!tr_send_limits_admit(sum, wish->wanted, tr_random_unit(random)))
+	if (!tr_send_limits_admit(sum, req->wanted, tr_random_unit(random)))
 		return TR_NO_ROW;
 	return drawn;
 }
 
 /* The target that the floor asks this request for, or TR_NO_ROW. */
 static uint32_t due_of(const struct tr_roster *roster,
-		       const struct tr_wish *wish, const struct tr_cover *cover,
-		       struct tr_random *random, apr_time_t now)
+		       const struct tr_place_request *req,
+		       const struct tr_cover *cover, struct tr_random *random,
+		       apr_time_t now)
 {
-	const struct tr_service_stats *svc = &roster->services[wish->service];
+	const struct tr_service_stats *svc = &roster->services[req->service];
 	const struct tr_cover_work work = {
 		.outcomes = tr_service_stats_ended(svc, now),
 		.failing = tr_service_stats_failing(svc),
-		.rate = wish->wanted,
+		.rate = req->wanted,
 	};
 
 	if (!tr_mechanism_on(TR_MECH_COVER) || !cover->idle_count)
 		return TR_NO_ROW;
-	return tr_cover_due(cover, wish->floor_share, &work,
+	return tr_cover_due(cover, req->floor_share, &work,
 			    tr_random_unit(random));
 }
 
@@ -230,23 +233,23 @@
  * have asked this VM for rest.
  */
 enum tr_place_result tr_place(const struct tr_roster *roster,
-			      const struct tr_wish *wish,
+			      const struct tr_place_request *req,
 			      struct tr_random *random, apr_time_t now,
 			      struct tr_placing *placing)
 {
 	unsigned known = 0;
 	unsigned untried = 0;
 	struct tr_cover cover;
-	double loss = loss_of(wish);
+	double loss = loss_of(req);
 	unsigned fitting = 0;
 	unsigned limited = 0;
 	unsigned resting = 0;
 	apr_time_t least_takes = APR_INT64_MAX;
-	uint32_t drawn = draw_limited(roster, wish, random, now);
+	uint32_t drawn = draw_limited(roster, req, random, now);
 	uint32_t due;
 
 	tr_cover_init(&cover,
-		      wish->may_repeat && tr_mechanism_on(TR_MECH_SCOUTS));
+		      req->may_repeat && tr_mechanism_on(TR_MECH_SCOUTS));
 	placing->row = TR_NO_ROW;
 	placing->cost = INFINITY;
 	for (uint32_t i = 0; i < roster->count; i++) {
@@ -255,7 +258,7 @@
 		apr_time_t takes;
 		bool fits;
 
-		if (row->service != wish->service ||
+		if (row->service != req->service ||
 		    !tr_instance_serves(row, now))
 			continue;
 		if (!tr_instance_usable(row, now)) {
@@ -263,14 +266,14 @@
 			continue;
 		}
 		known++;
-		if (was_tried(wish, i))
+		if (was_tried(req, i))
 			continue;
 		untried++;
-		p.cost = cost_of(row, wish, loss, now, &p);
-		takes = p.wait + wish->usual;
+		p.cost = cost_of(row, req, loss, now, &p);
+		takes = p.wait + req->usual;
 		if (p.risk < SUSPECT && takes < least_takes)
 			least_takes = takes;
-		fits = row->full_until <= now && in_time(wish, &p);
+		fits = row->full_until <= now && in_time(req, &p);
 		if (tr_roster_limit(roster, row)) {
 			limited += fits && i != drawn;
 			fits &= i == drawn;
@@ -288,12 +291,12 @@
 			*placing = p;
 	}
 	placing->due = false;
-	due = due_of(roster, wish, &cover, random, now);
+	due = due_of(roster, req, &cover, random, now);
 	if (due != TR_NO_ROW) {
 		placing->row = due;
 		placing->due = true;
 		placing->cost =
-			cost_of(&roster->rows[due], wish, loss, now, placing);
+			cost_of(&roster->rows[due], req, loss, now, placing);
 	}
 	placing->least_takes = least_takes;
 	if (fitting)
@@ -314,8 +317,8 @@
 };
 
 static void see_room(struct room *room, const struct tr_roster *roster,
-		     const struct tr_instance *row, const struct tr_wish *wish,
-		     apr_time_t now)
+		     const struct tr_instance *row,
+		     const struct tr_place_request *req, apr_time_t now)
 {
 	const struct tr_send_limit *l = tr_roster_limit(roster, row);
 
@@ -323,7 +326,7 @@
 		if (row->rests_until < room->rested_at)
 			room->rested_at = row->rests_until;
 	} else if (l) {
-		room->limits += tr_send_limit_rate(l, wish->heard);
+		room->limits += tr_send_limit_rate(l, req->heard);
 	} else {
 		room->there += tr_instance_there(row, now);
 		room->slots += row->slots;
@@ -337,7 +340,7 @@
  * do not all return at once.
  */
 apr_time_t tr_place_return_after(const struct tr_roster *roster,
-				 const struct tr_wish *wish,
+				 const struct tr_place_request *req,
 				 struct tr_random *random, apr_time_t now)
 {
 	struct room room = { .rested_at = APR_INT64_MAX };
@@ -347,12 +350,12 @@
 	for (uint32_t i = 0; i < roster->count; i++) {
 		const struct tr_instance *row = &roster->rows[i];
 
-		if (row->service == wish->service &&
+		if (row->service == req->service &&
 		    tr_instance_serves(row, now))
-			see_room(&room, roster, row, wish, now);
+			see_room(&room, roster, row, req, now);
 	}
 	if (room.slots > 0)
-		after = (double)wish->usual *
+		after = (double)req->usual *
 			fmax(0.25, room.there / room.slots - 1);
 	else if (room.limits > 0)
 		after = fmin(1e6 / room.limits, RETURN_MOST);
--- a/lib/place.h
+++ b/lib/place.h
@@ -13,7 +13,7 @@
  * of the fleet that this VM hears.
  * standing_queue: work has been taking longer than the aim for a while.
  */
-struct tr_wish {
+struct tr_place_request {
 	uint32_t service;
 	apr_time_t usual;
 	double spread;
@@ -51,11 +51,11 @@
 };
 
 enum tr_place_result tr_place(const struct tr_roster *roster,
-			      const struct tr_wish *wish,
+			      const struct tr_place_request *req,
 			      struct tr_random *random, apr_time_t now,
 			      struct tr_placing *placing);
 apr_time_t tr_place_return_after(const struct tr_roster *roster,
-				 const struct tr_wish *wish,
+				 const struct tr_place_request *req,
 				 struct tr_random *random, apr_time_t now);
 
 #endif
--- a/src/arrive.c
+++ b/src/arrive.c
@@ -96,11 +96,11 @@
 	const char *text = request_header(r, HEADER_DEADLINE);
 	apr_time_t most =
 		TR_MSEC(tr_document_deadline(doc, &doc->routes[r->route]));
-	apr_time_t wish = text ? TR_MSEC(strtol(text, NULL, 10)) : most;
+	apr_time_t asked = text ? TR_MSEC(strtol(text, NULL, 10)) : most;
 
-	if (wish < LEAST_DEADLINE)
-		wish = LEAST_DEADLINE;
-	r->deadline = r->began + (wish < most ? wish : most);
+	if (asked < LEAST_DEADLINE)
+		asked = LEAST_DEADLINE;
+	r->deadline = r->began + (asked < most ? asked : most);
 }
 
 static enum tr_result take_key(struct request *r)
--- a/src/toucanreel_target.c
+++ b/src/toucanreel_target.c
@@ -127,9 +127,9 @@
 
 static apr_time_t work_time(struct target *t, struct MHD_Connection *conn)
 {
-	const char *wish =
+	const char *asked =
 		MHD_lookup_connection_value(conn, MHD_HEADER_KIND, "X-Work-Ms");
-	double mean = wish ? strtod(wish, NULL) : t->work_ms;
+	double mean = asked ? strtod(asked, NULL) : t->work_ms;
 	double ms = -mean * log(1.0 - tr_random_unit(&t->random));
 
 	if (now_of(t) - t->started < t->cold)
--- a/tests/floor_load_test.cc
+++ b/tests/floor_load_test.cc
@@ -135,23 +135,23 @@
 	{
 		tr_service_stats *svc = &roster.services[0];
 		tr_placing p;
-		tr_wish wish{};
-
-		wish.usual = TR_MSEC(250);
-		wish.spread = 0.7;
-		wish.fail_age = TR_MSEC(700);
-		wish.aim_left = TR_MSEC(1200);
-		wish.time_left = HANGS_FOR;
-		wish.data_centre = "dc";
-		wish.floor_share = 0.7;
-		wish.wanted = rate;
+		tr_place_request req{};
+
+		req.usual = TR_MSEC(250);
+		req.spread = 0.7;
+		req.fail_age = TR_MSEC(700);
+		req.aim_left = TR_MSEC(1200);
+		req.time_left = HANGS_FOR;
+		req.data_centre = "dc";
+		req.floor_share = 0.7;
+		req.wanted = rate;
 		asked++;
-		if (tr_place(&roster, &wish, &random, now, &p) !=
+		if (tr_place(&roster, \& req, &random, now, &p) !=
 		    TR_PLACE_FOUND) {
 			lost++;
 			return;
 		}
-		tr_service_stats_expect(svc, p.least_takes, wish.aim_left, now);
+		tr_service_stats_expect(svc, p.least_takes, req.aim_left, now);
 		tr_instance *row = &roster.rows[p.row];
 		Target &t = targets[p.row];
 		bool hangs = t.gray && tr_random_unit(&random) < 0.75;
--- a/tests/place_test.cc
+++ b/tests/place_test.cc
@@ -16,18 +16,18 @@
 	tr_roster roster{};
 	tr_random random{ 42 };
 	apr_time_t now = TR_SEC(100);
-	tr_wish wish{};
+	tr_place_request req{};
 
 	void SetUp() override
 	{
-		wish.service = tr_roster_service(&roster, "svc");
-		wish.usual = TR_MSEC(250);
-		wish.spread = 0.7;
-		wish.fail_age = TR_MSEC(500);
-		wish.aim_left = TR_SEC(1);
-		wish.time_left = TR_SEC(2);
-		wish.data_centre = "dc-1";
-		wish.floor_share = 0.7;
+		req.service = tr_roster_service(&roster, "svc");
+		req.usual = TR_MSEC(250);
+		req.spread = 0.7;
+		req.fail_age = TR_MSEC(500);
+		req.aim_left = TR_SEC(1);
+		req.time_left = TR_SEC(2);
+		req.data_centre = "dc-1";
+		req.floor_share = 0.7;
 	}
 
 	void TearDown() override
@@ -62,7 +62,7 @@
 		tr_placing p;
 
 		for (int i = 0; i < times; i++) {
-			EXPECT_EQ(tr_place(&roster, &wish, &random, now, &p),
+			EXPECT_EQ(tr_place(&roster, \& req, &random, now, &p),
 				  TR_PLACE_FOUND);
 			counts[p.row]++;
 		}
@@ -77,7 +77,7 @@
 	add_many(4);
 	roster.rows[2].kept = 1;
 	EXPECT_LT(draw(1000)[2], 350);
-	wish.keeps = true;
+	req.keeps = true;
 	EXPECT_GT(draw(1000)[2], 450);
 	roster.rows[2].in_flight = 3;
 	EXPECT_LT(draw(1000)[2], 350);
@@ -116,7 +116,7 @@
 	add_many(2);
 	roster.rows[0].others_in_flight = 3;
 	tr_gray_add(&roster.rows[1].gray, TR_SYMPTOM_FAILED, 2, now);
-	wish.aim_left = -TR_MSEC(1);
+	req.aim_left = -TR_MSEC(1);
 	EXPECT_LT(draw(200)[1], 5);
 }
 
@@ -132,8 +132,8 @@
 	roster.rows[0].others_in_flight = 6;
 	tr_gray_add(&roster.rows[1].gray, TR_SYMPTOM_FAILED, 1, now);
 	EXPECT_LT(draw(200)[1], 40);
-	wish.may_repeat = true;
-	wish.fail_age = TR_MSEC(3);
+	req.may_repeat = true;
+	req.fail_age = TR_MSEC(3);
 	EXPECT_GT(draw(200)[1], 190);
 }
 
@@ -143,8 +143,8 @@
 	add_many(2);
 	roster.rows[0].others_in_flight = 3;
 	tr_gray_add(&roster.rows[1].gray, TR_SYMPTOM_FAILED, 2, now);
-	wish.may_repeat = true;
-	wish.fail_age = TR_MSEC(900);
+	req.may_repeat = true;
+	req.fail_age = TR_MSEC(900);
 	EXPECT_LT(draw(200)[1], 20);
 }
 
@@ -167,7 +167,7 @@
 	add_many(2);
 	roster.rows[0].others_in_flight = 60;
 	roster.rows[1].others_in_flight = 60;
-	EXPECT_EQ(tr_place(&roster, &wish, &random, now, &p),
+	EXPECT_EQ(tr_place(&roster, \& req, &random, now, &p),
 		  TR_PLACE_TOO_LATE);
 }
 
@@ -177,11 +177,11 @@
 	tr_placing p;
 
 	add_many(2);
-	wish.tried = tried;
-	wish.tried_count = 1;
+	req.tried = tried;
+	req.tried_count = 1;
 	EXPECT_EQ(draw(50)[0], 0);
-	wish.tried_count = 2;
-	EXPECT_EQ(tr_place(&roster, &wish, &random, now, &p),
+	req.tried_count = 2;
+	EXPECT_EQ(tr_place(&roster, \& req, &random, now, &p),
 		  TR_PLACE_ALL_TRIED);
 }
 
@@ -190,7 +190,7 @@
 	tr_placing p;
 
 	add("a")->leaving = true;
-	EXPECT_EQ(tr_place(&roster, &wish, &random, now, &p),
+	EXPECT_EQ(tr_place(&roster, \& req, &random, now, &p),
 		  TR_PLACE_NONE_KNOWN);
 }
 
@@ -198,7 +198,7 @@
 {
 	add("near");
 	add("far", "dc-2");
-	wish.body_bytes = 60000;
+	req.body_bytes = 60000;
 	EXPECT_LT(draw(500)[1], 25);
 	roster.rows[0].others_in_flight = 9;
 	EXPECT_GT(draw(500)[1], 400);
@@ -223,9 +223,9 @@
 	for (int i = 0; i < 800; i++) {
 		tr_placing p;
 
-		tr_service_stats_outcomes(&roster.services[wish.service],
+		tr_service_stats_outcomes(&roster.services[req.service],
 					  TR_SYMPTOM_GOOD, 1, now);
-		ASSERT_EQ(tr_place(&roster, &wish, &random, now, &p),
+		ASSERT_EQ(tr_place(&roster, \& req, &random, now, &p),
 			  TR_PLACE_FOUND);
 		counts[p.row] += i >= 600;
 		roster.rows[p.row].used_at = now;
@@ -303,10 +303,10 @@
 	roster.rows[1].others_in_flight = 12;
 	for (int i = 0; i < 100; i++)
 		after.push_back(
-			tr_place_return_after(&roster, &wish, &random, now));
+			tr_place_return_after(&roster, \& req, &random, now));
 	EXPECT_GT(*std::max_element(after.begin(), after.end()),
 		  *std::min_element(after.begin(), after.end()) * 3 / 2);
-	EXPECT_GE(*std::min_element(after.begin(), after.end()), wish.usual);
+	EXPECT_GE(*std::min_element(after.begin(), after.end()), req.usual);
 }
 
 /* Name a limit for the target in the row, and let its bucket fill for a time.
@@ -325,7 +325,7 @@
 	set_limit(&roster, 1, 1, now);
 	EXPECT_EQ(draw(200)[1], 0);
 	now += TR_SEC(2);
-	wish.heard = 1;
+	req.heard = 1;
 	for (int i = 0; i < 3; i++)
 		roster.rows[i].others_in_flight = i == 1 ? 0 : 3;
 	EXPECT_EQ(draw(20)[1], 20);
@@ -341,8 +341,8 @@
 		roster.rows[i].others_in_flight = i == 1 ? 0 : 3;
 	set_limit(&roster, 1, 1, now);
 	now += TR_SEC(2);
-	wish.heard = 1;
-	wish.wanted = 100;
+	req.heard = 1;
+	req.wanted = 100;
 	EXPECT_LT(draw(2000)[1], 2000 / 10);
 }
 
@@ -353,13 +353,14 @@
 	tr_placing p;
 
 	add_many(2);
-	wish.heard = 1;
+	req.heard = 1;
 	set_limit(&roster, 0, 0.5, now);
 	set_limit(&roster, 1, 0.5, now);
-	EXPECT_EQ(tr_place(&roster, &wish, &random, now, &p), TR_PLACE_LIMITED);
+	EXPECT_EQ(tr_place(&roster, \& req, &random, now, &p),
+		  TR_PLACE_LIMITED);
 	for (int i = 0; i < 20; i++) {
 		apr_time_t after =
-			tr_place_return_after(&roster, &wish, &random, now);
+			tr_place_return_after(&roster, \& req, &random, now);
 
 		EXPECT_GE(after, TR_SEC(1));
 		EXPECT_LE(after, TR_SEC(2));
@@ -381,11 +382,11 @@
 		tr_roster_says_leaving(&roster, &roster.rows[i + 3]);
 		roster.rows[i + 6].rests_until = now + TR_SEC(60);
 	}
-	wish.heard = 1;
+	req.heard = 1;
 	for (int i = 0; i < 200; i++) {
-		tr_service_stats_outcomes(&roster.services[wish.service],
+		tr_service_stats_outcomes(&roster.services[req.service],
 					  TR_SYMPTOM_GOOD, 1, now);
-		ASSERT_EQ(tr_place(&roster, &wish, &random, now, &p),
+		ASSERT_EQ(tr_place(&roster, \& req, &random, now, &p),
 			  TR_PLACE_FOUND);
 		counts[p.row]++;
 		roster.rows[p.row].used_at = now;
@@ -403,7 +404,7 @@
 	roster.rows[1].away = true;
 	set_limit(&roster, 1, 5, now);
 	now += TR_SEC(2);
-	wish.heard = 1;
+	req.heard = 1;
 	EXPECT_EQ(draw(200)[1], 0);
 }
 
@@ -417,10 +418,11 @@
 	roster.rows[0].rests_until = now + TR_SEC(2);
 	EXPECT_EQ(draw(200)[0], 0);
 	roster.rows[1].rests_until = now + TR_SEC(3);
-	EXPECT_EQ(tr_place(&roster, &wish, &random, now, &p), TR_PLACE_RESTING);
+	EXPECT_EQ(tr_place(&roster, \& req, &random, now, &p),
+		  TR_PLACE_RESTING);
 	for (int i = 0; i < 20; i++) {
 		apr_time_t after =
-			tr_place_return_after(&roster, &wish, &random, now);
+			tr_place_return_after(&roster, \& req, &random, now);
 
 		EXPECT_GE(after, TR_SEC(2));
 		EXPECT_LE(after, TR_SEC(3));
@@ -544,17 +546,17 @@
 	{
 		int vm = (int)tr_random_below(&random, VMS);
 		tr_service_stats *svc = &views[vm].services[0];
-		tr_wish wish{};
+		tr_place_request req{};
 		tr_placing p;
 
-		wish.usual = WORK;
-		wish.spread = 0.3;
-		wish.standing_queue = svc->standing_queue;
-		wish.aim_left = AIM;
-		wish.time_left = LIMIT;
-		wish.data_centre = "dc";
+		req.usual = WORK;
+		req.spread = 0.3;
+		req.standing_queue = svc->standing_queue;
+		req.aim_left = AIM;
+		req.time_left = LIMIT;
+		req.data_centre = "dc";
 		tr_place_result res =
-			tr_place(&views[vm], &wish, &random, now, &p);
+			tr_place(&views[vm], \& req, &random, now, &p);
 
 		tr_service_stats_expect(svc, p.least_takes, AIM, now);
 		if (res == TR_PLACE_FOUND)
