The check of the floor is called so

cover.c is floor.c, struct tr_cover tr_floor_check; a send that the floor asks for is for_floor, in request lines too (due before). The switch of the mechanism is called floor. Renames only; the tests keep their names, by which they are listed.

--- a/entry/exchange.c
+++ b/entry/exchange.c
@@ -116,12 +116,12 @@
 	x->risk[x->tried_count] = p->risk;
 	x->there[x->tried_count] = row->in_flight + row->others_in_flight;
 	x->tried[x->tried_count++] = p->row;
-	x->due += p->due;
+	x->for_floor += p->for_floor;
 	x->runs++;
 	res = upstream_start(free_try(x), e, p->row, &request, upstream_done,
 			     x);
 	/* Before the others send one too. */
-	if (p->due)
+	if (p->for_floor)
 		mesh_tell_now(e->mesh);
 	return res;
 }
--- a/entry/exchange_internal.h
+++ b/entry/exchange_internal.h
@@ -31,7 +31,7 @@
 	uint32_t there[TRIED_MOST];
 	unsigned tried_count;
 	unsigned runs;
-	unsigned due;
+	unsigned for_floor;
 	unsigned begun_again;
 	bool is_try;
 	bool waits;
--- a/entry/exchange_reply.c
+++ b/entry/exchange_reply.c
@@ -111,7 +111,7 @@
 		"id=%s identity=%016" PRIx64
 		" route=%s service=%s kind=%s status=%d why=%s "
 		"took_ms=%ld aim_ms=%ld left_ms=%ld usual_ms=%ld runs=%u "
-		"due=%u begun_again=%u bound=%d organisation=%s tried=%s version=%" PRIu64
+		"for_floor=%u begun_again=%u bound=%d organisation=%s tried=%s version=%" PRIu64
 		" view_age_ms=%ld",
 		x->id, x->identity, x->route->name,
 		e->roster.services[x->service].name,
@@ -119,7 +119,7 @@
 		(long)((now - x->arrived) / 1000),
 		(long)(x->route->latency_aim / 1000),
 		(long)((x->ends_at - now) / 1000),
-		(long)(exchange_usual(x) / 1000), x->runs, x->due,
+		(long)(exchange_usual(x) / 1000), x->runs, x->for_floor,
 		x->begun_again, x->bound_reached,
 		x->organisation ? x->organisation->name : "-",
 		tried_text(x, tried, sizeof(tried)), x->routes->version,
--- a/entry/idle.c
+++ b/entry/idle.c
@@ -5,7 +5,7 @@
 
 #include <stdlib.h>
 
-#include "cover.h"
+#include "floor.h"
 #include "entry_settings.h"
 #include "eventlog.h"
 #include "hash.h"
@@ -60,60 +60,60 @@
 }
 
 static const char *const verdict_words[] = {
-	[TR_COVER_ENOUGH] = "enough",
-	[TR_COVER_FEW_REQUESTS] = "few-requests",
-	[TR_COVER_SHORT] = "short",
+	[TR_FLOOR_ENOUGH] = "enough",
+	[TR_FLOOR_FEW_REQUESTS] = "few-requests",
+	[TR_FLOOR_SHORT] = "short",
 };
 
 /* Say what the floor asks for of a service that is short of it. */
 static void log_floor(struct entry *e, uint32_t service,
-		      const struct tr_cover *cover, apr_time_t now)
+		      const struct tr_floor_check *check, apr_time_t now)
 {
 	const struct tr_service_stats *svc = &e->roster.services[service];
-	const struct tr_cover_work work = {
+	const struct tr_floor_load load = {
 		.outcomes = tr_service_stats_ended(svc, now),
 		.failing = tr_service_stats_failing(svc),
 		.rate = tr_allowance_rate(entry_allowance(e, service),
 					  &e->repeat_bound, now),
 	};
 	double missing;
-	enum tr_cover_verdict verdict = tr_cover_verdict(
-		cover, e->settings->bounds.floor_share, &work, &missing);
+	enum tr_floor_verdict verdict = tr_floor_verdict(
+		check, e->settings->bounds.floor_share, &load, &missing);
 
-	if (verdict == TR_COVER_ENOUGH ||
+	if (verdict == TR_FLOOR_ENOUGH ||
 	    !is_writer(&e->members, tr_hash_string(svc->name), now))
 		return;
 	eventlog(EVENT_BELIEF, "floor-short",
 		 "service=%s verdict=%s missing=%.1f at_work=%.1f at_rest=%.1f "
 		 "idle=%.1f idle_fitting=%u ended=%.1f failing=%.3f rate=%.1f",
-		 svc->name, verdict_words[verdict], missing, cover->at_work,
-		 cover->at_rest, cover->idle_well, cover->idle_count,
-		 work.outcomes, work.failing, work.rate);
+		 svc->name, verdict_words[verdict], missing, check->at_work,
+		 check->at_rest, check->idle_well, check->idle_count,
+		 load.outcomes, load.failing, load.rate);
 }
 
 /* Look at the floor of all services, as requests that must run once do. */
 static void look_at_floors(struct entry *e, apr_time_t now)
 {
 	struct tr_roster *roster = &e->roster;
-	struct tr_cover *covers =
-		calloc(roster->services_count, sizeof(*covers));
+	struct tr_floor_check *checks =
+		calloc(roster->services_count, sizeof(*checks));
 
-	if (!covers)
+	if (!checks)
 		return;
 	for (uint32_t s = 0; s < roster->services_count; s++)
-		tr_cover_init(&covers[s], false);
+		tr_floor_check_init(&checks[s], false);
 	for (uint32_t i = 0; i < roster->count; i++) {
 		const struct tr_instance *row = &roster->rows[i];
 
 		if (tr_instance_usable(row, now) && !row->away &&
 		    !tr_roster_limit(roster, row))
-			tr_cover_see(&covers[row->service], row, i,
-				     tr_gray_probability(&row->gray, now),
-				     row->full_until <= now, now);
+			tr_floor_check_add(&checks[row->service], row, i,
+					   tr_gray_probability(&row->gray, now),
+					   row->full_until <= now, now);
 	}
 	for (uint32_t s = 0; s < roster->services_count; s++)
-		log_floor(e, s, &covers[s], now);
-	free(covers);
+		log_floor(e, s, &checks[s], now);
+	free(checks);
 }
 
 /* Look for targets of this group that have become idle. */
--- a/lib/cover.c
+++ b/lib/floor.c
@@ -6,7 +6,7 @@
  * are those without a request in flight; while it is too small, each idle
  * target is due for a request by a deadline of its own.
  */
-#include "cover.h"
+#include "floor.h"
 
 #include <math.h>
 
@@ -38,25 +38,26 @@
 #define SPAN_S 2.0
 
 /* Begin to look at a service. may_repeat: the request may be sent once more. */
-void tr_cover_init(struct tr_cover *cover, bool may_repeat)
+void tr_floor_check_init(struct tr_floor_check *check, bool may_repeat)
 {
-	*cover = (struct tr_cover){
+	*check = (struct tr_floor_check){
 		.idle_after = may_repeat ? IDLE_AFTER_REPEATABLE : IDLE_AFTER,
 	};
 }
 
 /* Keep those that are most probably well, in order. */
-static void add_idle(struct tr_cover *cover, const struct tr_cover_idle *idle)
+static void add_idle(struct tr_floor_check *check,
+		     const struct tr_floor_idle *idle)
 {
-	unsigned i = cover->idle_count;
+	unsigned i = check->idle_count;
 
-	if (i < TR_COVER_IDLE)
-		cover->idle_count++;
-	else if (idle->risk >= cover->idle[--i].risk)
+	if (i < TR_FLOOR_IDLE_MOST)
+		check->idle_count++;
+	else if (idle->risk >= check->idle[--i].risk)
 		return;
-	for (; i && idle->risk < cover->idle[i - 1].risk; i--)
-		cover->idle[i] = cover->idle[i - 1];
-	cover->idle[i] = *idle;
+	for (; i && idle->risk < check->idle[i - 1].risk; i--)
+		check->idle[i] = check->idle[i - 1];
+	check->idle[i] = *idle;
 }
 
 /* Since when the target has been idle: a failure counts as work, because
@@ -70,25 +71,26 @@
  * Look at one target of the service, with its chance of being gray; fits tells
  * whether a request could be sent to it now.
  */
-void tr_cover_see(struct tr_cover *cover, const struct tr_instance *row,
-		  uint32_t at, double risk, bool fits, apr_time_t now)
+void tr_floor_check_add(struct tr_floor_check *check,
+			const struct tr_instance *row, uint32_t at, double risk,
+			bool fits, apr_time_t now)
 {
-	apr_time_t late = now - idle_since(row) - cover->idle_after;
+	apr_time_t late = now - idle_since(row) - check->idle_after;
 	bool busy = tr_instance_there(row, now);
 	double well = 1 - risk;
 
-	if (now - row->used_at < cover->idle_after) {
-		cover->at_work += well;
-		cover->at_rest += busy ? 0 : well;
+	if (now - row->used_at < check->idle_after) {
+		check->at_work += well;
+		check->at_rest += busy ? 0 : well;
 		return;
 	}
 	if (late < 0 || now - row->known_since < NEW_FOR ||
 	    (busy && now - row->used_at < HANGS_FOR))
 		return;
-	cover->idle_well += well;
+	check->idle_well += well;
 	if (fits)
-		add_idle(cover,
-			 &(struct tr_cover_idle){
+		add_idle(check,
+			 &(struct tr_floor_idle){
 				 .row = at,
 				 .risk = risk,
 				 .left = late < SENT_WITHIN ? SENT_WITHIN - late
@@ -98,53 +100,53 @@
 
 /* Have so many requests ended lately that the part of them that failed tells
  * anything? */
-static bool many_ended(const struct tr_cover *cover,
-		       const struct tr_cover_work *work)
+static bool many_ended(const struct tr_floor_check *check,
+		       const struct tr_floor_load *load)
 {
-	return work->outcomes >=
-	       LEAST_WORK * (cover->at_work + cover->idle_well);
+	return load->outcomes >=
+	       LEAST_WORK * (check->at_work + check->idle_well);
 }
 
 /* How many of the targets that would be counted now must be put to work. While
  * many requests fail, or may as far as is known, any part may be counted. */
-static double missing_of(const struct tr_cover *cover, double share,
-			 const struct tr_cover_work *work)
+static double missing_of(const struct tr_floor_check *check, double share,
+			 const struct tr_floor_load *load)
 {
-	double counted = cover->at_rest + cover->idle_well;
+	double counted = check->at_rest + check->idle_well;
 
-	if (work->failing >= FAILING || !many_ended(cover, work) || counted < 1)
-		return cover->idle_well;
-	return fmin(share * counted + SPARE, counted) - cover->at_rest;
+	if (load->failing >= FAILING || !many_ended(check, load) || counted < 1)
+		return check->idle_well;
+	return fmin(share * counted + SPARE, counted) - check->at_rest;
 }
 
 /* Do so many requests come that the share can be kept? Where a service gets
  * requests again after a while, those that came have not ended yet. */
-static bool can_reach(const struct tr_cover *cover, double share,
-		      const struct tr_cover_work *work)
+static bool can_reach(const struct tr_floor_check *check, double share,
+		      const struct tr_floor_load *load)
 {
-	double targets = cover->at_work + cover->idle_well;
+	double targets = check->at_work + check->idle_well;
 
-	return many_ended(cover, work) ||
-	       work->rate * SPAN_S >= share * targets;
+	return many_ended(check, load) ||
+	       load->rate * SPAN_S >= share * targets;
 }
 
 /* Does the floor ask for requests? missing: how many targets must be put to
  * work. */
-enum tr_cover_verdict tr_cover_verdict(const struct tr_cover *cover,
+enum tr_floor_verdict tr_floor_verdict(const struct tr_floor_check *check,
 				       double share,
-				       const struct tr_cover_work *work,
+				       const struct tr_floor_load *load,
 				       double *missing)
 {
-	*missing = missing_of(cover, share, work);
+	*missing = missing_of(check, share, load);
 	if (*missing <= 0)
-		return TR_COVER_ENOUGH;
-	if (!can_reach(cover, share, work))
-		return TR_COVER_FEW_REQUESTS;
-	return TR_COVER_SHORT;
+		return TR_FLOOR_ENOUGH;
+	if (!can_reach(check, share, load))
+		return TR_FLOOR_FEW_REQUESTS;
+	return TR_FLOOR_SHORT;
 }
 
 /* The chance that this request is the one to be sent to the target. */
-static double chance_of(const struct tr_cover_idle *idle, double rate)
+static double chance_of(const struct tr_floor_idle *idle, double rate)
 {
 	double requests = rate * (double)idle->left / 1e6;
 
@@ -161,25 +163,25 @@
  * the deadline whatever is drawn. Targets whose time is over share the
  * requests.
  */
-uint32_t tr_cover_due(const struct tr_cover *cover, double share,
-		      const struct tr_cover_work *work, double drawn)
+uint32_t tr_floor_check_pick(const struct tr_floor_check *check, double share,
+			     const struct tr_floor_load *load, double drawn)
 {
 	double lacking;
 	double sum = 0;
 	unsigned n = 0;
 
-	if (tr_cover_verdict(cover, share, work, &lacking) != TR_COVER_SHORT)
+	if (tr_floor_verdict(check, share, load, &lacking) != TR_FLOOR_SHORT)
 		return TR_NO_ROW;
-	for (; n < cover->idle_count && lacking > 0; n++) {
-		lacking -= 1 - cover->idle[n].risk;
-		sum += chance_of(&cover->idle[n], work->rate);
+	for (; n < check->idle_count && lacking > 0; n++) {
+		lacking -= 1 - check->idle[n].risk;
+		sum += chance_of(&check->idle[n], load->rate);
 	}
 	if (sum > 1)
 		drawn *= sum;
 	for (unsigned i = 0; i < n; i++) {
-		drawn -= chance_of(&cover->idle[i], work->rate);
+		drawn -= chance_of(&check->idle[i], load->rate);
 		if (drawn < 0)
-			return cover->idle[i].row;
+			return check->idle[i].row;
 	}
 	return TR_NO_ROW;
 }
--- a/lib/place.c
+++ b/lib/place.c
@@ -10,7 +10,7 @@
 #include <string.h>
 
 #include "clock.h"
-#include "cover.h"
+#include "floor.h"
 #include "mechanism.h"
 
 /* Costs are parts of what a request is worth that is answered within its aim.
@@ -208,22 +208,22 @@
 }
 
 /* The target that the floor asks this request for, or TR_NO_ROW. */
-static uint32_t due_of(const struct tr_roster *roster,
-		       const struct tr_place_request *req,
-		       const struct tr_cover *cover, struct tr_random *random,
-		       apr_time_t now)
+static uint32_t floor_pick(const struct tr_roster *roster,
+			   const struct tr_place_request *req,
+			   const struct tr_floor_check *check,
+			   struct tr_random *random, apr_time_t now)
 {
 	const struct tr_service_stats *svc = &roster->services[req->service];
-	const struct tr_cover_work work = {
+	const struct tr_floor_load load = {
 		.outcomes = tr_service_stats_ended(svc, now),
 		.failing = tr_service_stats_failing(svc),
 		.rate = req->wanted,
 	};
 
-	if (!tr_mechanism_on(TR_MECH_COVER) || !cover->idle_count)
+	if (!tr_mechanism_on(TR_MECH_FLOOR) || !check->idle_count)
 		return TR_NO_ROW;
-	return tr_cover_due(cover, req->floor_share, &work,
-			    tr_random_unit(random));
+	return tr_floor_check_pick(check, req->floor_share, &load,
+				   tr_random_unit(random));
 }
 
 /*
@@ -239,17 +239,17 @@
 {
 	unsigned known = 0;
 	unsigned untried = 0;
-	struct tr_cover cover;
+	struct tr_floor_check check;
 	double loss = loss_of(req);
 	unsigned fitting = 0;
 	unsigned limited = 0;
 	unsigned resting = 0;
 	apr_time_t least_takes = APR_INT64_MAX;
 	uint32_t drawn = draw_limited(roster, req, random, now);
-	uint32_t due;
+	uint32_t picked;
 
-	tr_cover_init(&cover,
-		      req->may_repeat && tr_mechanism_on(TR_MECH_SCOUTS));
+	tr_floor_check_init(&check,
+			    req->may_repeat && tr_mechanism_on(TR_MECH_SCOUTS));
 	placing->row = TR_NO_ROW;
 	placing->cost = INFINITY;
 	for (uint32_t i = 0; i < roster->count; i++) {
@@ -280,7 +280,7 @@
 		} else if (!row->away) {
 			/* Other groups keep theirs at work, and tell of it too
 			 * late. */
-			tr_cover_see(&cover, row, i, p.risk, fits, now);
+			tr_floor_check_add(&check, row, i, p.risk, fits, now);
 		}
 		if (!fits)
 			continue;
@@ -290,13 +290,13 @@
 		if (p.cost < placing->cost)
 			*placing = p;
 	}
-	placing->due = false;
-	due = due_of(roster, req, &cover, random, now);
-	if (due != TR_NO_ROW) {
-		placing->row = due;
-		placing->due = true;
+	placing->for_floor = false;
+	picked = floor_pick(roster, req, &check, random, now);
+	if (picked != TR_NO_ROW) {
+		placing->row = picked;
+		placing->for_floor = true;
 		placing->cost =
-			cost_of(&roster->rows[due], req, loss, now, placing);
+			cost_of(&roster->rows[picked], req, loss, now, placing);
 	}
 	placing->least_takes = least_takes;
 	if (fitting)
--- a/lib/place.h
+++ b/lib/place.h
@@ -35,7 +35,7 @@
 struct tr_placing {
 	uint32_t row;
 	double cost;
-	bool due;
+	bool for_floor;
 	double risk;
 	apr_time_t wait;
 	apr_time_t least_takes;
--- a/src/losses.c
+++ b/src/losses.c
@@ -175,7 +175,7 @@
 		return LOSS_TIME_OVER;
 	if (risk < KNOWN_RISK)
 		return cause_at_well(line, g_hash_table_lookup(failures, id));
-	if (logline_number(line, "due") > 0)
+	if (logline_number(line, "for_floor") > 0)
 		return LOSS_FLOOR;
 	return logline_number(line, "runs") > 1 ? LOSS_SECOND_ATTEMPT
 						: LOSS_KNOWN_GRAY;
--- a/tests/cover_test.cc
+++ b/tests/floor_test.cc
@@ -4,7 +4,7 @@
 
 extern "C" {
 #include "clock.h"
-#include "cover.h"
+#include "floor.h"
 #include "hash.h"
 }
 
@@ -32,14 +32,15 @@
 	uint32_t due(double outcomes = 1000, bool scout = false,
 		     double failing = 0, double rate = 0, double drawn = 0)
 	{
-		const tr_cover_work work = { outcomes, failing, rate };
-		tr_cover cover;
+		const tr_floor_load work = { outcomes, failing, rate };
+		tr_floor_check check;
 
-		tr_cover_init(&cover, scout);
+		tr_floor_check_init(&check, scout);
 		for (uint32_t i = 0; i < rows.size(); i++)
-			tr_cover_see(&cover, &rows[i], i,
-				     0.4 * i / (double)rows.size(), true, now);
-		return tr_cover_due(&cover, 0.7, &work, drawn);
+			tr_floor_check_add(&check, &rows[i], i,
+					   0.4 * i / (double)rows.size(), true,
+					   now);
+		return tr_floor_check_pick(&check, 0.7, &work, drawn);
 	}
 };
 
@@ -65,17 +66,17 @@
  */
 TEST_F(Cover, WhatIsProbablyGrayIsNotMissed)
 {
-	tr_cover cover;
+	tr_floor_check check;
 
 	add(60, TR_MSEC(500));
 	add(40, TR_SEC(5));
-	tr_cover_init(&cover, false);
+	tr_floor_check_init(&check, false);
 	for (uint32_t i = 0; i < 100; i++)
-		tr_cover_see(&cover, &rows[i], i, i < 60 ? 0.03 : 0.7, true,
-			     now);
-	const tr_cover_work work = { 1000, 0, 0 };
+		tr_floor_check_add(&check, &rows[i], i, i < 60 ? 0.03 : 0.7,
+				   true, now);
+	const tr_floor_load work = { 1000, 0, 0 };
 
-	EXPECT_EQ(tr_cover_due(&cover, 0.7, &work, 0), TR_NO_ROW);
+	EXPECT_EQ(tr_floor_check_pick(&check, 0.7, &work, 0), TR_NO_ROW);
 }
 
 TEST_F(Cover, TheLeastSuspectOfTheIdleIsDue)
@@ -123,19 +124,19 @@
  * seconds. */
 TEST_F(Cover, ASuspectIsDueToo)
 {
-	tr_cover cover;
+	tr_floor_check check;
 
 	add(60, TR_MSEC(500));
 	add(40, TR_SEC(5));
 	for (int i = 0; i < 50; i++)
 		rows[i].others_in_flight = 1;
-	tr_cover_init(&cover, false);
+	tr_floor_check_init(&check, false);
 	for (uint32_t i = 0; i < 100; i++)
-		tr_cover_see(&cover, &rows[i], i, i < 60 ? 0.03 : 0.8, true,
-			     now);
-	const tr_cover_work work = { 1000, 0, 0 };
+		tr_floor_check_add(&check, &rows[i], i, i < 60 ? 0.03 : 0.8,
+				   true, now);
+	const tr_floor_load work = { 1000, 0, 0 };
 
-	EXPECT_EQ(tr_cover_due(&cover, 0.7, &work, 0), 60u);
+	EXPECT_EQ(tr_floor_check_pick(&check, 0.7, &work, 0), 60u);
 }
 
 /* Guards against a second request at a target that holds the first one. */
@@ -227,23 +228,23 @@
 /* Guards against a log that doesn't tell why nothing is sent for the floor. */
 TEST_F(Cover, TheVerdictTellsAThinServiceFromOneAtWork)
 {
-	const tr_cover_work thin = { 1, 0, 0 };
-	const tr_cover_work busy = { 1000, 0, 0 };
-	tr_cover cover;
+	const tr_floor_load thin = { 1, 0, 0 };
+	const tr_floor_load busy = { 1000, 0, 0 };
+	tr_floor_check check;
 	double missing;
 
 	add(7, TR_MSEC(500));
 	add(3, TR_SEC(5));
-	tr_cover_init(&cover, false);
+	tr_floor_check_init(&check, false);
 	for (uint32_t i = 0; i < rows.size(); i++)
-		tr_cover_see(&cover, &rows[i], i, 0, true, now);
-	EXPECT_EQ(tr_cover_verdict(&cover, 0.7, &busy, &missing),
-		  TR_COVER_SHORT);
+		tr_floor_check_add(&check, &rows[i], i, 0, true, now);
+	EXPECT_EQ(tr_floor_verdict(&check, 0.7, &busy, &missing),
+		  TR_FLOOR_SHORT);
 	EXPECT_NEAR(missing, 1.25, 0.01);
-	EXPECT_EQ(tr_cover_verdict(&cover, 0.7, &thin, &missing),
-		  TR_COVER_FEW_REQUESTS);
-	EXPECT_EQ(tr_cover_verdict(&cover, 0.5, &busy, &missing),
-		  TR_COVER_ENOUGH);
+	EXPECT_EQ(tr_floor_verdict(&check, 0.7, &thin, &missing),
+		  TR_FLOOR_FEW_REQUESTS);
+	EXPECT_EQ(tr_floor_verdict(&check, 0.5, &busy, &missing),
+		  TR_FLOOR_ENOUGH);
 }
 
 TEST_F(Cover, OfAServiceWithHardlyAnyRequestsNothingIsDue)
--- a/tests/losses_test.cc
+++ b/tests/losses_test.cc
@@ -59,7 +59,8 @@
 	request(10.003, 500, "why=answered took_ms=3 runs=1 tried=t:0.03:1");
 	request(10.023, 500, "why=answered took_ms=3 runs=1 tried=t:0.03:1");
 	request(11, 500, "why=answered took_ms=3 runs=1 tried=t:0.60:0");
-	request(11.5, 500, "why=answered took_ms=3 runs=1 due=1 tried=t:0.6:0");
+	request(11.5, 500,
+		"why=answered took_ms=3 runs=1 for_floor=1 tried=t:0.6:0");
 	request(12, 500, "why=answered took_ms=3 runs=2 tried=u:0.1:1,t:0.8:0");
 	EXPECT_EQ(count(LOSS_FIRST_AT_GRAY), 1u);
 	EXPECT_EQ(count(LOSS_BEFORE_KNOWN), 1u);
