--- a/entry/exchange.c
+++ b/entry/exchange.c
@@ -114,7 +114,7 @@
 	if (row->cold_until > entry_now(e))
 		request.expected += exchange_usual(x);
 	x->risk[x->tried_count] = p->risk;
-	x->there[x->tried_count] = row->in_flight + row->others_in_flight;
+	x->in_flight[x->tried_count] = row->in_flight + row->others_in_flight;
 	x->tried[x->tried_count++] = p->row;
 	x->for_floor += p->for_floor;
 	x->runs++;
--- a/entry/exchange_internal.h
+++ b/entry/exchange_internal.h
@@ -28,7 +28,7 @@
 	struct upstream tries[TRIES];
 	uint32_t tried[TRIED_MOST];
 	double risk[TRIED_MOST];
-	uint32_t there[TRIED_MOST];
+	uint32_t in_flight[TRIED_MOST];
 	unsigned tried_count;
 	unsigned runs;
 	unsigned for_floor;
--- a/entry/exchange_reply.c
+++ b/entry/exchange_reply.c
@@ -85,9 +85,10 @@
 
 	buf[0] = 0;
 	for (unsigned i = 0; i < x->tried_count && len < size; i++)
-		len += (size_t)snprintf(
-			buf + len, size - len, "%s%s:%.2f:%u", i ? "," : "",
-			roster->rows[x->tried[i]].id, x->risk[i], x->there[i]);
+		len += (size_t)snprintf(buf + len, size - len, "%s%s:%.2f:%u",
+					i ? "," : "",
+					roster->rows[x->tried[i]].id,
+					x->risk[i], x->in_flight[i]);
 	return buf;
 }
 
--- a/entry/mesh_away.c
+++ b/entry/mesh_away.c
@@ -71,9 +71,9 @@
 			continue;
 		states[msg->states.states_len++] = (struct mesh_state){
 			.target = row->hash,
-			.risk_and_there =
+			.risk_and_in_flight =
 				(uint32_t)(risk * 1000) << 16 |
-				(tr_instance_there(row, now) & UINT16_MAX),
+				(tr_instance_in_flight(row, now) & UINT16_MAX),
 		};
 	}
 }
@@ -242,7 +242,8 @@
 			tr_roster_by_hash(&mesh->e->roster, s->target);
 
 		if (row && row->away)
-			tr_roster_told(row, (s->risk_and_there >> 16) / 1000.0,
-				       s->risk_and_there & UINT16_MAX, now);
+			tr_roster_told(row,
+				       (s->risk_and_in_flight >> 16) / 1000.0,
+				       s->risk_and_in_flight & UINT16_MAX, now);
 	}
 }
--- a/lib/floor.c
+++ b/lib/floor.c
@@ -76,7 +76,7 @@
 			bool fits, apr_time_t now)
 {
 	apr_time_t late = now - idle_since(row) - check->idle_after;
-	bool busy = tr_instance_there(row, now);
+	bool busy = tr_instance_in_flight(row, now);
 	double well = 1 - risk;
 
 	if (now - row->used_at < check->idle_after) {
--- a/lib/membership.c
+++ b/lib/membership.c
@@ -424,15 +424,15 @@
 double tr_membership_heard_lately(const struct tr_membership *m, apr_time_t now)
 {
 	unsigned lately = 0;
-	unsigned there = 0;
+	unsigned elsewhere = 0;
 
 	for (unsigned i = 0; i < m->count; i++) {
 		const struct tr_node *node = &m->nodes[i];
 
 		lately += node->near && is_heard_lately(m, node, now);
-		there += !node->near && is_heard_lately(m, node, now);
+		elsewhere += !node->near && is_heard_lately(m, node, now);
 	}
-	return (double)lately / m->near_count * (m->near_count + there) /
+	return (double)lately / m->near_count * (m->near_count + elsewhere) /
 	       tr_membership_size(m);
 }
 
--- a/lib/place.c
+++ b/lib/place.c
@@ -77,12 +77,12 @@
 
 /* How long until a slot is free, as far as the fleet's numbers tell. */
 static apr_time_t expected_wait(const struct tr_instance *row, apr_time_t usual,
-				uint32_t there)
+				uint32_t in_flight)
 {
 
-	if (there < row->slots)
+	if (in_flight < row->slots)
 		return 0;
-	return (apr_time_t)((there - row->slots + 1) * (double)usual /
+	return (apr_time_t)((in_flight - row->slots + 1) * (double)usual /
 			    row->slots);
 }
 
@@ -133,15 +133,15 @@
 		      const struct tr_place_request *req, double loss,
 		      apr_time_t now, struct tr_placing *p)
 {
-	uint32_t there = tr_instance_there(row, now);
+	uint32_t in_flight = tr_instance_in_flight(row, now);
 	double takes = (double)req->usual;
 	double share;
 
-	p->wait = expected_wait(row, req->usual, there);
+	p->wait = expected_wait(row, req->usual, in_flight);
 	p->risk = tr_gray_probability(&row->gray, now);
 	/* Work that is under way shares the target's speed to some extent; an
 	 * idle one comes first. */
-	share = (double)there / row->slots;
+	share = (double)in_flight / row->slots;
 	takes += (double)p->wait;
 	return p->risk * loss + late_cost(req, takes) +
 	       LOSS * chance_beyond(takes, req->time_left, req->spread) +
@@ -310,7 +310,7 @@
 
 /* What the targets of a service can take, for callers that are refused. */
 struct room {
-	double there;
+	double in_flight;
 	double slots;
 	double limits;
 	apr_time_t rested_at;
@@ -328,7 +328,7 @@
 	} else if (l) {
 		room->limits += tr_send_limit_rate(l, req->heard);
 	} else {
-		room->there += tr_instance_there(row, now);
+		room->in_flight += tr_instance_in_flight(row, now);
 		room->slots += row->slots;
 	}
 }
@@ -356,7 +356,7 @@
 	}
 	if (room.slots > 0)
 		after = (double)req->usual *
-			fmax(0.25, room.there / room.slots - 1);
+			fmax(0.25, room.in_flight / room.slots - 1);
 	else if (room.limits > 0)
 		after = fmin(1e6 / room.limits, RETURN_MOST);
 	else if (room.rested_at != APR_INT64_MAX)
--- a/lib/roster.c
+++ b/lib/roster.c
@@ -554,14 +554,14 @@
  * own group, or what the target's own group told last if that is more. Both are
  * not added, since the latter count this group's too.
  */
-uint32_t tr_instance_there(const struct tr_instance *row, apr_time_t now)
+uint32_t tr_instance_in_flight(const struct tr_instance *row, apr_time_t now)
 {
-	uint32_t there = row->in_flight + row->others_in_flight;
+	uint32_t in_flight = row->in_flight + row->others_in_flight;
 
-	if (row->away && row->told_there > there &&
+	if (row->away && row->reported_in_flight > in_flight &&
 	    now - row->told_at < TOLD_HOLDS)
-		return row->told_there;
-	return there;
+		return row->reported_in_flight;
+	return in_flight;
 }
 
 /* This VM has something new to tell of the target. */
@@ -573,10 +573,11 @@
 }
 
 /* The target's own group told what it knows of it. */
-void tr_roster_told(struct tr_instance *row, double risk, unsigned there,
+void tr_roster_told(struct tr_instance *row, double risk, unsigned in_flight,
 		    apr_time_t now)
 {
-	row->told_there = (uint16_t)(there < UINT16_MAX ? there : UINT16_MAX);
+	row->reported_in_flight =
+		(uint16_t)(in_flight < UINT16_MAX ? in_flight : UINT16_MAX);
 	row->told_at = now;
 	tr_gray_set(&row->gray, risk, now);
 }
--- a/lib/roster.h
+++ b/lib/roster.h
@@ -33,8 +33,8 @@
  * One start of a target: a row of the roster, found by its place. superseded:
  * the target has started again under the same id, in another row. away: another
  * group of VMs is nearest to it; what this VM knows of it is that group's last
- * summary and its own group's requests there, and told_there is what the
- * summary said of work in progress. kept counts this VM's connections to it
+ * summary and its own group's requests there, and reported_in_flight is what
+ * the summary said of work in progress. kept counts this VM's connections to it
  * that rest. limit is the place of its row among the limits that targets have
  * named, TR_NO_ROW for none; says_leaving and rests_until are what else it said
  * of itself in its answers. Unlike leaving, which is the platform's word,
@@ -48,7 +48,7 @@
 	bool away;
 	uint16_t home;
 	uint32_t home_of;
-	uint16_t told_there;
+	uint16_t reported_in_flight;
 	apr_time_t told_at;
 	uint32_t list_mark;
 	bool gone;
@@ -135,8 +135,8 @@
 		      const struct tr_instance *row,
 		      struct tr_target_record *record, apr_time_t now);
 void tr_roster_changed(struct tr_roster *roster, struct tr_instance *row);
-uint32_t tr_instance_there(const struct tr_instance *row, apr_time_t now);
-void tr_roster_told(struct tr_instance *row, double risk, unsigned there,
+uint32_t tr_instance_in_flight(const struct tr_instance *row, apr_time_t now);
+void tr_roster_told(struct tr_instance *row, double risk, unsigned in_flight,
 		    apr_time_t now);
 struct tr_send_limit *tr_roster_limit(const struct tr_roster *roster,
 				      const struct tr_instance *row);
