--- a/entry/eventlog.c
+++ b/entry/eventlog.c
@@ -24,7 +24,7 @@
 	char buf[GATHERED_MOST];
 	size_t len;
 	uint64_t left_out[EVENT_CLASSES];
-	uint64_t told_left_out;
+	uint64_t reported_left_out;
 } state;
 
 static const char *const class_words[EVENT_CLASSES] = { "life", "failure",
--- a/entry/mesh.c
+++ b/entry/mesh.c
@@ -88,7 +88,7 @@
 		mesh_add_rows(mesh, &msg, rows, DATAGRAM_MOST - used);
 	mesh->lists = false;
 	mesh->soon = false;
-	mesh->told_at = now;
+	mesh->reported_at = now;
 	mesh_tell_near(mesh, &msg, now);
 	if (fatal_news)
 		mesh_fatals_to_groups(mesh, &msg, now);
@@ -203,7 +203,7 @@
 {
 	struct tr_membership *m = &mesh->e->members;
 	apr_time_t now = entry_now(mesh->e);
-	apr_time_t since = now - mesh->told_at;
+	apr_time_t since = now - mesh->reported_at;
 	apr_time_t gap = URGENT_GAP;
 
 	if ((apr_time_t)m->near_count * URGENT_GAP_A_VM > gap)
--- a/entry/mesh.x
+++ b/entry/mesh.x
@@ -65,7 +65,7 @@
  * thousandths, in the upper half, and the requests there in the lower. */
 struct mesh_state {
 	unsigned int target;
-	unsigned int risk_and_there;
+	unsigned int risk_and_in_flight;
 };
 
 /* An organisation's requests at the sender: those that came, in the upper half
--- a/entry/mesh_away.c
+++ b/entry/mesh_away.c
@@ -177,7 +177,7 @@
 	if (!roster->away_changed)
 		return;
 	roster->away_changed = false;
-	mesh->away_told_at = now;
+	mesh->away_reported_at = now;
 	for (unsigned i = 0; i < roster->count; i++) {
 		const struct tr_instance *row = &roster->rows[i];
 
@@ -195,7 +195,7 @@
 
 	if (m->groups_count == 1)
 		return;
-	if (now - mesh->away_told_at >= AWAY_GAP)
+	if (now - mesh->away_reported_at >= AWAY_GAP)
 		mesh_away_tell(mesh, now);
 	if (now < mesh->summary_at)
 		return;
@@ -242,8 +242,8 @@
 			tr_roster_by_hash(&mesh->e->roster, s->target);
 
 		if (row && row->away)
-			tr_roster_told(row,
-				       (s->risk_and_in_flight >> 16) / 1000.0,
-				       s->risk_and_in_flight & UINT16_MAX, now);
+			tr_roster_reported(
+				row, (s->risk_and_in_flight >> 16) / 1000.0,
+				s->risk_and_in_flight & UINT16_MAX, now);
 	}
 }
--- a/entry/mesh_fatal.c
+++ b/entry/mesh_fatal.c
@@ -113,15 +113,15 @@
  * request come to VMs of all groups, and in each a target may have ended: the
  * three that are enough may be known to no group alone.
  */
-void mesh_fatals_to_groups(struct mesh *mesh, const struct mesh_message *told,
-			   apr_time_t now)
+void mesh_fatals_to_groups(struct mesh *mesh,
+			   const struct mesh_message *reported, apr_time_t now)
 {
 	char buf[DATAGRAM_MOST];
 	struct mesh_message msg;
 	size_t len;
 
 	mesh_fill_head(mesh, &msg);
-	msg.fatals = told->fatals;
+	msg.fatals = reported->fatals;
 	len = mesh_encode(&msg, MESH_HAND_ON, buf, sizeof(buf));
 	if (len)
 		mesh_to_other_groups(mesh, buf, len, now);
--- a/entry/mesh_internal.h
+++ b/entry/mesh_internal.h
@@ -54,14 +54,14 @@
 	uint64_t sequence;
 	bool soon;
 	bool lists;
-	apr_time_t told_at;
+	apr_time_t reported_at;
 	uint32_t row_again;
 	uint32_t leaving_again;
 	uint32_t state_next;
 	uint32_t node_next;
 	uint32_t homes_of;
 	apr_time_t called_at;
-	apr_time_t away_told_at;
+	apr_time_t away_reported_at;
 	apr_time_t summary_at;
 	struct tr_list_check list_check;
 	struct pull pull;
@@ -106,8 +106,8 @@
 			   struct mesh_fatals *lists, size_t room,
 			   apr_time_t now);
 size_t mesh_bytes_of_fatals(const struct mesh_message *msg);
-void mesh_fatals_to_groups(struct mesh *mesh, const struct mesh_message *told,
-			   apr_time_t now);
+void mesh_fatals_to_groups(struct mesh *mesh,
+			   const struct mesh_message *reported, apr_time_t now);
 size_t mesh_add_notices(struct mesh *mesh, struct mesh_message *msg,
 			struct mesh_notices *lists, size_t room,
 			apr_time_t now);
@@ -122,7 +122,7 @@
 void mesh_call_lost(struct mesh *mesh, apr_time_t now);
 void mesh_call_one(struct mesh *mesh, uint32_t ip, bool answer);
 void mesh_forget_lost(struct mesh *mesh, apr_time_t now);
-void mesh_forget_told(struct mesh *mesh, struct tr_node *node);
+void mesh_forget_reports(struct mesh *mesh, struct tr_node *node);
 
 /* What takes in one part of a message; see mesh_take.c. */
 typedef void mesh_take_fn(struct mesh *mesh, struct tr_node *node,
--- a/entry/mesh_limits.c
+++ b/entry/mesh_limits.c
@@ -13,7 +13,7 @@
 	for (unsigned i = 0;
 	     i < limits->count && msg->uses.uses_len < MESH_MAX_USES; i++) {
 		struct tr_limit *l =
-			&limits->rows[limits->next_told++ % limits->count];
+			&limits->rows[limits->next_reported++ % limits->count];
 
 		if (!l->changed)
 			continue;
@@ -57,17 +57,17 @@
 		.came = (uint16_t)(in->totals >> 16),
 		.admitted = (uint16_t)in->totals,
 	};
-	struct tr_told_limit *told;
+	struct tr_limit_report *reported;
 
 	if (!l)
 		return;
-	told = tr_node_told_limit(node, in->organisation);
+	reported = tr_node_limit_report(node, in->organisation);
 	/* What it counted before this VM listened is old. */
-	if (told->name || tr_node_heard_from_start(node, now))
-		tr_limit_heard(l, &mesh->e->limit_bound, &told->totals, &totals,
-			       now);
-	told->name = in->organisation;
-	told->totals = totals;
+	if (reported->name || tr_node_heard_from_start(node, now))
+		tr_limit_heard(l, &mesh->e->limit_bound, &reported->totals,
+			       &totals, now);
+	reported->name = in->organisation;
+	reported->totals = totals;
 }
 
 static void take_demand(struct mesh *mesh, const struct tr_node *node,
@@ -76,7 +76,7 @@
 	struct tr_limit *l = tr_limits_row(&mesh->e->limits, in->organisation);
 
 	if (l)
-		tr_limit_group_told(l, node->group, in->rate / 100.0, now);
+		tr_limit_group_reported(l, node->group, in->rate / 100.0, now);
 }
 
 /* Take in what another VM, or another group, says of organisations. */
--- a/entry/mesh_nodes.c
+++ b/entry/mesh_nodes.c
@@ -38,13 +38,13 @@
 {
 	const struct tr_membership *m = &mesh->e->members;
 	unsigned start = tr_random_below(&mesh->e->random, m->count);
-	unsigned told = 0;
+	unsigned reported = 0;
 	unsigned n = 0;
 
 	for (unsigned i = 0; i < m->count; i++) {
 		const struct tr_node *node = &m->nodes[(start + i) % m->count];
 
-		if (told == most || n == MESH_MAX_CENTRES)
+		if (reported == most || n == MESH_MAX_CENTRES)
 			break;
 		if (!*node->data_centre ||
 		    (centre ? strcmp(node->data_centre, centre) != 0
@@ -54,9 +54,9 @@
 		lists->centres[n] = (struct mesh_centre){
 			.name = (char *)node->data_centre,
 		};
-		add_nodes_of(m, &lists->centres[n], lists->nodes + told, start,
-			     most - told, now);
-		told += lists->centres[n++].nodes.nodes_len;
+		add_nodes_of(m, &lists->centres[n], lists->nodes + reported,
+			     start, most - reported, now);
+		reported += lists->centres[n++].nodes.nodes_len;
 	}
 	msg->centres.centres_val = lists->centres;
 	msg->centres.centres_len = n;
--- a/entry/mesh_notices.c
+++ b/entry/mesh_notices.c
@@ -34,7 +34,7 @@
 	return most < MESH_MAX_LIMITS ? (unsigned)most : MESH_MAX_LIMITS;
 }
 
-static bool is_told_again(const struct tr_send_limit *l, apr_time_t now)
+static bool is_reported_again(const struct tr_send_limit *l, apr_time_t now)
 {
 	return l->used && (l->holds || now - l->said_at < END_TOLD_FOR);
 }
@@ -54,9 +54,9 @@
 			     msg->limits.limits_len < most;
 	     i++) {
 		const struct tr_send_limit *l =
-			&all->rows[all->next_told++ % all->count];
+			&all->rows[all->next_reported++ % all->count];
 
-		if (!is_told_again(l, now))
+		if (!is_reported_again(l, now))
 			continue;
 		add_limit(msg, l, now);
 		again++;
@@ -92,7 +92,7 @@
 	struct tr_roster *roster = &e->roster;
 	struct tr_instance *row = tr_roster_by_hash(roster, in->target);
 	apr_time_t said_at = tr_send_limit_said_at(TR_MSEC(in->age_ms), now);
-	struct tr_told_sent *told;
+	struct tr_sent_report *reported;
 	uint32_t place;
 
 	if (!row || !row->used)
@@ -111,11 +111,11 @@
 				  "peer");
 	if (!node->near)
 		return;
-	told = tr_node_told_sent(node, in->target);
+	reported = tr_node_sent_report(node, in->target);
 	tr_send_limit_heard(&roster->limits.rows[place],
-			    (uint16_t)(in->sent - told->sent),
+			    (uint16_t)(in->sent - reported->sent),
 			    tr_membership_heard_lately(&e->members, now), now);
-	told->sent = (uint16_t)in->sent;
+	reported->sent = (uint16_t)in->sent;
 }
 
 /* A few targets that have said that they leave. It is told for as long as the
--- a/entry/mesh_rows.c
+++ b/entry/mesh_rows.c
@@ -104,20 +104,20 @@
 }
 
 /* What the VM told is void: it restarted, or is lost with its requests. */
-void mesh_forget_told(struct mesh *mesh, struct tr_node *node)
+void mesh_forget_reports(struct mesh *mesh, struct tr_node *node)
 {
-	for (unsigned i = 0; i < node->told_count; i++) {
-		const struct tr_told *told = &node->told[i];
+	for (unsigned i = 0; i < node->reported_count; i++) {
+		const struct tr_report *reported = &node->reported[i];
 		struct tr_instance *row =
-			tr_roster_by_hash(&mesh->e->roster, told->target);
+			tr_roster_by_hash(&mesh->e->roster, reported->target);
 
 		if (row)
-			row->others_in_flight -= told->in_flight;
+			row->others_in_flight -= reported->in_flight;
 	}
-	free(node->told);
-	node->told = NULL;
-	node->told_count = 0;
-	node->told_room = 0;
+	free(node->reported);
+	node->reported = NULL;
+	node->reported_count = 0;
+	node->reported_room = 0;
 	free(node->work);
 	node->work = NULL;
 	node->work_count = 0;
@@ -138,10 +138,10 @@
 	for (int i = 0; i < FORGOTTEN_A_STEP; i++) {
 		struct tr_node *node = &m->nodes[mesh->node_next++ % m->count];
 
-		if ((node->told_count || node->work_count ||
+		if ((node->reported_count || node->work_count ||
 		     node->limits_count || node->sent_count) &&
 		    !tr_node_alive(m, node, now))
-			mesh_forget_told(mesh, node);
+			mesh_forget_reports(mesh, node);
 	}
 }
 
@@ -161,15 +161,16 @@
 /* Did a request end of which the VM tells no outcome? It was overdue, and told
  * as such when it came to that. LATE is also said of an attempt that ended
  * because it could not connect. */
-static bool hang_ended(const struct tr_told *told, const struct mesh_row *in,
+static bool hang_ended(const struct tr_report *reported,
+		       const struct mesh_row *in,
 		       const struct tr_symptom_totals *totals)
 {
-	int ended = (int)told->in_flight - (int)in->in_flight;
+	int ended = (int)reported->in_flight - (int)in->in_flight;
 
 	for (int s = 0; s < TR_SYMPTOMS; s++)
 		if (tr_gray_is_end((enum tr_symptom)s) || s == TR_SYMPTOM_LATE)
 			ended -= (uint16_t)(totals->count[s] -
-					    told->totals.count[s]);
+					    reported->totals.count[s]);
 	return ended > 0;
 }
 
@@ -179,25 +180,25 @@
 	struct tr_roster *roster = &mesh->e->roster;
 	struct tr_instance *row = tr_roster_by_hash(roster, in->target);
 	struct tr_symptom_totals totals;
-	struct tr_told *told;
+	struct tr_report *reported;
 	bool old = false;
 
 	if (!row)
 		return;
 	mesh_read_row(in, &totals);
-	told = tr_node_told(node, in->target);
-	if (told->target != row->hash) {
-		told->target = row->hash;
+	reported = tr_node_report(node, in->target);
+	if (reported->target != row->hash) {
+		reported->target = row->hash;
 		old = !is_news(node, &totals, now);
 	}
-	if (!old && hang_ended(told, in, &totals))
+	if (!old && hang_ended(reported, in, &totals))
 		tr_roster_hang_ended(row, now);
-	row->others_in_flight += in->in_flight - told->in_flight;
-	if (in->in_flight > told->in_flight)
+	row->others_in_flight += in->in_flight - reported->in_flight;
+	if (in->in_flight > reported->in_flight)
 		row->used_at = now;
-	told->in_flight = (uint16_t)in->in_flight;
+	reported->in_flight = (uint16_t)in->in_flight;
 	for (int s = 0; s < TR_SYMPTOMS; s++) {
-		uint16_t news = totals.count[s] - told->totals.count[s];
+		uint16_t news = totals.count[s] - reported->totals.count[s];
 
 		if (!news || old)
 			continue;
@@ -207,12 +208,13 @@
 		if (s == TR_SYMPTOM_GOOD)
 			row->used_at = now;
 	}
-	told->totals = totals;
+	reported->totals = totals;
 }
 
-static struct tr_told_work *told_work_of(struct tr_node *node, uint32_t service)
+static struct tr_work_report *work_report_of(struct tr_node *node,
+					     uint32_t service)
 {
-	struct tr_told_work *work;
+	struct tr_work_report *work;
 
 	for (unsigned i = 0; i < node->work_count; i++)
 		if (node->work[i].service == service)
@@ -228,20 +230,20 @@
 		      const struct mesh_work *in, apr_time_t now)
 {
 	struct entry *e = mesh->e;
-	struct tr_work_totals told = {
+	struct tr_work_totals reported = {
 		.requests = (uint16_t)(in->totals >> 16),
 		.repeats = (uint16_t)in->totals,
 	};
-	struct tr_told_work *work = told_work_of(node, in->service);
+	struct tr_work_report *work = work_report_of(node, in->service);
 
 	/* What it counted before this VM listened is old. */
 	for (unsigned i = 0; work->service && i < e->roster.services_count; i++)
 		if (mesh_service_hash(e, i) == in->service)
 			tr_allowance_heard(entry_allowance(e, i),
 					   &e->repeat_bound, &work->totals,
-					   &told, now);
+					   &reported, now);
 	work->service = in->service;
-	work->totals = told;
+	work->totals = reported;
 }
 
 /* Take in what another VM did at targets. */
--- a/entry/mesh_take.c
+++ b/entry/mesh_take.c
@@ -4,14 +4,14 @@
 static void take_list(struct mesh *mesh, struct tr_node *node,
 		      const struct mesh_message *msg, apr_time_t now)
 {
-	const struct tr_list_told told = {
+	const struct tr_list_report reported = {
 		.as_of = msg->as_of,
 		.digest = msg->digest,
 		.age = TR_MSEC(msg->age_ms),
 	};
 
-	if (tr_list_check_told(&mesh->list_check, &mesh->e->roster, &told,
-			       &mesh->e->random, now))
+	if (tr_list_check_reported(&mesh->list_check, &mesh->e->roster,
+				   &reported, &mesh->e->random, now))
 		pull_targets(&mesh->pull, node->ip);
 }
 
@@ -50,7 +50,7 @@
 	if (!node)
 		return;
 	if (restarted) {
-		mesh_forget_told(mesh, node);
+		mesh_forget_reports(mesh, node);
 		if (!(msg->flags & MESH_ANSWER))
 			mesh_call_one(mesh, ip, true);
 	}
--- a/entry/mesh_xdr.c
+++ b/entry/mesh_xdr.c
@@ -204,7 +204,7 @@
 
 	if (!xdr_u_int(xdrs, &objp->target))
 		return FALSE;
-	if (!xdr_u_int(xdrs, &objp->risk_and_there))
+	if (!xdr_u_int(xdrs, &objp->risk_and_in_flight))
 		return FALSE;
 	return TRUE;
 }
--- a/entry/mesh_xdr.h
+++ b/entry/mesh_xdr.h
@@ -79,7 +79,7 @@
 
 struct mesh_state {
 	u_int target;
-	u_int risk_and_there;
+	u_int risk_and_in_flight;
 };
 typedef struct mesh_state mesh_state;
 
--- a/lib/allowance.c
+++ b/lib/allowance.c
@@ -51,13 +51,13 @@
 void tr_allowance_heard(struct tr_allowance *a,
 			const struct tr_repeat_bound *bound,
 			const struct tr_work_totals *before,
-			const struct tr_work_totals *told, apr_time_t now)
+			const struct tr_work_totals *reported, apr_time_t now)
 {
 	turn(a, bound, now);
 	a->requests[a->part % TR_ALLOWANCE_SLOTS] +=
-		(uint16_t)(told->requests - before->requests);
+		(uint16_t)(reported->requests - before->requests);
 	a->repeats[a->part % TR_ALLOWANCE_SLOTS] +=
-		(uint16_t)(told->repeats - before->repeats);
+		(uint16_t)(reported->repeats - before->repeats);
 }
 
 /* Requests a second that the VMs heard get for the service: over the window, or
--- a/lib/allowance.h
+++ b/lib/allowance.h
@@ -44,7 +44,7 @@
 void tr_allowance_heard(struct tr_allowance *a,
 			const struct tr_repeat_bound *bound,
 			const struct tr_work_totals *before,
-			const struct tr_work_totals *told, apr_time_t now);
+			const struct tr_work_totals *reported, apr_time_t now);
 double tr_allowance_rate(struct tr_allowance *a,
 			 const struct tr_repeat_bound *bound, apr_time_t now);
 bool tr_allowance_spend(struct tr_allowance *a,
--- a/lib/fatal.c
+++ b/lib/fatal.c
@@ -348,30 +348,30 @@
 
 /* Another VM has told what it knows, in this VM's time. */
 enum tr_fatal_change tr_fatal_heard(struct tr_fatals *fatals,
-				    const struct tr_fatal *told,
+				    const struct tr_fatal *reported,
 				    struct tr_random *random, apr_time_t now)
 {
 	enum tr_fatal_change change = TR_FATAL_SAME;
-	struct tr_fatal *row = find(fatals, told->identity);
+	struct tr_fatal *row = find(fatals, reported->identity);
 
-	if (!told->identity || (!row && !told->ends_count))
+	if (!reported->identity || (!row && !reported->ends_count))
 		return TR_FATAL_SAME;
 	if (!row)
-		row = find_or_make(fatals, told->identity);
-	if (told->answered_at > row->answered_at + LATER_GAP)
-		change = clear(row, told->answered_at);
-	if (told->trial_at > row->trial_at + LATER_GAP)
-		row->trial_at = told->trial_at;
-	for (unsigned i = 0; i < told->ends_count; i++)
-		add_end(row, &told->ends[i]);
+		row = find_or_make(fatals, reported->identity);
+	if (reported->answered_at > row->answered_at + LATER_GAP)
+		change = clear(row, reported->answered_at);
+	if (reported->trial_at > row->trial_at + LATER_GAP)
+		row->trial_at = reported->trial_at;
+	for (unsigned i = 0; i < reported->ends_count; i++)
+		add_end(row, &reported->ends[i]);
 	/* It may know of targets that this VM never heard of. */
-	if (!row->refused_since && told->refused_since > row->answered_at)
-		change = refuse(row, told->refused_since, random, now);
+	if (!row->refused_since && reported->refused_since > row->answered_at)
+		change = refuse(row, reported->refused_since, random, now);
 	else if (judge(fatals, row, random, now) == TR_FATAL_REFUSED)
 		change = TR_FATAL_REFUSED;
-	if (row->refused_since && told->tries > row->tries) {
-		row->tries = told->tries;
-		row->tried_at = told->tried_at;
+	if (row->refused_since && reported->tries > row->tries) {
+		row->tries = reported->tries;
+		row->tried_at = reported->tried_at;
 		set_try(row, random);
 	}
 	return change;
@@ -392,7 +392,7 @@
  * needs any more are forgotten here. How many rows were written to told, which
  * has room for most.
  */
-unsigned tr_fatal_tell_news(struct tr_fatals *fatals, struct tr_fatal *told,
+unsigned tr_fatal_tell_news(struct tr_fatals *fatals, struct tr_fatal *reported,
 			    unsigned most, apr_time_t now)
 {
 	unsigned n = 0;
@@ -404,24 +404,25 @@
 		if (!row->changed)
 			continue;
 		row->changed = false;
-		told[n++] = *row;
+		reported[n++] = *row;
 	}
 	return n;
 }
 
 /* What is refused or was news not long ago, in turn, since messages get lost
  * and VMs start. How many rows were written to told. */
-unsigned tr_fatal_tell_again(struct tr_fatals *fatals, struct tr_fatal *told,
-			     unsigned most, apr_time_t now)
+unsigned tr_fatal_tell_again(struct tr_fatals *fatals,
+			     struct tr_fatal *reported, unsigned most,
+			     apr_time_t now)
 {
 	unsigned n = 0;
 
 	for (unsigned i = 0; i < fatals->count && n < most; i++) {
 		const struct tr_fatal *row =
-			&fatals->rows[fatals->next_told++ % fatals->count];
+			&fatals->rows[fatals->next_reported++ % fatals->count];
 
 		if (row->refused_since || now - last_news(row) < TOLD_FOR)
-			told[n++] = *row;
+			reported[n++] = *row;
 	}
 	return n;
 }
--- a/lib/fatal.h
+++ b/lib/fatal.h
@@ -43,7 +43,7 @@
 	struct tr_fatal *rows;
 	unsigned count;
 	unsigned room;
-	unsigned next_told;
+	unsigned next_reported;
 };
 
 enum tr_fatal_verdict {
@@ -76,11 +76,12 @@
 enum tr_fatal_change tr_fatal_answered(struct tr_fatals *fatals,
 				       uint64_t identity, apr_time_t now);
 enum tr_fatal_change tr_fatal_heard(struct tr_fatals *fatals,
-				    const struct tr_fatal *told,
+				    const struct tr_fatal *reported,
 				    struct tr_random *random, apr_time_t now);
-unsigned tr_fatal_tell_news(struct tr_fatals *fatals, struct tr_fatal *told,
+unsigned tr_fatal_tell_news(struct tr_fatals *fatals, struct tr_fatal *reported,
 			    unsigned most, apr_time_t now);
-unsigned tr_fatal_tell_again(struct tr_fatals *fatals, struct tr_fatal *told,
-			     unsigned most, apr_time_t now);
+unsigned tr_fatal_tell_again(struct tr_fatals *fatals,
+			     struct tr_fatal *reported, unsigned most,
+			     apr_time_t now);
 
 #endif
--- a/lib/limit.c
+++ b/lib/limit.c
@@ -168,7 +168,7 @@
 	if (l->groups_all > l->groups_count + 1)
 		return l->heard / l->groups_all;
 	for (unsigned i = 0; i < l->groups_count; i++)
-		if (now - l->groups[i].told_at < GROUP_HOLDS)
+		if (now - l->groups[i].reported_at < GROUP_HOLDS)
 			others += l->groups[i].rate;
 	left = (l->rate - others) / l->rate;
 	if (near > 0)
@@ -278,17 +278,17 @@
 /* Another VM of the group has told its totals; before is what it told last. */
 void tr_limit_heard(struct tr_limit *l, const struct tr_limit_bound *bound,
 		    const struct tr_limit_totals *before,
-		    const struct tr_limit_totals *told, apr_time_t now)
+		    const struct tr_limit_totals *reported, apr_time_t now)
 {
 	turn(l, bound, now);
 	fade(l, now);
-	count(l, (uint16_t)(told->came - before->came),
-	      (uint16_t)(told->admitted - before->admitted));
+	count(l, (uint16_t)(reported->came - before->came),
+	      (uint16_t)(reported->admitted - before->admitted));
 }
 
 /* Another group has told its rate, in requests a second. */
-void tr_limit_group_told(struct tr_limit *l, uint64_t group, double rate,
-			 apr_time_t now)
+void tr_limit_group_reported(struct tr_limit *l, uint64_t group, double rate,
+			     apr_time_t now)
 {
 	struct tr_limit_group *g = l->groups;
 	struct tr_limit_group *end = l->groups + l->groups_count;
@@ -304,7 +304,7 @@
 		g->group = group;
 	}
 	g->rate = rate;
-	g->told_at = now;
+	g->reported_at = now;
 }
 
 /* Requests a second that this VM's group gets now. */
--- a/lib/limit.h
+++ b/lib/limit.h
@@ -38,7 +38,7 @@
 struct tr_limit_group {
 	uint64_t group;
 	double rate;
-	apr_time_t told_at;
+	apr_time_t reported_at;
 };
 
 /*
@@ -75,7 +75,7 @@
 	unsigned count;
 	unsigned room;
 	struct tr_index by_name;
-	uint32_t next_told;
+	uint32_t next_reported;
 	uint32_t next_demand;
 };
 
@@ -88,9 +88,9 @@
 		  apr_time_t now);
 void tr_limit_heard(struct tr_limit *l, const struct tr_limit_bound *bound,
 		    const struct tr_limit_totals *before,
-		    const struct tr_limit_totals *told, apr_time_t now);
-void tr_limit_group_told(struct tr_limit *l, uint64_t group, double rate,
-			 apr_time_t now);
+		    const struct tr_limit_totals *reported, apr_time_t now);
+void tr_limit_group_reported(struct tr_limit *l, uint64_t group, double rate,
+			     apr_time_t now);
 double tr_limit_part(const struct tr_limit *l, apr_time_t now);
 double tr_limit_demand(const struct tr_limit *l, apr_time_t now);
 void tr_limit_came(struct tr_limit *l, const struct tr_limit_bound *bound,
--- a/lib/list_check.c
+++ b/lib/list_check.c
@@ -33,22 +33,22 @@
  * kept the list of their start for 19 s, and a target got requests 9.7 s after
  * it had begun to leave.
  */
-bool tr_list_check_told(struct tr_list_check *c, struct tr_roster *roster,
-			const struct tr_list_told *told,
-			struct tr_random *random, apr_time_t now)
+bool tr_list_check_reported(struct tr_list_check *c, struct tr_roster *roster,
+			    const struct tr_list_report *reported,
+			    struct tr_random *random, apr_time_t now)
 {
-	if (!told->as_of)
+	if (!reported->as_of)
 		return false;
-	if (told->digest == tr_roster_digest(roster)) {
-		tr_roster_vouched(roster, told->as_of, told->age, now);
-		if (told->as_of >= c->as_of)
+	if (reported->digest == tr_roster_digest(roster)) {
+		tr_roster_vouched(roster, reported->as_of, reported->age, now);
+		if (reported->as_of >= c->as_of)
 			c->since = 0;
 		return false;
 	}
-	if (!roster->as_of || told->as_of < roster->as_of ||
-	    (told->as_of == roster->as_of &&
-	     now - told->age <= roster->current_at))
+	if (!roster->as_of || reported->as_of < roster->as_of ||
+	    (reported->as_of == roster->as_of &&
+	     now - reported->age <= roster->current_at))
 		return false;
-	differs(c, told->as_of, random, now);
+	differs(c, reported->as_of, random, now);
 	return now - c->since > DIFFERS_FOR;
 }
--- a/lib/membership.c
+++ b/lib/membership.c
@@ -90,7 +90,7 @@
 void tr_membership_release(struct tr_membership *m)
 {
 	for (unsigned i = 0; i < m->count; i++) {
-		free(m->nodes[i].told);
+		free(m->nodes[i].reported);
 		free(m->nodes[i].work);
 		free(m->nodes[i].limits);
 	}
@@ -136,14 +136,14 @@
 /* How many VMs the fleet has, as far as this VM or any that it heard knows. */
 unsigned tr_membership_size(const struct tr_membership *m)
 {
-	return m->size_told > m->count ? m->size_told : m->count;
+	return m->size_reported > m->count ? m->size_reported : m->count;
 }
 
-static void set_size(struct tr_membership *m, unsigned told)
+static void set_size(struct tr_membership *m, unsigned reported)
 {
-	if (told <= tr_membership_size(m) || told > FLEET_MOST)
+	if (reported <= tr_membership_size(m) || reported > FLEET_MOST)
 		return;
-	m->size_told = told;
+	m->size_reported = reported;
 	tr_group_all(m);
 }
 
@@ -215,40 +215,43 @@
  * What the VM told last of the target, made empty where it told nothing yet.
  * Kept in the order of the targets' names.
  */
-struct tr_told *tr_node_told(struct tr_node *node, uint32_t target)
+struct tr_report *tr_node_report(struct tr_node *node, uint32_t target)
 {
 	unsigned low = 0;
-	unsigned high = node->told_count;
+	unsigned high = node->reported_count;
 
 	while (low < high) {
 		unsigned mid = (low + high) / 2;
 
-		if (node->told[mid].target < target)
+		if (node->reported[mid].target < target)
 			low = mid + 1;
 		else
 			high = mid;
 	}
-	if (low < node->told_count && node->told[low].target == target)
-		return &node->told[low];
-	if (node->told_count == node->told_room) {
-		node->told_room = node->told_room ? node->told_room * 2 : 8;
-		node->told = realloc(node->told,
-				     node->told_room * sizeof(*node->told));
-		if (!node->told)
+	if (low < node->reported_count && node->reported[low].target == target)
+		return &node->reported[low];
+	if (node->reported_count == node->reported_room) {
+		node->reported_room =
+			node->reported_room ? node->reported_room * 2 : 8;
+		node->reported =
+			realloc(node->reported,
+				node->reported_room * sizeof(*node->reported));
+		if (!node->reported)
 			abort();
 	}
-	memmove(&node->told[low + 1], &node->told[low],
-		(node->told_count - low) * sizeof(*node->told));
-	node->told_count++;
-	memset(&node->told[low], 0, sizeof(*node->told));
-	return &node->told[low];
+	memmove(&node->reported[low + 1], &node->reported[low],
+		(node->reported_count - low) * sizeof(*node->reported));
+	node->reported_count++;
+	memset(&node->reported[low], 0, sizeof(*node->reported));
+	return &node->reported[low];
 }
 
 /* What the VM told last of the target with a limit, made empty where it told
  * nothing yet. */
-struct tr_told_sent *tr_node_told_sent(struct tr_node *node, uint32_t target)
+struct tr_sent_report *tr_node_sent_report(struct tr_node *node,
+					   uint32_t target)
 {
-	struct tr_told_sent *grown;
+	struct tr_sent_report *grown;
 
 	for (unsigned i = 0; i < node->sent_count; i++)
 		if (node->sent[i].target == target)
@@ -258,7 +261,7 @@
 		abort();
 	node->sent = grown;
 	grown += node->sent_count++;
-	*grown = (struct tr_told_sent){ .target = target };
+	*grown = (struct tr_sent_report){ .target = target };
 	return grown;
 }
 
@@ -266,7 +269,8 @@
  * What the VM told last of the organisation, made empty where it told nothing
  * yet. Kept in the order of the organisations' names.
  */
-struct tr_told_limit *tr_node_told_limit(struct tr_node *node, uint32_t name)
+struct tr_limit_report *tr_node_limit_report(struct tr_node *node,
+					     uint32_t name)
 {
 	unsigned low = 0;
 	unsigned high = node->limits_count;
--- a/lib/membership.h
+++ b/lib/membership.h
@@ -23,7 +23,7 @@
 };
 
 /* What a VM last told of one target: its outcomes and what it has there. */
-struct tr_told {
+struct tr_report {
 	uint32_t target;
 	struct tr_symptom_totals totals;
 	uint16_t in_flight;
@@ -31,19 +31,19 @@
 
 /* How many requests a VM last told that it had sent to a target with a limit.
  */
-struct tr_told_sent {
+struct tr_sent_report {
 	uint32_t target;
 	uint16_t sent;
 };
 
 /* What a VM last told of the requests for one service. */
-struct tr_told_work {
+struct tr_work_report {
 	uint32_t service;
 	struct tr_work_totals totals;
 };
 
 /* What a VM last told of the requests of one organisation. */
-struct tr_told_limit {
+struct tr_limit_report {
 	uint32_t name;
 	struct tr_limit_totals totals;
 };
@@ -76,15 +76,15 @@
 	bool cannot_read;
 	uint64_t held[TR_HOLDINGS];
 	apr_time_t proven_at;
-	struct tr_told *told;
-	unsigned told_count;
-	unsigned told_room;
-	struct tr_told_work *work;
+	struct tr_report *reported;
+	unsigned reported_count;
+	unsigned reported_room;
+	struct tr_work_report *work;
 	unsigned work_count;
-	struct tr_told_limit *limits;
+	struct tr_limit_report *limits;
 	unsigned limits_count;
 	unsigned limits_room;
-	struct tr_told_sent *sent;
+	struct tr_sent_report *sent;
 	unsigned sent_count;
 };
 
@@ -114,8 +114,8 @@
 };
 
 /*
- * All VMs ever heard of; row 0 is this one. size_told is the largest size of
- * the fleet that any VM told. generation changes with the groups and with
+ * All VMs ever heard of; row 0 is this one. size_reported is the largest size
+ * of the fleet that any VM told. generation changes with the groups and with
  * which of them have VMs that live.
  */
 struct tr_membership {
@@ -126,7 +126,7 @@
 	struct tr_group *groups;
 	unsigned groups_count;
 	unsigned near_count;
-	unsigned size_told;
+	unsigned size_reported;
 	bool heard_any;
 	uint32_t generation;
 	apr_time_t counted_at;
@@ -141,9 +141,11 @@
 void tr_membership_vouched(struct tr_membership *m,
 			   const struct tr_node_news *news, apr_time_t now);
 unsigned tr_membership_size(const struct tr_membership *m);
-struct tr_told *tr_node_told(struct tr_node *node, uint32_t target);
-struct tr_told_sent *tr_node_told_sent(struct tr_node *node, uint32_t target);
-struct tr_told_limit *tr_node_told_limit(struct tr_node *node, uint32_t name);
+struct tr_report *tr_node_report(struct tr_node *node, uint32_t target);
+struct tr_sent_report *tr_node_sent_report(struct tr_node *node,
+					   uint32_t target);
+struct tr_limit_report *tr_node_limit_report(struct tr_node *node,
+					     uint32_t name);
 struct tr_node *tr_membership_heard(struct tr_membership *m,
 				    const struct tr_node_news *news,
 				    apr_time_t now, bool *restarted);
--- a/lib/roster.c
+++ b/lib/roster.c
@@ -343,9 +343,9 @@
  * and targets that had left went on getting requests.
  */
 void tr_roster_vouched(struct tr_roster *roster, uint64_t as_of,
-		       apr_time_t told_age, apr_time_t now)
+		       apr_time_t reported_age, apr_time_t now)
 {
-	tr_roster_current(roster, as_of, told_age + HOP_MOST, now);
+	tr_roster_current(roster, as_of, reported_age + HOP_MOST, now);
 }
 
 /* The mean chance of being gray over the service's targets, or a negative
@@ -559,7 +559,7 @@
 	uint32_t in_flight = row->in_flight + row->others_in_flight;
 
 	if (row->away && row->reported_in_flight > in_flight &&
-	    now - row->told_at < TOLD_HOLDS)
+	    now - row->reported_at < TOLD_HOLDS)
 		return row->reported_in_flight;
 	return in_flight;
 }
@@ -573,12 +573,12 @@
 }
 
 /* The target's own group told what it knows of it. */
-void tr_roster_told(struct tr_instance *row, double risk, unsigned in_flight,
-		    apr_time_t now)
+void tr_roster_reported(struct tr_instance *row, double risk,
+			unsigned in_flight, apr_time_t now)
 {
 	row->reported_in_flight =
 		(uint16_t)(in_flight < UINT16_MAX ? in_flight : UINT16_MAX);
-	row->told_at = now;
+	row->reported_at = now;
 	tr_gray_set(&row->gray, risk, now);
 }
 
--- a/lib/roster.h
+++ b/lib/roster.h
@@ -49,7 +49,7 @@
 	uint16_t home;
 	uint32_t home_of;
 	uint16_t reported_in_flight;
-	apr_time_t told_at;
+	apr_time_t reported_at;
 	uint32_t list_mark;
 	bool gone;
 	bool leaving;
@@ -127,7 +127,7 @@
 void tr_roster_current(struct tr_roster *roster, uint64_t as_of, apr_time_t age,
 		       apr_time_t now);
 void tr_roster_vouched(struct tr_roster *roster, uint64_t as_of,
-		       apr_time_t told_age, apr_time_t now);
+		       apr_time_t reported_age, apr_time_t now);
 void tr_roster_step(struct tr_roster *roster, apr_time_t now);
 uint64_t tr_roster_digest(struct tr_roster *roster);
 struct tr_instance *tr_roster_by_hash(struct tr_roster *roster, uint32_t hash);
@@ -136,8 +136,8 @@
 		      struct tr_target_record *record, apr_time_t now);
 void tr_roster_changed(struct tr_roster *roster, struct tr_instance *row);
 uint32_t tr_instance_in_flight(const struct tr_instance *row, apr_time_t now);
-void tr_roster_told(struct tr_instance *row, double risk, unsigned in_flight,
-		    apr_time_t now);
+void tr_roster_reported(struct tr_instance *row, double risk,
+			unsigned in_flight, apr_time_t now);
 struct tr_send_limit *tr_roster_limit(const struct tr_roster *roster,
 				      const struct tr_instance *row);
 uint32_t tr_roster_limit_place(struct tr_roster *roster,
--- a/lib/send_limit.c
+++ b/lib/send_limit.c
@@ -108,9 +108,9 @@
  * The longest usual delivery time is added: without it each report would look
  * younger than the last, and VMs would refresh each other's for ever.
  */
-apr_time_t tr_send_limit_said_at(apr_time_t told_age, apr_time_t now)
+apr_time_t tr_send_limit_said_at(apr_time_t reported_age, apr_time_t now)
 {
-	return now - told_age - WAY_MOST;
+	return now - reported_age - WAY_MOST;
 }
 
 /* An answer to this VM or another named a limit, at a time by this VM's clock.
@@ -127,9 +127,10 @@
 		return TR_SEND_LIMIT_SAME;
 	l->said_at = said_at;
 	l->rate = rate;
-	if (held && fabs(rate - l->rate_told) <= SAME_PART * l->rate_told)
+	if (held &&
+	    fabs(rate - l->rate_reported) <= SAME_PART * l->rate_reported)
 		return TR_SEND_LIMIT_SAME;
-	l->rate_told = rate;
+	l->rate_reported = rate;
 	if (held)
 		return TR_SEND_LIMIT_CHANGED;
 	limits->holding++;
--- a/lib/send_limit.h
+++ b/lib/send_limit.h
@@ -18,7 +18,7 @@
 	bool holds;
 	uint32_t target;
 	double rate;
-	double rate_told;
+	double rate_reported;
 	apr_time_t said_at;
 	double tokens;
 	apr_time_t at;
@@ -41,7 +41,7 @@
 	unsigned count;
 	unsigned room;
 	unsigned holding;
-	uint32_t next_told;
+	uint32_t next_reported;
 };
 
 uint32_t tr_send_limits_add(struct tr_send_limits *limits, uint32_t target);
@@ -59,7 +59,7 @@
 					       apr_time_t said_at);
 void tr_send_limits_forget(struct tr_send_limits *limits, uint32_t place);
 bool tr_send_limit_is_stale(const struct tr_send_limit *l, apr_time_t now);
-apr_time_t tr_send_limit_said_at(apr_time_t told_age, apr_time_t now);
+apr_time_t tr_send_limit_said_at(apr_time_t reported_age, apr_time_t now);
 void tr_send_limit_sent(struct tr_send_limit *l, double share, apr_time_t now);
 void tr_send_limit_heard(struct tr_send_limit *l, uint16_t sent, double share,
 			 apr_time_t now);
--- a/tests/floor_load_test.cc
+++ b/tests/floor_load_test.cc
@@ -146,7 +146,7 @@
 		req.floor_share = 0.7;
 		req.wanted = rate;
 		asked++;
-		if (tr_place(&roster, \& req, &random, now, &p) !=
+		if (tr_place(&roster, &req, &random, now, &p) !=
 		    TR_PLACE_FOUND) {
 			lost++;
 			return;
--- a/tests/limit_load_test.cc
+++ b/tests/limit_load_test.cc
@@ -257,9 +257,9 @@
 			way[k--] = way.back();
 			way.pop_back();
 			if (told.rate) {
-				tr_limit_group_told(limit(vm),
-						    group_of(told.from),
-						    told.demand, now());
+				tr_limit_group_reported(limit(vm),
+							group_of(told.from),
+							told.demand, now());
 				continue;
 			}
 			tr_limit_heard(limit(vm), &BOUND, &vm.told[told.from],
--- a/tests/mesh_test.cc
+++ b/tests/mesh_test.cc
@@ -206,7 +206,7 @@
 	void TearDown() override
 	{
 		tr_roster_release(&other.roster);
-		free(node.told);
+		free(node.reported);
 		Changes::TearDown();
 	}
 
--- a/tests/place_test.cc
+++ b/tests/place_test.cc
@@ -62,7 +62,7 @@
 		tr_placing p;
 
 		for (int i = 0; i < times; i++) {
-			EXPECT_EQ(tr_place(&roster, \& req, &random, now, &p),
+			EXPECT_EQ(tr_place(&roster, &req, &random, now, &p),
 				  TR_PLACE_FOUND);
 			counts[p.row]++;
 		}
@@ -167,7 +167,7 @@
 	add_many(2);
 	roster.rows[0].others_in_flight = 60;
 	roster.rows[1].others_in_flight = 60;
-	EXPECT_EQ(tr_place(&roster, \& req, &random, now, &p),
+	EXPECT_EQ(tr_place(&roster, &req, &random, now, &p),
 		  TR_PLACE_TOO_LATE);
 }
 
@@ -181,7 +181,7 @@
 	req.tried_count = 1;
 	EXPECT_EQ(draw(50)[0], 0);
 	req.tried_count = 2;
-	EXPECT_EQ(tr_place(&roster, \& req, &random, now, &p),
+	EXPECT_EQ(tr_place(&roster, &req, &random, now, &p),
 		  TR_PLACE_ALL_TRIED);
 }
 
@@ -190,7 +190,7 @@
 	tr_placing p;
 
 	add("a")->leaving = true;
-	EXPECT_EQ(tr_place(&roster, \& req, &random, now, &p),
+	EXPECT_EQ(tr_place(&roster, &req, &random, now, &p),
 		  TR_PLACE_NONE_KNOWN);
 }
 
@@ -225,7 +225,7 @@
 
 		tr_service_stats_outcomes(&roster.services[req.service],
 					  TR_SYMPTOM_GOOD, 1, now);
-		ASSERT_EQ(tr_place(&roster, \& req, &random, now, &p),
+		ASSERT_EQ(tr_place(&roster, &req, &random, now, &p),
 			  TR_PLACE_FOUND);
 		counts[p.row] += i >= 600;
 		roster.rows[p.row].used_at = now;
@@ -271,7 +271,7 @@
 			add(("far" + std::to_string(i)).c_str(), "dc-2");
 
 		row->away = true;
-		tr_roster_told(row, 0.05, i < 2 ? 6 : 0, now);
+		tr_roster_reported(row, 0.05, i < 2 ? 6 : 0, now);
 	}
 	for (const auto &[row, n] : draw(200))
 		EXPECT_LT(row, 4u);
@@ -303,7 +303,7 @@
 	roster.rows[1].others_in_flight = 12;
 	for (int i = 0; i < 100; i++)
 		after.push_back(
-			tr_place_return_after(&roster, \& req, &random, now));
+			tr_place_return_after(&roster, &req, &random, now));
 	EXPECT_GT(*std::max_element(after.begin(), after.end()),
 		  *std::min_element(after.begin(), after.end()) * 3 / 2);
 	EXPECT_GE(*std::min_element(after.begin(), after.end()), req.usual);
@@ -356,11 +356,11 @@
 	req.heard = 1;
 	set_limit(&roster, 0, 0.5, now);
 	set_limit(&roster, 1, 0.5, now);
-	EXPECT_EQ(tr_place(&roster, \& req, &random, now, &p),
+	EXPECT_EQ(tr_place(&roster, &req, &random, now, &p),
 		  TR_PLACE_LIMITED);
 	for (int i = 0; i < 20; i++) {
 		apr_time_t after =
-			tr_place_return_after(&roster, \& req, &random, now);
+			tr_place_return_after(&roster, &req, &random, now);
 
 		EXPECT_GE(after, TR_SEC(1));
 		EXPECT_LE(after, TR_SEC(2));
@@ -386,7 +386,7 @@
 	for (int i = 0; i < 200; i++) {
 		tr_service_stats_outcomes(&roster.services[req.service],
 					  TR_SYMPTOM_GOOD, 1, now);
-		ASSERT_EQ(tr_place(&roster, \& req, &random, now, &p),
+		ASSERT_EQ(tr_place(&roster, &req, &random, now, &p),
 			  TR_PLACE_FOUND);
 		counts[p.row]++;
 		roster.rows[p.row].used_at = now;
@@ -418,11 +418,11 @@
 	roster.rows[0].rests_until = now + TR_SEC(2);
 	EXPECT_EQ(draw(200)[0], 0);
 	roster.rows[1].rests_until = now + TR_SEC(3);
-	EXPECT_EQ(tr_place(&roster, \& req, &random, now, &p),
+	EXPECT_EQ(tr_place(&roster, &req, &random, now, &p),
 		  TR_PLACE_RESTING);
 	for (int i = 0; i < 20; i++) {
 		apr_time_t after =
-			tr_place_return_after(&roster, \& req, &random, now);
+			tr_place_return_after(&roster, &req, &random, now);
 
 		EXPECT_GE(after, TR_SEC(2));
 		EXPECT_LE(after, TR_SEC(3));
@@ -556,7 +556,7 @@
 		req.time_left = LIMIT;
 		req.data_centre = "dc";
 		tr_place_result res =
-			tr_place(&views[vm], \& req, &random, now, &p);
+			tr_place(&views[vm], &req, &random, now, &p);
 
 		tr_service_stats_expect(svc, p.least_takes, AIM, now);
 		if (res == TR_PLACE_FOUND)
--- a/tests/roster_test.cc
+++ b/tests/roster_test.cc
@@ -495,11 +495,12 @@
 	/* Another VM tells its list, which differs unless equal. */
 	bool told(uint64_t as_of, bool equal)
 	{
-		tr_list_told t{};
+		tr_list_report t{};
 
 		t.as_of = as_of;
 		t.digest = tr_roster_digest(&roster) + !equal;
-		return tr_list_check_told(&check, &roster, &t, &random, now);
+		return tr_list_check_reported(&check, &roster, &t, &random,
+					      now);
 	}
 
 	void SetUp() override
