--- a/tests/place_test.cc
+++ b/tests/place_test.cc
@@ -167,8 +167,7 @@
 	add_many(2);
 	roster.rows[0].others_in_flight = 60;
 	roster.rows[1].others_in_flight = 60;
-	EXPECT_EQ(tr_place(&roster, &req, &random, now, &p),
-		  TR_PLACE_TOO_LATE);
+	EXPECT_EQ(tr_place(&roster, &req, &random, now, &p), TR_PLACE_TOO_LATE);
 }
 
 TEST_F(Place, TriedTargetsAreNotTriedAgain)
@@ -356,8 +355,7 @@
 	req.heard = 1;
 	set_limit(&roster, 0, 0.5, now);
 	set_limit(&roster, 1, 0.5, now);
-	EXPECT_EQ(tr_place(&roster, &req, &random, now, &p),
-		  TR_PLACE_LIMITED);
+	EXPECT_EQ(tr_place(&roster, &req, &random, now, &p), TR_PLACE_LIMITED);
 	for (int i = 0; i < 20; i++) {
 		apr_time_t after =
 			tr_place_return_after(&roster, &req, &random, now);
@@ -418,8 +416,7 @@
 	roster.rows[0].rests_until = now + TR_SEC(2);
 	EXPECT_EQ(draw(200)[0], 0);
 	roster.rows[1].rests_until = now + TR_SEC(3);
-	EXPECT_EQ(tr_place(&roster, &req, &random, now, &p),
-		  TR_PLACE_RESTING);
+	EXPECT_EQ(tr_place(&roster, &req, &random, now, &p), TR_PLACE_RESTING);
 	for (int i = 0; i < 20; i++) {
 		apr_time_t after =
 			tr_place_return_after(&roster, &req, &random, now);
