--- a/entry/idle.c
+++ b/entry/idle.c
@@ -3,7 +3,7 @@
  * floor asks for. */
 #include "idle.h"
 
-#include <stdlib.h>
+#include <glib.h>
 
 #include "floor.h"
 #include "entry_settings.h"
@@ -16,7 +16,7 @@
 /* How often all targets are looked at. */
 #define LOOK_EVERY TR_MSEC(200)
 /* How often the floor of all services is looked at. */
-#define FLOOR_EVERY TR_MSEC(500)
+#define FLOOR_EVERY TR_SEC(1)
 /* VMs that write a line on the same target or service. */
 #define WRITERS 2
 
@@ -95,11 +95,9 @@
 static void look_at_floors(struct entry *e, apr_time_t now)
 {
 	struct tr_roster *roster = &e->roster;
-	struct tr_floor_check *checks =
-		calloc(roster->services_count, sizeof(*checks));
+	g_autofree struct tr_floor_check *checks =
+		g_new0(struct tr_floor_check, roster->services_count);
 
-	if (!checks)
-		return;
 	for (uint32_t s = 0; s < roster->services_count; s++)
 		tr_floor_check_init(&checks[s], false);
 	for (uint32_t i = 0; i < roster->count; i++) {
@@ -113,7 +111,6 @@
 	}
 	for (uint32_t s = 0; s < roster->services_count; s++)
 		log_floor(e, s, &checks[s], now);
-	free(checks);
 }
 
 /* Look for targets of this group that have become idle. */
