A VM's bucket of repeats is not filled by the time at the bound

A bucket was filled only while something was left of the bound, by all the time since it was filled last. So VMs that had met the bound had a repeat each when it was left again, 100 at once of 100 VMs. Found by reading.

What is filled is called tokens.

--- a/lib/allowance.c
+++ b/lib/allowance.c
@@ -78,18 +78,19 @@
 	return fmax(all / (part_s * TR_ALLOWANCE_PARTS), lately / part_s);
 }
 
-/* What this VM may send of the repeats that are left grows with time, by its
- * part of the requests. */
-static void save(struct tr_allowance *a, double left, double own_part,
-		 apr_time_t now)
+/* Fill this VM's bucket by its own part of the repeats that are left. */
+static void refill(struct tr_allowance *a, double left, double own_part,
+		   apr_time_t now)
 {
-	double passed_s = (double)(now - a->saved_at) / 1e6;
+	double passed_s = (double)(now - a->filled_at) / 1e6;
+	double most = fmax(1, left * own_part * AT_ONCE);
 
-	a->saved += passed_s * left * own_part / SPENT_OVER_S;
-	a->saved = fmin(a->saved, fmax(1, left * own_part * AT_ONCE));
-	if (!a->saved_at)
-		a->saved = fmax(1, left * own_part * AT_ONCE);
-	a->saved_at = now;
+	if (a->filled_at)
+		a->tokens += passed_s * left * own_part / SPENT_OVER_S;
+	else
+		a->tokens = most;
+	a->tokens = fmin(a->tokens, most);
+	a->filled_at = now;
 }
 
 /*
@@ -115,12 +116,10 @@
 	left = USED_SHARE *
 		       (bound->ratio * requests + bound->slack * heard_share) -
 	       repeats;
-	if (left < 1)
-		return false;
-	save(a, left, requests > 0 ? own / requests : 1, now);
-	if (a->saved < 1)
+	refill(a, fmax(left, 0), requests > 0 ? own / requests : 1, now);
+	if (left < 1 || a->tokens < 1)
 		return false;
-	a->saved--;
+	a->tokens--;
 	a->repeats[a->part % TR_ALLOWANCE_SLOTS]++;
 	a->own.repeats++;
 	return true;
--- a/lib/allowance.h
+++ b/lib/allowance.h
@@ -26,16 +26,16 @@
 /*
  * Requests for one service, and those that were sent to one more target, by
  * the whole fleet as far as it is heard: over the window, in parts. own is what
- * this VM adds, to be told to the others; saved are repeats that it may send
- * at once.
+ * this VM adds, to be told to the others; tokens are repeats that it may send
+ * now.
  */
 struct tr_allowance {
 	uint32_t requests[TR_ALLOWANCE_SLOTS];
 	uint32_t repeats[TR_ALLOWANCE_SLOTS];
 	uint32_t own_requests[TR_ALLOWANCE_SLOTS];
 	apr_time_t part;
-	double saved;
-	apr_time_t saved_at;
+	double tokens;
+	apr_time_t filled_at;
 	struct tr_work_totals own;
 };
 
