--- a/entry/mesh_xdr.h
+++ b/entry/mesh_xdr.h
@@ -8,25 +8,26 @@
 
 #include <rpc/rpc.h>
 
+
 #ifdef __cplusplus
 extern "C" {
 #endif
 
-#define MESH_MAX_ID	 63
+#define MESH_MAX_ID 63
 #define MESH_MAX_ADDRESS 23
-#define MESH_MAX_ROWS	 48
-#define MESH_MAX_WORK	 16
+#define MESH_MAX_ROWS 48
+#define MESH_MAX_WORK 16
 #define MESH_MAX_RECORDS 8
-#define MESH_MAX_MARKS	 48
-#define MESH_MAX_NODES	 160
+#define MESH_MAX_MARKS 48
+#define MESH_MAX_NODES 160
 #define MESH_MAX_CENTRES 32
 #define MESH_MAX_MEMBERS 160
-#define MESH_MAX_STATES	 160
-#define MESH_MAX_USES	 48
+#define MESH_MAX_STATES 160
+#define MESH_MAX_USES 48
 #define MESH_MAX_DEMANDS 64
-#define MESH_MAX_ENDS	 6
-#define MESH_MAX_FATALS	 8
-#define MESH_MAX_LIMITS	 16
+#define MESH_MAX_ENDS 6
+#define MESH_MAX_FATALS 8
+#define MESH_MAX_LIMITS 16
 #define MESH_MAX_LEAVING 16
 
 struct mesh_row {
@@ -195,59 +196,59 @@
 };
 typedef struct mesh_message mesh_message;
 
-#define MESH_PEER    0x20544353
+#define MESH_PEER 0x20544353
 #define MESH_VERSION 6
 
 #if defined(__STDC__) || defined(__cplusplus)
 #define MESH_TELL 1
-extern void *mesh_tell_6(mesh_message *, CLIENT *);
-extern void *mesh_tell_6_svc(mesh_message *, struct svc_req *);
+extern  void * mesh_tell_6(mesh_message *, CLIENT *);
+extern  void * mesh_tell_6_svc(mesh_message *, struct svc_req *);
 #define MESH_HAND_ON 2
-extern void *mesh_hand_on_6(mesh_message *, CLIENT *);
-extern void *mesh_hand_on_6_svc(mesh_message *, struct svc_req *);
-extern int mesh_peer_6_freeresult(SVCXPRT *, xdrproc_t, caddr_t);
+extern  void * mesh_hand_on_6(mesh_message *, CLIENT *);
+extern  void * mesh_hand_on_6_svc(mesh_message *, struct svc_req *);
+extern int mesh_peer_6_freeresult (SVCXPRT *, xdrproc_t, caddr_t);
 
 #else /* K&R C */
-#define MESH_TELL    1
-extern void *mesh_tell_6();
-extern void *mesh_tell_6_svc();
+#define MESH_TELL 1
+extern  void * mesh_tell_6();
+extern  void * mesh_tell_6_svc();
 #define MESH_HAND_ON 2
-extern void *mesh_hand_on_6();
-extern void *mesh_hand_on_6_svc();
-extern int mesh_peer_6_freeresult();
+extern  void * mesh_hand_on_6();
+extern  void * mesh_hand_on_6_svc();
+extern int mesh_peer_6_freeresult ();
 #endif /* K&R C */
 
 /* the xdr functions */
 
 #if defined(__STDC__) || defined(__cplusplus)
-extern bool_t xdr_mesh_row(XDR *, mesh_row *);
-extern bool_t xdr_mesh_work(XDR *, mesh_work *);
-extern bool_t xdr_mesh_record(XDR *, mesh_record *);
-extern bool_t xdr_mesh_mark(XDR *, mesh_mark *);
-extern bool_t xdr_mesh_centre(XDR *, mesh_centre *);
-extern bool_t xdr_mesh_member(XDR *, mesh_member *);
-extern bool_t xdr_mesh_state(XDR *, mesh_state *);
-extern bool_t xdr_mesh_use(XDR *, mesh_use *);
-extern bool_t xdr_mesh_demand(XDR *, mesh_demand *);
-extern bool_t xdr_mesh_end(XDR *, mesh_end *);
-extern bool_t xdr_mesh_fatal(XDR *, mesh_fatal *);
-extern bool_t xdr_mesh_limit(XDR *, mesh_limit *);
-extern bool_t xdr_mesh_message(XDR *, mesh_message *);
+extern  bool_t xdr_mesh_row (XDR *, mesh_row*);
+extern  bool_t xdr_mesh_work (XDR *, mesh_work*);
+extern  bool_t xdr_mesh_record (XDR *, mesh_record*);
+extern  bool_t xdr_mesh_mark (XDR *, mesh_mark*);
+extern  bool_t xdr_mesh_centre (XDR *, mesh_centre*);
+extern  bool_t xdr_mesh_member (XDR *, mesh_member*);
+extern  bool_t xdr_mesh_state (XDR *, mesh_state*);
+extern  bool_t xdr_mesh_use (XDR *, mesh_use*);
+extern  bool_t xdr_mesh_demand (XDR *, mesh_demand*);
+extern  bool_t xdr_mesh_end (XDR *, mesh_end*);
+extern  bool_t xdr_mesh_fatal (XDR *, mesh_fatal*);
+extern  bool_t xdr_mesh_limit (XDR *, mesh_limit*);
+extern  bool_t xdr_mesh_message (XDR *, mesh_message*);
 
 #else /* K&R C */
-extern bool_t xdr_mesh_row();
-extern bool_t xdr_mesh_work();
-extern bool_t xdr_mesh_record();
-extern bool_t xdr_mesh_mark();
-extern bool_t xdr_mesh_centre();
-extern bool_t xdr_mesh_member();
-extern bool_t xdr_mesh_state();
-extern bool_t xdr_mesh_use();
-extern bool_t xdr_mesh_demand();
-extern bool_t xdr_mesh_end();
-extern bool_t xdr_mesh_fatal();
-extern bool_t xdr_mesh_limit();
-extern bool_t xdr_mesh_message();
+extern bool_t xdr_mesh_row ();
+extern bool_t xdr_mesh_work ();
+extern bool_t xdr_mesh_record ();
+extern bool_t xdr_mesh_mark ();
+extern bool_t xdr_mesh_centre ();
+extern bool_t xdr_mesh_member ();
+extern bool_t xdr_mesh_state ();
+extern bool_t xdr_mesh_use ();
+extern bool_t xdr_mesh_demand ();
+extern bool_t xdr_mesh_end ();
+extern bool_t xdr_mesh_fatal ();
+extern bool_t xdr_mesh_limit ();
+extern bool_t xdr_mesh_message ();
 
 #endif /* K&R C */
 
