Tests of sound targets that VMs leave idle

Callers lose the work of sound targets: these get nothing for two seconds while a tenth of the requests fails, or just before all VMs end.

A target at which an old request hangs is due 3.3 s after its newest one, though that was answered, and later still when the old one ends. A VM that hears of an answer takes its request for one that was sent then.

--- a/tests/floor_test.cc
+++ b/tests/floor_test.cc
@@ -6,6 +6,7 @@
 #include "clock.h"
 #include "floor.h"
 #include "hash.h"
+#include "roster.h"
 }
 
 namespace
@@ -317,4 +318,189 @@
 	EXPECT_EQ(due(1e6, false, 0.17), 200u);
 }
 
+/*
+ * One target's requests as a VM hears of them, by the functions that VMs use;
+ * two more targets have a request in flight all the while, so that the share is
+ * short.
+ */
+struct Order : testing::Test {
+	/* Operators look at two seconds, less what a message and the way to the
+	 * target take. */
+	const apr_time_t in_time = TR_MSEC(1980);
+	apr_time_t now = TR_SEC(100);
+	tr_roster roster{};
+
+	void SetUp() override
+	{
+		for (unsigned i = 0; i < 3; i++) {
+			tr_target_record r{};
+
+			snprintf(r.id, sizeof(r.id), "t%u", i);
+			snprintf(r.service, sizeof(r.service), "svc");
+			snprintf(r.address, sizeof(r.address), "10.0.0.1:80");
+			r.slots = 3;
+			r.revision = 1;
+			tr_roster_apply(&roster, &r, now - TR_SEC(60));
+		}
+		for (int i = 0; i < 50; i++)
+			tr_service_stats_took(&roster.services[0],
+					      TR_MSEC(200 + 2 * i), true);
+	}
+
+	void TearDown() override
+	{
+		tr_roster_release(&roster);
+	}
+
+	tr_instance *target()
+	{
+		return &roster.rows[0];
+	}
+
+	/* How long a request runs until it is told to be overdue. */
+	apr_time_t overdue_after()
+	{
+		const tr_worktime *takes = &roster.services[0].takes;
+
+		return tr_gray_stage_after(TR_STAGE_OVERDUE,
+					   tr_worktime_mean(takes, 0),
+					   tr_worktime_spread(takes));
+	}
+
+	void send()
+	{
+		target()->in_flight++;
+		target()->used_at = now;
+	}
+
+	void say(tr_symptom symptom)
+	{
+		if (tr_gray_is_end(symptom))
+			target()->in_flight--;
+		tr_roster_outcome(&roster, target(), symptom, 1, now);
+	}
+
+	void end_hang()
+	{
+		target()->in_flight--;
+		tr_roster_hang_ended(target(), now);
+	}
+
+	/* Would the target get the next request whatever is drawn? */
+	bool is_due()
+	{
+		const tr_floor_load work = { 1000, 0, 800 };
+		tr_floor_check check;
+
+		roster.rows[1].in_flight = roster.rows[2].in_flight = 1;
+		roster.rows[1].used_at = roster.rows[2].used_at = now;
+		tr_floor_check_init(&check, false);
+		for (uint32_t i = 0; i < roster.count; i++)
+			tr_floor_check_add(
+				&check, &roster.rows[i], i,
+				tr_gray_probability(&roster.rows[i].gray, now),
+				true, now);
+		return tr_floor_check_pick(&check, 0.7, &work, 0.9999) == 0;
+	}
+
+	/* How long after a moment the target is due, which may be never. */
+	apr_time_t due_after(apr_time_t since)
+	{
+		while (!is_due() && now - since < TR_SEC(20))
+			now += TR_MSEC(5);
+		return now - since;
+	}
+};
+
+/* Guards against a target that is due as late as if it had got nothing else,
+ * where a request hangs and a later one was answered. */
+TEST_F(Order, WhatIsAnsweredAfterARequestThatHangsCountsAsTheNewest)
+{
+	send();
+	now += overdue_after();
+	say(TR_SYMPTOM_OVERDUE);
+	now += TR_SEC(1);
+	apr_time_t later = now;
+	send();
+	now += TR_MSEC(200);
+	say(TR_SYMPTOM_GOOD);
+	EXPECT_LE(due_after(later), in_time);
+}
+
+/* Guards against the same where the one that hangs is known to be overdue only
+ * once the later one has been answered. */
+TEST_F(Order, WhatTurnsOutToHangAfterALaterAnswerHoldsNobodyBack)
+{
+	apr_time_t first = now;
+
+	send();
+	now += TR_MSEC(300);
+	apr_time_t later = now;
+	send();
+	now += TR_MSEC(200);
+	say(TR_SYMPTOM_GOOD);
+	now = first + overdue_after();
+	say(TR_SYMPTOM_OVERDUE);
+	EXPECT_LE(due_after(later), in_time);
+}
+
+/* Guards against a target that looks as if it had just failed, since an old
+ * request ended that hung there, though it has answered since. */
+TEST_F(Order, TheEndOfAHangIsNoFailureWhereALaterOneWasAnswered)
+{
+	for (apr_time_t ends : { TR_MSEC(50), TR_MSEC(500), TR_MSEC(1200) }) {
+		send();
+		now += overdue_after();
+		say(TR_SYMPTOM_OVERDUE);
+		now += TR_SEC(1);
+		apr_time_t later = now;
+		send();
+		now += TR_MSEC(200);
+		say(TR_SYMPTOM_GOOD);
+		now += ends;
+		end_hang();
+		EXPECT_LE(due_after(later), in_time) << ends;
+	}
+}
+
+/* Guards against a second request at a target whose newest one hangs, though an
+ * older one was answered. */
+TEST_F(Order, WhereTheNewestHangsNoneIsDueUntilItEnds)
+{
+	send();
+	now += TR_MSEC(100);
+	apr_time_t later = now;
+	send();
+	now += TR_MSEC(100);
+	say(TR_SYMPTOM_GOOD);
+	now = later + overdue_after();
+	say(TR_SYMPTOM_OVERDUE);
+	while (now - later < TR_SEC(3)) {
+		ASSERT_FALSE(is_due()) << now - later;
+		now += TR_MSEC(5);
+	}
+	end_hang();
+	apr_time_t end = now;
+
+	EXPECT_GE(due_after(end), TR_SEC(1));
+	EXPECT_LE(now - end, in_time);
+}
+
+/* Guards against a target that is asked again at once, when its newest request
+ * has just failed and an older one was answered late. */
+TEST_F(Order, ALateAnswerToAnOlderRequestDoesNotUndoAFailure)
+{
+	send();
+	now += TR_MSEC(300);
+	send();
+	now += TR_MSEC(20);
+	say(TR_SYMPTOM_FAILED);
+	apr_time_t failure = now;
+
+	now += TR_MSEC(60);
+	say(TR_SYMPTOM_LONG_GOOD);
+	EXPECT_GE(due_after(failure), TR_SEC(1));
+	EXPECT_LE(now - failure, in_time);
+}
+
 } // namespace
--- a/tests/mesh_test.cc
+++ b/tests/mesh_test.cc
@@ -261,4 +261,20 @@
 	EXPECT_EQ(other.roster.rows[7].others_in_flight, 0u);
 }
 
+/* Guards against targets that are sent their next request too late, since VMs
+ * took an answer for a request that was sent a moment ago. */
+TEST_F(Rows, AnAnswerMakesItsRequestNoYounger)
+{
+	request(7, 1);
+	say(false);
+	apr_time_t heard_at = other.roster.rows[7].used_at;
+
+	EXPECT_GT(heard_at, 0);
+	now += TR_MSEC(250);
+	e.roster.rows[7].own.count[TR_SYMPTOM_GOOD]++;
+	request(7, 0);
+	say(false);
+	EXPECT_EQ(other.roster.rows[7].used_at, heard_at);
+}
+
 } // namespace
