The fleet's load test tells the floor's requests at once, as VMs do

A VM tells the others at once of a request that it sends for the floor; the load test of a fleet told it with the next message, up to 40 ms later.

--- a/tests/floor_fleet_load_test.cc
+++ b/tests/floor_fleet_load_test.cc
@@ -285,6 +285,7 @@
 
 		for_floor += p.for_floor;
 		if (p.for_floor) {
+			vm.at_once = true;
 			floor_twice += now - t.floor_at < TWICE;
 			t.floor_at = now;
 		}
