VMs take an answer no longer for a request that was sent with it

What callers saw: sound targets got their next request up to a work time too late, so that they were idle for more than two seconds.

Cause: a VM that heard of a prompt answer held the target to be used from then on, and not from when the request was sent. It was meant for requests that begin and end between two messages.

Now a request counts as begun when more ended than fewer are in flight, whatever came of it; that also covers those that begin and end between two messages, and one that follows another within a message.

--- a/entry/mesh_rows.c
+++ b/entry/mesh_rows.c
@@ -174,6 +174,21 @@
 	return ended > 0;
 }
 
+/* Did the VM send a request there since its last message, whether it still runs
+ * or not? */
+static bool has_begun(const struct tr_report *reported,
+		      const struct mesh_row *in,
+		      const struct tr_symptom_totals *totals)
+{
+	int begun = (int)in->in_flight - (int)reported->in_flight;
+
+	for (int s = 0; s < TR_SYMPTOMS; s++)
+		if (tr_gray_is_end((enum tr_symptom)s))
+			begun += (uint16_t)(totals->count[s] -
+					    reported->totals.count[s]);
+	return begun > 0;
+}
+
 static void take_row(struct mesh *mesh, struct tr_node *node,
 		     const struct mesh_row *in, apr_time_t now)
 {
@@ -194,7 +209,8 @@
 	if (!old && hang_ended(reported, in, &totals))
 		tr_roster_hang_ended(row, now);
 	row->others_in_flight += in->in_flight - reported->in_flight;
-	if (in->in_flight > reported->in_flight)
+	if (old ? in->in_flight > reported->in_flight
+		: has_begun(reported, in, &totals))
 		row->used_at = now;
 	reported->in_flight = (uint16_t)in->in_flight;
 	for (int s = 0; s < TR_SYMPTOMS; s++) {
@@ -203,10 +219,6 @@
 		if (!news || old)
 			continue;
 		tr_roster_outcome(roster, row, (enum tr_symptom)s, news, now);
-		/* Prompt, so it was begun a moment ago. What hangs is no sign
-		 * that the target is being used. */
-		if (s == TR_SYMPTOM_GOOD)
-			row->used_at = now;
 	}
 	reported->totals = totals;
 }
