A request that hangs since an earlier time holds no target back

Cause: the floor took a target for used while any request was in flight there, for 3.3 s from its newest one, and the end of one that hung for a new failure, from which another two seconds counted. A request that hangs since a gray spell lasts for up to eight seconds; its target had answered others since, and got the next one 3.3 s after them.

Ruled out: late news; the mean by which the share is counted (which is the cause where targets turn gray and back together, TargetsThatAnswerAgainTogether...).

Now what is in flight holds a target back only until its newest request has been answered, and one that was sent after the last that hung or failed; the end of an older one is no failure then. While the newest hangs nothing changes.

Before and now, moments short: WhatHangsForLong... 30 and 25 of 80, none; WhileATenthFails... 58 and 51 of 80, none; WhereMostAreInFlight... 0 and 5 of 24, none; WhenAllVmsEnd... 18 and 12 of 80. The three tests of the order of events failed before.

--- a/lib/floor.c
+++ b/lib/floor.c
@@ -85,7 +85,8 @@
 		return;
 	}
 	if (late < 0 || now - row->known_since < NEW_FOR ||
-	    (busy && now - row->used_at < HANGS_FOR))
+	    (busy && now - row->used_at < HANGS_FOR &&
+	     !tr_instance_hang_is_old(row)))
 		return;
 	check->idle_well += well;
 	if (fits)
--- a/lib/roster.c
+++ b/lib/roster.c
@@ -582,6 +582,23 @@
 	tr_gray_set(&row->gray, risk, now);
 }
 
+/*
+ * Has the newest request at the target been answered, and one that was sent
+ * after the last that hangs? What is still in flight then says nothing of how
+ * the target is now.
+ */
+bool tr_instance_hang_is_old(const struct tr_instance *row)
+{
+	return row->answered_at > row->used_at &&
+	       row->answered_sent_at > row->hung_at;
+}
+
+static void set_latest(apr_time_t *at, apr_time_t then)
+{
+	if (then > *at)
+		*at = then;
+}
+
 /*
  * Take in an outcome at a target, of whichever VM. A request that is overdue
  * failed when it was sent, as far as that can be known.
@@ -590,23 +607,29 @@
 		       enum tr_symptom symptom, unsigned times, apr_time_t now)
 {
 	const struct tr_worktime *takes = &roster->services[row->service].takes;
-	apr_time_t age = 0;
+	apr_time_t usual = tr_worktime_mean(takes, 0);
+	apr_time_t sent_at;
 
 	tr_gray_add(&row->gray, symptom, times, now);
 	tr_service_stats_outcomes(&roster->services[row->service], symptom,
 				  times, now);
-	if (symptom == TR_SYMPTOM_OVERDUE)
-		age = tr_gray_stage_after(TR_STAGE_OVERDUE,
-					  tr_worktime_mean(takes, 0),
-					  tr_worktime_spread(takes));
-	else if (symptom != TR_SYMPTOM_FAILED)
-		return;
-	if (now - age > row->failed_at)
-		row->failed_at = now - age;
+	if (symptom == TR_SYMPTOM_OVERDUE) {
+		sent_at = now - tr_gray_stage_after(TR_STAGE_OVERDUE, usual,
+						    tr_worktime_spread(takes));
+		set_latest(&row->hung_at, sent_at);
+		set_latest(&row->failed_at, sent_at);
+	} else if (symptom == TR_SYMPTOM_FAILED) {
+		set_latest(&row->hung_at, now);
+		set_latest(&row->failed_at, now);
+	} else if (tr_gray_is_end(symptom)) {
+		set_latest(&row->answered_at, now);
+		set_latest(&row->answered_sent_at, now - usual);
+	}
 }
 
 /* A request that was overdue at the target has ended without an answer. */
 void tr_roster_hang_ended(struct tr_instance *row, apr_time_t now)
 {
-	row->failed_at = now;
+	if (!tr_instance_hang_is_old(row))
+		row->failed_at = now;
 }
--- a/lib/roster.h
+++ b/lib/roster.h
@@ -38,10 +38,12 @@
  * that rest. limit is the place of its row among the limits that targets have
  * named, TR_NO_ROW for none; says_leaving and rests_until are what else it said
  * of itself in its answers. Unlike leaving, which is the platform's word,
- * says_leaving holds until the target's end. failed_at: when a
- * request there last turned out to have failed, or ended. dirty: something is
- * new to be told of it; tell_again: the end of this VM's last request there was
- * told once.
+ * says_leaving holds until the target's end. used_at: when the newest request
+ * was sent there; answered_at: when an answer last came, to one that was sent
+ * at about answered_sent_at; hung_at: when the newest request that is overdue
+ * or failed was sent, at the latest; failed_at: when a request there last
+ * turned out to have failed, or ended. dirty: something is new to be told of
+ * it; tell_again: the end of this VM's last request there was told once.
  */
 struct tr_instance {
 	bool used;
@@ -79,6 +81,9 @@
 	uint32_t others_in_flight;
 	apr_time_t used_at;
 	apr_time_t failed_at;
+	apr_time_t answered_at;
+	apr_time_t answered_sent_at;
+	apr_time_t hung_at;
 	struct tr_symptom_totals own;
 	bool dirty;
 	bool dirty_away;
@@ -145,6 +150,7 @@
 bool tr_roster_says_leaving(struct tr_roster *roster, struct tr_instance *row);
 bool tr_instance_serves(const struct tr_instance *row, apr_time_t now);
 bool tr_instance_usable(const struct tr_instance *row, apr_time_t now);
+bool tr_instance_hang_is_old(const struct tr_instance *row);
 
 /* Outcomes of the whole fleet's requests, as far as they are told. */
 void tr_roster_outcome(struct tr_roster *roster, struct tr_instance *row,
