VMs take turns with the requests that the floor asks for

What callers saw: of the requests that must run once, those sent to suspects for the floor were lost two to four at a time: several VMs asked the same target within some milliseconds, and all but the first found out nothing.

Cause: a deadline ran for every idle target, but only those of them were asked that the share lacked, the least risky first. The next in order was asked once one of these had been served, with its deadline long past: by a chance of 1 for each VM, for the 12 ms that the news of another's request takes.

Ruled out: rows that don't fit into a message (none), a message that is told too late (it goes out at once), a request that isn't seen since the one before ended with it (0.2 in 100).

Now a hash of the target and of how long it has been due names the VMs whose turn it is, for half a second: as many as get some ten requests a second together. All know the same list, more or less; who is lost or slow loses a turn. Where one VM knows of no other, chance decides as before.

--- a/lib/floor.c
+++ b/lib/floor.c
@@ -11,6 +11,7 @@
 #include <math.h>
 
 #include "clock.h"
+#include "hash.h"
 
 /* Operators look at spans of two seconds. A target counts as idle after the
  * first of these times, and is sent a request within the second, so that it
@@ -34,6 +35,11 @@
 /* Requests a target that ended within the last seconds, from which on the part
  * that failed is known. */
 #define LEAST_WORK 1.0
+/* How long it is the turn of the same VMs to send a target its request. */
+#define TURN_LASTS SENT_WITHIN
+/* So many requests a second come to the VMs whose turn it is, by which a target
+ * is mostly sent its request within one turn or two. */
+#define TURN_RATE 10.0
 /* The span in which the share of the targets must be at work, in seconds. */
 #define SPAN_S 2.0
 
@@ -45,6 +51,34 @@
 	};
 }
 
+/* Only some of the VMs send at a time; rate: requests a second that come to all
+ * of them for the service. */
+void tr_floor_check_take_turns(struct tr_floor_check *check,
+			       const struct tr_floor_turns *turns, double rate)
+{
+	check->turns = *turns;
+	check->rate = rate;
+}
+
+/*
+ * Is it this VM's turn to send a request to the target that has been due for so
+ * long? All VMs see the same targets idle, and hear of each other's requests
+ * only later: until then all would send there.
+ */
+static bool has_turn(const struct tr_floor_check *check, uint32_t target,
+		     apr_time_t late)
+{
+	unsigned vms = check->turns.vms;
+	uint64_t turn = (uint64_t)(late / TURN_LASTS);
+	unsigned first;
+
+	if (vms < 2 || check->rate <= TURN_RATE)
+		return true;
+	first = (unsigned)(tr_hash_pair(target, turn) % vms);
+	return (check->turns.place + vms - first) % vms <
+	       TURN_RATE / check->rate * vms;
+}
+
 /* Keep those that are most probably well, in order. */
 static void add_idle(struct tr_floor_check *check,
 		     const struct tr_floor_idle *idle)
@@ -96,6 +130,7 @@
 				 .risk = risk,
 				 .left = late < SENT_WITHIN ? SENT_WITHIN - late
 							    : 0,
+				 .turn = has_turn(check, row->hash, late),
 			 });
 }
 
@@ -147,10 +182,13 @@
 }
 
 /* The chance that this request is the one to be sent to the target. */
-static double chance_of(const struct tr_floor_idle *idle, double rate)
+static double chance_of(const struct tr_floor_check *check,
+			const struct tr_floor_idle *idle, double rate)
 {
 	double requests = rate * (double)idle->left / 1e6;
 
+	if (check->turns.vms > 1)
+		return idle->turn;
 	return requests > 1 ? 1 / requests : 1;
 }
 
@@ -175,12 +213,12 @@
 		return TR_NO_ROW;
 	for (; n < check->idle_count && lacking > 0; n++) {
 		lacking -= 1 - check->idle[n].risk;
-		sum += chance_of(&check->idle[n], load->rate);
+		sum += chance_of(check, &check->idle[n], load->rate);
 	}
 	if (sum > 1)
 		drawn *= sum;
 	for (unsigned i = 0; i < n; i++) {
-		drawn -= chance_of(&check->idle[i], load->rate);
+		drawn -= chance_of(check, &check->idle[i], load->rate);
 		if (drawn < 0)
 			return check->idle[i].row;
 	}
--- a/lib/floor.h
+++ b/lib/floor.h
@@ -6,12 +6,22 @@
 /* Targets that may be due at the same time. */
 #define TR_FLOOR_IDLE_MOST 32
 
-/* A target that has had no request for a while; left: until it must have one.
+/*
+ * This VM's place among those of its group that send requests, and how many
+ * there are. A VM that knows of no other has all turns.
  */
+struct tr_floor_turns {
+	unsigned place;
+	unsigned vms;
+};
+
+/* A target that has had no request for a while; left: until it must have one;
+ * turn: it is this VM's turn to send it one. */
 struct tr_floor_idle {
 	uint32_t row;
 	double risk;
 	apr_time_t left;
+	bool turn;
 };
 
 /*
@@ -21,6 +31,8 @@
  * time left first.
  */
 struct tr_floor_check {
+	struct tr_floor_turns turns;
+	double rate;
 	apr_time_t idle_after;
 	double at_work;
 	double at_rest;
@@ -45,6 +57,8 @@
 };
 
 void tr_floor_check_init(struct tr_floor_check *check, bool may_repeat);
+void tr_floor_check_take_turns(struct tr_floor_check *check,
+			       const struct tr_floor_turns *turns, double rate);
 void tr_floor_check_add(struct tr_floor_check *check,
 			const struct tr_instance *row, uint32_t at, double risk,
 			bool fits, apr_time_t now);
--- a/lib/membership.c
+++ b/lib/membership.c
@@ -351,6 +351,25 @@
 	       heard_within(m, node, node->near ? span : AWAY_NAMED, now);
 }
 
+/* This VM's place, by address, among those of its group that take callers; vms:
+ * how many these are, this one included. */
+unsigned tr_membership_place(const struct tr_membership *m, apr_time_t now,
+			     unsigned *vms)
+{
+	unsigned place = 0;
+
+	*vms = 1;
+	for (unsigned i = 1; i < m->count; i++) {
+		const struct tr_node *node = &m->nodes[i];
+
+		if (!node->near || !tr_node_takes_callers(m, node, now))
+			continue;
+		++*vms;
+		place += node->ip < m->nodes[0].ip;
+	}
+	return place;
+}
+
 /*
  * A VM of the group that is not heard and is due to be called again, or NULL.
  * One whose data centre is not known yet may be of the group; those of others
--- a/lib/membership.h
+++ b/lib/membership.h
@@ -160,6 +160,8 @@
 double tr_membership_heard_share(const struct tr_membership *m, apr_time_t now);
 double tr_membership_heard_lately(const struct tr_membership *m,
 				  apr_time_t now);
+unsigned tr_membership_place(const struct tr_membership *m, apr_time_t now,
+			     unsigned *vms);
 unsigned tr_membership_turn(const struct tr_membership *m, apr_time_t now);
 bool tr_membership_reads(const struct tr_membership *m, apr_time_t now);
 
--- a/lib/place.h
+++ b/lib/place.h
@@ -1,6 +1,7 @@
 #ifndef TR_PLACE_H
 #define TR_PLACE_H
 
+#include "floor.h"
 #include "hash.h"
 #include "roster.h"
 #include "route.h"
@@ -10,7 +11,8 @@
  * long its work takes, fail_age how old attempts are when they turn out to have
  * failed. may_repeat: if this attempt fails, another may be sent. wanted:
  * requests a second that this VM's group gets for the service; heard: the part
- * of the fleet that this VM hears.
+ * of the fleet that this VM hears; turns: its place among the VMs that send for
+ * the floor.
  * standing_queue: work has been taking longer than the aim for a while.
  */
 struct tr_place_request {
@@ -30,6 +32,7 @@
 	bool standing_queue;
 	double wanted;
 	double heard;
+	struct tr_floor_turns turns;
 };
 
 struct tr_placing {
--- a/tests/floor_fleet_load_test.cc
+++ b/tests/floor_fleet_load_test.cc
@@ -262,6 +262,7 @@
 		req.data_centre = "dc";
 		req.floor_share = 0.7;
 		req.wanted = plan.rate;
+		req.turns = { v, plan.vms };
 		req.tried = tried.data();
 		req.tried_count = (unsigned)tried.size();
 		if (tr_place(roster, &req, &random, now, &p) !=
