The log says what keeps the floor from idle targets

Two hypotheses on idle targets could not be told apart by the log: that the share seems kept, and that a request in flight or a late failure holds them back.

target-idle names how the target stands with the floor; floor-short, and the new floor-enough, count the targets that got nothing for two seconds by it. No decision changes: tr_floor_check_add asks tr_floor_standing, which tests as it did.

--- a/entry/idle.c
+++ b/entry/idle.c
@@ -43,20 +43,45 @@
 	return at ? (long)((now - at) / 1000) : -1;
 }
 
+static const char *const standing_words[] = {
+	[TR_FLOOR_AT_WORK] = "at-work",
+	[TR_FLOOR_FAILED_LATELY] = "failed-lately",
+	[TR_FLOOR_NEW] = "new",
+	[TR_FLOOR_IN_FLIGHT] = "in-flight",
+	[TR_FLOOR_IDLE] = "idle",
+};
+
+/* Targets of a service that got nothing for the operators' span, by how they
+ * stand with the floor. */
+struct unasked {
+	unsigned count[TR_FLOOR_IDLE + 1];
+};
+
+/* How the target stands for a request that must run once. */
+static enum tr_floor_standing standing_of(const struct tr_instance *row,
+					  apr_time_t now)
+{
+	struct tr_floor_check check;
+
+	tr_floor_check_init(&check, false);
+	return tr_floor_standing(&check, row, now);
+}
+
 static void log_idle(const struct entry *e, const struct tr_instance *row,
 		     apr_time_t now)
 {
 	eventlog(EVENT_BELIEF, "target-idle",
 		 "id=%s service=%s risk=%.2f used_ms=%ld failed_ms=%ld "
 		 "known_ms=%ld in_flight=%u others_in_flight=%u full=%d "
-		 "unreachable=%d rests=%d limited=%d",
+		 "unreachable=%d rests=%d limited=%d floor=%s",
 		 row->id, e->roster.services[row->service].name,
 		 tr_gray_probability(&row->gray, now),
 		 ms_ago(row->used_at, now), ms_ago(row->failed_at, now),
 		 ms_ago(row->known_since, now), row->in_flight,
 		 row->others_in_flight, row->full_until > now,
 		 row->unreachable_until > now, row->rests_until > now,
-		 tr_roster_limit(&e->roster, row) != NULL);
+		 tr_roster_limit(&e->roster, row) != NULL,
+		 standing_words[standing_of(row, now)]);
 }
 
 static const char *const verdict_words[] = {
@@ -65,9 +90,19 @@
 	[TR_FLOOR_SHORT] = "short",
 };
 
-/* Say what the floor asks for of a service that is short of it. */
+static bool any_unasked(const struct unasked *unasked)
+{
+	for (unsigned i = 0; i < G_N_ELEMENTS(unasked->count); i++)
+		if (unasked->count[i])
+			return true;
+	return false;
+}
+
+/* Say what the floor asks for of a service that is short of it, or of which a
+ * target got nothing, and what holds those back. */
 static void log_floor(struct entry *e, uint32_t service,
-		      const struct tr_floor_check *check, apr_time_t now)
+		      const struct tr_floor_check *check,
+		      const struct unasked *unasked, apr_time_t now)
 {
 	const struct tr_service_stats *svc = &e->roster.services[service];
 	const struct tr_floor_load load = {
@@ -80,15 +115,20 @@
 	enum tr_floor_verdict verdict = tr_floor_verdict(
 		check, e->settings->bounds.floor_share, &load, &missing);
 
-	if (verdict == TR_FLOOR_ENOUGH ||
+	if ((verdict == TR_FLOOR_ENOUGH && !any_unasked(unasked)) ||
 	    !is_writer(&e->members, tr_hash_string(svc->name), now))
 		return;
-	eventlog(EVENT_BELIEF, "floor-short",
+	eventlog(EVENT_BELIEF,
+		 verdict == TR_FLOOR_ENOUGH ? "floor-enough" : "floor-short",
 		 "service=%s verdict=%s missing=%.1f at_work=%.1f at_rest=%.1f "
-		 "idle=%.1f idle_fitting=%u ended=%.1f failing=%.3f rate=%.1f",
+		 "idle=%.1f idle_fitting=%u ended=%.1f failing=%.3f rate=%.1f "
+		 "unasked_idle=%u unasked_in_flight=%u unasked_failed=%u",
 		 svc->name, verdict_words[verdict], missing, check->at_work,
 		 check->at_rest, check->idle_well, check->idle_count,
-		 load.outcomes, load.failing, load.rate);
+		 load.outcomes, load.failing, load.rate,
+		 unasked->count[TR_FLOOR_IDLE],
+		 unasked->count[TR_FLOOR_IN_FLIGHT],
+		 unasked->count[TR_FLOOR_FAILED_LATELY]);
 }
 
 /* Look at the floor of all services, as requests that must run once do. */
@@ -97,20 +137,25 @@
 	struct tr_roster *roster = &e->roster;
 	g_autofree struct tr_floor_check *checks =
 		g_new0(struct tr_floor_check, roster->services_count);
+	g_autofree struct unasked *unasked =
+		g_new0(struct unasked, roster->services_count);
 
 	for (uint32_t s = 0; s < roster->services_count; s++)
 		tr_floor_check_init(&checks[s], false);
 	for (uint32_t i = 0; i < roster->count; i++) {
 		const struct tr_instance *row = &roster->rows[i];
 
-		if (tr_instance_usable(row, now) && !row->away &&
-		    !tr_roster_limit(roster, row))
-			tr_floor_check_add(&checks[row->service], row, i,
-					   tr_gray_probability(&row->gray, now),
-					   row->full_until <= now, now);
+		if (!tr_instance_usable(row, now) || row->away ||
+		    tr_roster_limit(roster, row))
+			continue;
+		tr_floor_check_add(&checks[row->service], row, i,
+				   tr_gray_probability(&row->gray, now),
+				   row->full_until <= now, now);
+		if (now - row->used_at >= IDLE_FOR)
+			unasked[row->service].count[standing_of(row, now)]++;
 	}
 	for (uint32_t s = 0; s < roster->services_count; s++)
-		log_floor(e, s, &checks[s], now);
+		log_floor(e, s, &checks[s], &unasked[s], now);
 }
 
 /* Look for targets of this group that have become idle. */
--- a/lib/floor.c
+++ b/lib/floor.c
@@ -101,6 +101,23 @@
 	return row->failed_at > row->used_at ? row->failed_at : row->used_at;
 }
 
+/* How the target stands with the floor. */
+enum tr_floor_standing tr_floor_standing(const struct tr_floor_check *check,
+					 const struct tr_instance *row,
+					 apr_time_t now)
+{
+	if (now - row->used_at < check->idle_after)
+		return TR_FLOOR_AT_WORK;
+	if (now - idle_since(row) < check->idle_after)
+		return TR_FLOOR_FAILED_LATELY;
+	if (now - row->known_since < NEW_FOR)
+		return TR_FLOOR_NEW;
+	if (tr_instance_in_flight(row, now) && now - row->used_at < HANGS_FOR &&
+	    !tr_instance_hang_is_old(row))
+		return TR_FLOOR_IN_FLIGHT;
+	return TR_FLOOR_IDLE;
+}
+
 /*
  * Look at one target of the service, with its chance of being gray; fits tells
  * whether a request could be sent to it now.
@@ -110,17 +127,15 @@
 			bool fits, apr_time_t now)
 {
 	apr_time_t late = now - idle_since(row) - check->idle_after;
-	bool busy = tr_instance_in_flight(row, now);
+	enum tr_floor_standing stands = tr_floor_standing(check, row, now);
 	double well = 1 - risk;
 
-	if (now - row->used_at < check->idle_after) {
+	if (stands == TR_FLOOR_AT_WORK) {
 		check->at_work += well;
-		check->at_rest += busy ? 0 : well;
+		check->at_rest += tr_instance_in_flight(row, now) ? 0 : well;
 		return;
 	}
-	if (late < 0 || now - row->known_since < NEW_FOR ||
-	    (busy && now - row->used_at < HANGS_FOR &&
-	     !tr_instance_hang_is_old(row)))
+	if (stands != TR_FLOOR_IDLE)
 		return;
 	check->idle_well += well;
 	if (fits)
--- a/lib/floor.h
+++ b/lib/floor.h
@@ -49,6 +49,17 @@
 	double rate;
 };
 
+/* How a target stands with the floor: it had a request lately, or got none and
+ * is not asked for one since it failed lately, has just come or has a request
+ * in flight, or it is idle. */
+enum tr_floor_standing {
+	TR_FLOOR_AT_WORK,
+	TR_FLOOR_FAILED_LATELY,
+	TR_FLOOR_NEW,
+	TR_FLOOR_IN_FLIGHT,
+	TR_FLOOR_IDLE,
+};
+
 /* What the floor asks for of a service. */
 enum tr_floor_verdict {
 	TR_FLOOR_ENOUGH,
@@ -59,6 +70,9 @@
 void tr_floor_check_init(struct tr_floor_check *check, bool may_repeat);
 void tr_floor_check_take_turns(struct tr_floor_check *check,
 			       const struct tr_floor_turns *turns, double rate);
+enum tr_floor_standing tr_floor_standing(const struct tr_floor_check *check,
+					 const struct tr_instance *row,
+					 apr_time_t now);
 void tr_floor_check_add(struct tr_floor_check *check,
 			const struct tr_instance *row, uint32_t at, double risk,
 			bool fits, apr_time_t now);
--- a/tests/floor_test.cc
+++ b/tests/floor_test.cc
@@ -45,6 +45,29 @@
 	}
 };
 
+/* The lines on targets that got nothing name what holds each back. */
+TEST_F(Cover, HowATargetStandsIsNamed)
+{
+	tr_floor_check check;
+	const auto standing = [&](const tr_instance &row) {
+		return tr_floor_standing(&check, &row, now);
+	};
+
+	tr_floor_check_init(&check, false);
+	add(1, TR_MSEC(500));
+	add(4, TR_MSEC(2500));
+	rows[2].failed_at = now - TR_SEC(1);
+	rows[3].known_since = now - TR_SEC(1);
+	rows[4].others_in_flight = 1;
+	EXPECT_EQ(standing(rows[0]), TR_FLOOR_AT_WORK);
+	EXPECT_EQ(standing(rows[1]), TR_FLOOR_IDLE);
+	EXPECT_EQ(standing(rows[2]), TR_FLOOR_FAILED_LATELY);
+	EXPECT_EQ(standing(rows[3]), TR_FLOOR_NEW);
+	EXPECT_EQ(standing(rows[4]), TR_FLOOR_IN_FLIGHT);
+	now += TR_MSEC(900);
+	EXPECT_EQ(standing(rows[4]), TR_FLOOR_IDLE);
+}
+
 TEST_F(Cover, NothingIsDueWhileEnoughAreAtWork)
 {
 	add(80, TR_MSEC(500));
