The floor has a margin for what is in flight

Cause: operators leave out the targets at which requests fail, then all with one in flight, three in four of those at work at 800 requests a second before 200 targets. Which these are changes with every request, so the share of the rest is short at moments although it was kept before; what is idle follows within some seconds only. The margin was the same whatever is in flight.

Now 0.02 more targets for each in flight are kept at work. Small services get a tenth of a target more by it.

--- a/lib/floor.c
+++ b/lib/floor.c
@@ -28,6 +28,9 @@
 /* So many targets more than the share are kept at work: of few each one counts.
  */
 #define SPARE 1.25
+/* And so many for each that has a request in flight: which these are changes
+ * all the time, and with it how many are at rest. */
+#define SPARE_IN_FLIGHT 0.02
 /* From this share of failing requests on any part of the targets may be
  * counted.
  */
@@ -164,10 +167,12 @@
 			 const struct tr_floor_load *load)
 {
 	double counted = check->at_rest + check->idle_well;
+	double in_flight = check->at_work - check->at_rest;
+	double spare = SPARE + SPARE_IN_FLIGHT * in_flight;
 
 	if (load->failing >= FAILING || !many_ended(check, load) || counted < 1)
 		return check->idle_well;
-	return fmin(share * counted + SPARE, counted) - check->at_rest;
+	return fmin(share * counted + spare, counted) - check->at_rest;
 }
 
 /* Do so many requests come that the share can be kept? Where a service gets
