A request for the floor is spread over a fifth of a second again

Cover.VmsTakeTurns was red since the request was spread up to the deadline: 265 of 400 draws sent within half a second on a clock that stands still, 360 are asked for, while two in a tenth of a second stay rare.

Since VMs take turns this chance decides only where a VM knows of no other. It is spread over 185 ms, and certain at the deadline as before, whichever is sooner.

--- a/lib/floor.c
+++ b/lib/floor.c
@@ -38,6 +38,9 @@
 /* Requests a target that ended within the last seconds, from which on the part
  * that failed is known. */
 #define LEAST_WORK 1.0
+/* Over so long a request is spread where VMs know of no other, or up to the
+ * deadline. */
+#define SPREAD_OVER TR_MSEC(185)
 /* How long it is the turn of the same VMs to send a target its request. */
 #define TURN_LASTS SENT_WITHIN
 /* So many requests a second come to the VMs whose turn it is, by which a target
@@ -205,7 +208,8 @@
 static double chance_of(const struct tr_floor_check *check,
 			const struct tr_floor_idle *idle, double rate)
 {
-	double requests = rate * (double)idle->left / 1e6;
+	apr_time_t left = idle->left < SPREAD_OVER ? idle->left : SPREAD_OVER;
+	double requests = rate * (double)left / 1e6;
 
 	if (check->turns.vms > 1)
 		return idle->turn;
