--- a/tests/floor_fleet_load_test.cc
+++ b/tests/floor_fleet_load_test.cc
@@ -93,6 +93,8 @@
 	unsigned vms = 30;
 	unsigned targets = 200;
 	double rate = 320;
+	/* So many of the VMs get callers, 0 for all. */
+	unsigned with_callers = 0;
 	/* Gray spells last 8 s in the mean, or evenly from 9 to 11 s. */
 	bool even_spells = false;
 	apr_time_t hangs_for = TR_SEC(2);
@@ -175,6 +177,11 @@
 		}
 	}
 
+	unsigned callers() const
+	{
+		return plan.with_callers ? plan.with_callers : plan.vms;
+	}
+
 	apr_time_t takes()
 	{
 		return (apr_time_t)((0.6 + 0.8 * tr_random_unit(&random)) *
@@ -617,7 +624,7 @@
 			due += plan.rate * (double)STEP / 1e6;
 			for (; due >= 1; due--) {
 				asked++;
-				send(tr_random_below(&random, plan.vms), {});
+				send(tr_random_below(&random, callers()), {});
 			}
 			talk();
 			if (now % TR_MSEC(250) < STEP &&
@@ -759,4 +766,31 @@
 	}
 }
 
+/* Guards against sound targets that are idle while a tenth fails, since the VMs
+ * whose turn it is get no callers. */
+TEST(FloorFleetLoad, AVmThatAloneGetsCallersKeepsTheTargetsAtWork)
+{
+	Plan plan;
+
+	plan.targets = 28;
+	plan.rate = 80;
+	plan.hangs_for = TR_SEC(6);
+	plan.together = 0.5;
+	plan.with_callers = 1;
+	play(plan, TR_SEC(40));
+}
+
+/* Guards against the same where callers keep their connections to some VMs. */
+TEST(FloorFleetLoad, EightVmsWithCallersKeepTheTargetsAtWork)
+{
+	Plan plan;
+
+	plan.targets = 28;
+	plan.rate = 80;
+	plan.hangs_for = TR_SEC(6);
+	plan.together = 0.5;
+	plan.with_callers = 8;
+	play(plan, TR_SEC(40));
+}
+
 } // namespace
--- a/tests/floor_test.cc
+++ b/tests/floor_test.cc
@@ -526,4 +526,95 @@
 	EXPECT_LE(now - failure, in_time);
 }
 
+/* Guards against a second request at a target whose newest one hangs, where an
+ * older one that was overdue too is answered after all. */
+TEST_F(Order, ASlowAnswerToAnOlderRequestDoesNotMakeTheNewestHangOld)
+{
+	send();
+	now += TR_MSEC(300);
+	apr_time_t later = now;
+	send();
+	now = later + overdue_after();
+	say(TR_SYMPTOM_OVERDUE);
+	now += TR_MSEC(300);
+	say(TR_SYMPTOM_SLOW);
+	while (now - later < TR_SEC(3)) {
+		ASSERT_FALSE(is_due()) << now - later;
+		now += TR_MSEC(5);
+	}
+}
+
+/* Guards against a target that is due too late, since an old request that was
+ * not overdue yet reached its deadline after a later one was answered. */
+TEST_F(Order, AnOldRequestThatReachesItsDeadlineHoldsNobodyBack)
+{
+	send();
+	now += TR_SEC(1);
+	apr_time_t later = now;
+	send();
+	now += TR_MSEC(200);
+	say(TR_SYMPTOM_GOOD);
+	now += TR_MSEC(800);
+	say(TR_SYMPTOM_FAILED);
+	EXPECT_LE(due_after(later), in_time);
+}
+
+/* Guards against a target that is held back by a request which was queued, and
+ * so counts as overdue late, though a later one was answered. */
+TEST_F(Order, AQueuedRequestThatIsOverdueLateHoldsNobodyBack)
+{
+	const tr_worktime *takes = &roster.services[0].takes;
+	apr_time_t first = now;
+
+	send();
+	now += TR_MSEC(1700);
+	apr_time_t later = now;
+	send();
+	now += TR_MSEC(200);
+	say(TR_SYMPTOM_GOOD);
+	/* As exchange.c has it for one that waits for a slot as long as the
+	 * work takes. */
+	now = first + tr_gray_stage_after(TR_STAGE_OVERDUE,
+					  2 * tr_worktime_mean(takes, 0), 0.75);
+	ASSERT_GT(now, later + TR_MSEC(200));
+	say(TR_SYMPTOM_OVERDUE);
+	EXPECT_LE(due_after(later), in_time);
+}
+
+/* Guards against a target that is held back by an old request, where a later
+ * one took less than the mean. */
+TEST_F(Order, AnAnswerThatComesSoonerThanUsualCountsAsTheNewestToo)
+{
+	send();
+	apr_time_t first = now;
+
+	now += TR_MSEC(100);
+	apr_time_t later = now;
+	send();
+	now += TR_MSEC(80);
+	say(TR_SYMPTOM_GOOD);
+	now = first + overdue_after();
+	say(TR_SYMPTOM_OVERDUE);
+	EXPECT_LE(due_after(later), in_time);
+}
+
+/* Guards against a target that is held back by an old request, at a VM that has
+ * not learned how long work takes. */
+TEST_F(Order, WhereNoTimesAreLearnedWhatHangsHoldsNobodyBackEither)
+{
+	apr_time_t first = now;
+
+	roster.services[0].takes = tr_worktime{};
+	send();
+	now += TR_MSEC(400);
+	apr_time_t later = now;
+	send();
+	now += TR_MSEC(200);
+	say(TR_SYMPTOM_GOOD);
+	/* Told by a VM that has. */
+	now = first + TR_MSEC(900);
+	say(TR_SYMPTOM_OVERDUE);
+	EXPECT_LE(due_after(later), in_time);
+}
+
 } // namespace
--- a/tests/membership_test.cc
+++ b/tests/membership_test.cc
@@ -239,4 +239,26 @@
 	EXPECT_EQ(tr_membership_turn(&m, now), before);
 }
 
+/* Guards against VMs that take each other's turns, since they are of several
+ * minds about their places. */
+TEST_F(Membership, EachHasAPlaceOfItsOwnAmongThoseWithCallers)
+{
+	unsigned vms = 0;
+
+	EXPECT_EQ(tr_membership_place(&m, now, &vms), 0u);
+	EXPECT_EQ(vms, 1u);
+	tr_membership_release(&m);
+	tr_membership_init(&m, 3, 11, "dc-1");
+	hear(4, 40, 1);
+	hear(2, 20, 1);
+	EXPECT_EQ(tr_membership_place(&m, now, &vms), 1u);
+	EXPECT_EQ(vms, 3u);
+	hear(2, 20, 2)->ready = false;
+	EXPECT_EQ(tr_membership_place(&m, now, &vms), 0u);
+	EXPECT_EQ(vms, 2u);
+	now += TR_MSEC(1300);
+	EXPECT_EQ(tr_membership_place(&m, now, &vms), 0u);
+	EXPECT_EQ(vms, 1u);
+}
+
 } // namespace
--- a/tests/mesh_test.cc
+++ b/tests/mesh_test.cc
@@ -277,4 +277,66 @@
 	EXPECT_EQ(other.roster.rows[7].used_at, heard_at);
 }
 
+/* Guards against sound targets that an old request holds back, since a later
+ * one began and was answered between two messages: VMs can't tell then that it
+ * was the newest. */
+TEST_F(Rows, WhatBeginsAndIsAnsweredInOneMessageIsTheNewest)
+{
+	const tr_instance *row = &other.roster.rows[7];
+
+	for (int i = 0; i < 50; i++)
+		tr_service_stats_took(&other.roster.services[row->service],
+				      TR_MSEC(20), true);
+	request(7, 1);
+	say(false);
+	e.roster.rows[7].own.count[TR_SYMPTOM_OVERDUE]++;
+	request(7, 1);
+	say(false);
+	now += TR_SEC(2);
+	e.roster.rows[7].own.count[TR_SYMPTOM_GOOD]++;
+	request(7, 1);
+	say(false);
+	EXPECT_TRUE(tr_instance_hang_is_old(row));
+	/* Nor is the end of the old one a new failure. */
+	now += TR_SEC(1);
+	apr_time_t failed_at = row->failed_at;
+
+	request(7, 0);
+	say(false);
+	EXPECT_EQ(row->failed_at, failed_at);
+}
+
+/* Guards against targets that seem idle, since the VM that sent there had its
+ * request begun and ended between two messages. */
+TEST_F(Rows, WhatBeginsAndEndsInOneMessageIsUse)
+{
+	for (tr_symptom s : { TR_SYMPTOM_GOOD, TR_SYMPTOM_SLOW }) {
+		now += TR_SEC(1);
+		e.roster.rows[7].own.count[s]++;
+		request(7, 0);
+		apr_time_t heard_at = now;
+
+		say(false);
+		EXPECT_EQ(other.roster.rows[7].used_at, heard_at);
+	}
+}
+
+/* Guards against idle targets that look used, since a VM that was lost for a
+ * while tells all it ever counted there once more. */
+TEST_F(Rows, AVmThatIsHeardAgainTellsNoOldNews)
+{
+	const tr_instance *row = &other.roster.rows[7];
+
+	e.roster.rows[7].own.count[TR_SYMPTOM_GOOD] = 300;
+	request(7, 0);
+	say(false);
+	apr_time_t heard_at = row->used_at;
+
+	now += TR_SEC(5);
+	mesh_forget_reports(&other_mesh, &node);
+	for (unsigned i = 0; i < e.roster.count; i++)
+		say(false);
+	EXPECT_EQ(row->used_at, heard_at);
+}
+
 } // namespace
