Any VM sends for the floor when those whose turn it is have not

What callers would have seen: sound targets idle for two seconds where callers keep their connections to few VMs, or a VM has just ended: the VMs whose turn it was got no requests, and nobody else sent.

Now a turn lasts 350 ms; for the 200 ms after it any VM may send, by a chance that is certain at the deadline, so that who gets callers, the rate that is held to come and a VM that has ended no longer matter. For a target whose time was over before it was asked for the chance stays small: there the news of the first request come first.

--- a/lib/floor.c
+++ b/lib/floor.c
@@ -41,10 +41,13 @@
 /* Over so long a request is spread where VMs know of no other, or up to the
  * deadline. */
 #define SPREAD_OVER TR_MSEC(185)
-/* How long it is the turn of the same VMs to send a target its request. */
-#define TURN_LASTS SENT_WITHIN
-/* So many requests a second come to the VMs whose turn it is, by which a target
- * is mostly sent its request within one turn or two. */
+/* A target that is due is left to some of the VMs for so long; then any VM may
+ * send there, so that it is sent its request in time whichever VMs have
+ * callers; and if nobody has sent for some time, the next ones have their turn.
+ */
+#define TURN_LASTS	TR_MSEC(350)
+#define NEXT_TURN_AFTER TR_MSEC(550)
+/* So many requests a second come to the VMs whose turn it is together. */
 #define TURN_RATE 10.0
 /* The span in which the share of the targets must be at work, in seconds. */
 #define SPAN_S 2.0
@@ -57,32 +60,11 @@
 	};
 }
 
-/* Only some of the VMs send at a time; rate: requests a second that come to all
- * of them for the service. */
+/* Of the VMs that send requests only some do so for the floor at a time. */
 void tr_floor_check_take_turns(struct tr_floor_check *check,
-			       const struct tr_floor_turns *turns, double rate)
+			       const struct tr_floor_turns *turns)
 {
 	check->turns = *turns;
-	check->rate = rate;
-}
-
-/*
- * Is it this VM's turn to send a request to the target that has been due for so
- * long? All VMs see the same targets idle, and hear of each other's requests
- * only later: until then all would send there.
- */
-static bool has_turn(const struct tr_floor_check *check, uint32_t target,
-		     apr_time_t late)
-{
-	unsigned vms = check->turns.vms;
-	uint64_t turn = (uint64_t)(late / TURN_LASTS);
-	unsigned first;
-
-	if (vms < 2 || check->rate <= TURN_RATE)
-		return true;
-	first = (unsigned)(tr_hash_pair(target, turn) % vms);
-	return (check->turns.place + vms - first) % vms <
-	       TURN_RATE / check->rate * vms;
 }
 
 /* Keep those that are most probably well, in order. */
@@ -151,7 +133,8 @@
 				 .risk = risk,
 				 .left = late < SENT_WITHIN ? SENT_WITHIN - late
 							    : 0,
-				 .turn = has_turn(check, row->hash, late),
+				 .due_for = late,
+				 .target = row->hash,
 			 });
 }
 
@@ -204,26 +187,54 @@
 	return TR_FLOOR_SHORT;
 }
 
+/*
+ * Is it this VM's turn to send a request to the target? All VMs see the same
+ * targets idle, and hear of each other's requests only later: until then all
+ * would send there.
+ */
+static bool has_turn(const struct tr_floor_turns *turns,
+		     const struct tr_floor_idle *idle, double rate)
+{
+	uint64_t turn = (uint64_t)(idle->due_for / NEXT_TURN_AFTER);
+	unsigned first =
+		(unsigned)(tr_hash_pair(idle->target, turn) % turns->vms);
+
+	return (turns->place + turns->vms - first) % turns->vms <
+	       TURN_RATE / rate * turns->vms;
+}
+
+/* The chance of a request that may come to any VM to be the one that is sent
+ * within the time that is left. */
+static double spread_chance(double rate, apr_time_t left)
+{
+	double requests = rate * (double)left / 1e6;
+
+	return requests > 1 ? 1 / requests : 1;
+}
+
 /* The chance that this request is the one to be sent to the target. */
 static double chance_of(const struct tr_floor_check *check,
 			const struct tr_floor_idle *idle, double rate)
 {
-	apr_time_t left = idle->left < SPREAD_OVER ? idle->left : SPREAD_OVER;
-	double requests = rate * (double)left / 1e6;
+	apr_time_t since = idle->due_for % NEXT_TURN_AFTER;
 
-	if (check->turns.vms > 1)
-		return idle->turn;
-	return requests > 1 ? 1 / requests : 1;
+	if (check->turns.vms < 2)
+		return spread_chance(rate, idle->left < SPREAD_OVER
+						   ? idle->left
+						   : SPREAD_OVER);
+	if (since < TURN_LASTS)
+		return has_turn(&check->turns, idle, rate);
+	return spread_chance(rate,
+			     idle->due_for > since ? SPREAD_OVER : idle->left);
 }
 
 /*
  * The target that is due for this request so that the share is at work, or
  * TR_NO_ROW. drawn is a number drawn evenly from 0 to 1.
  *
- * All VMs see the same targets idle, and hear of each other's requests only
- * later. So each sends by a chance that grows until the deadline: the request
- * is sent at a time that is spread evenly up to it, mostly by one VM, and at
- * the deadline whatever is drawn. Targets whose time is over share the
+ * VMs take turns. Between two turns, and where a VM knows of no other, each
+ * request may be the one, by a chance that grows to 1: it is spread evenly, and
+ * sent at last whatever is drawn. Targets whose time is over share the
  * requests.
  */
 uint32_t tr_floor_check_pick(const struct tr_floor_check *check, double share,
--- a/lib/floor.h
+++ b/lib/floor.h
@@ -6,22 +6,21 @@
 /* Targets that may be due at the same time. */
 #define TR_FLOOR_IDLE_MOST 32
 
-/*
- * This VM's place among those of its group that send requests, and how many
- * there are. A VM that knows of no other has all turns.
- */
+/* This VM's place among those of its group that send requests, and how many
+ * there are, 0 or 1 where it knows of no other. */
 struct tr_floor_turns {
 	unsigned place;
 	unsigned vms;
 };
 
-/* A target that has had no request for a while; left: until it must have one;
- * turn: it is this VM's turn to send it one. */
+/* A target that has had no request for a while: for how long one has been due,
+ * and how much time is left until it must have one. */
 struct tr_floor_idle {
 	uint32_t row;
+	uint32_t target;
 	double risk;
+	apr_time_t due_for;
 	apr_time_t left;
-	bool turn;
 };
 
 /*
@@ -32,7 +31,6 @@
  */
 struct tr_floor_check {
 	struct tr_floor_turns turns;
-	double rate;
 	apr_time_t idle_after;
 	double at_work;
 	double at_rest;
@@ -69,7 +67,7 @@
 
 void tr_floor_check_init(struct tr_floor_check *check, bool may_repeat);
 void tr_floor_check_take_turns(struct tr_floor_check *check,
-			       const struct tr_floor_turns *turns, double rate);
+			       const struct tr_floor_turns *turns);
 enum tr_floor_standing tr_floor_standing(const struct tr_floor_check *check,
 					 const struct tr_instance *row,
 					 apr_time_t now);
--- a/lib/place.c
+++ b/lib/place.c
@@ -250,7 +250,7 @@
 
 	tr_floor_check_init(&check,
 			    req->may_repeat && tr_mechanism_on(TR_MECH_SCOUTS));
-	tr_floor_check_take_turns(&check, &req->turns, req->wanted);
+	tr_floor_check_take_turns(&check, &req->turns);
 	placing->row = TR_NO_ROW;
 	placing->cost = INFINITY;
 	for (uint32_t i = 0; i < roster->count; i++) {
--- a/tests/floor_turns_test.cc
+++ b/tests/floor_turns_test.cc
@@ -30,7 +30,7 @@
 		tr_instance row{};
 
 		tr_floor_check_init(&check, false);
-		tr_floor_check_take_turns(&check, &turns, rate);
+		tr_floor_check_take_turns(&check, &turns);
 		row.used = true;
 		row.in_flight = 1;
 		row.used_at = now;
