What is answered in the message that tells of it counts as the newest

A request that began and was answered between two messages got the same time for both, and the comparison was strict: what hung there before held its target back further. And a slow answer counted as one to a request sent a work time before, so that an older request's late answer made the newest one that hangs seem old: a second request at a gray target. Both found by review.

Order.ASlowAnswerToAnOlderRequest... and Rows.WhatBeginsAndIsAnswered... failed before.

--- a/lib/roster.c
+++ b/lib/roster.c
@@ -589,7 +589,7 @@
  */
 bool tr_instance_hang_is_old(const struct tr_instance *row)
 {
-	return row->answered_at > row->used_at &&
+	return row->answered_at >= row->used_at &&
 	       row->answered_sent_at > row->hung_at;
 }
 
@@ -621,7 +621,7 @@
 	} else if (symptom == TR_SYMPTOM_FAILED) {
 		set_latest(&row->hung_at, now);
 		set_latest(&row->failed_at, now);
-	} else if (tr_gray_is_end(symptom)) {
+	} else if (tr_gray_is_end(symptom) && symptom != TR_SYMPTOM_SLOW) {
 		set_latest(&row->answered_at, now);
 		set_latest(&row->answered_sent_at, now - usual);
 	}
