The floor's margin holds for the part of the targets that operators count

Cause: the share is kept among all targets at rest, some 45 of that service, and operators count only those of them that no trouble of the last six seconds touched: 15. Of a part more can be idle than of all. Where 0.144 of those at rest are idle, as without a margin, 5 of 15 are by a draw in 0.086 of cases.

--- a/lib/floor.c
+++ b/lib/floor.c
@@ -28,9 +28,10 @@
 /* So many targets more than the share are kept at work: of few each one counts.
  */
 #define SPARE 1.25
-/* And so many for each that has a request in flight: which these are changes
- * all the time, and with it how many are at rest. */
-#define SPARE_IN_FLIGHT 0.02
+/* And so many for each that has a request in flight: operators don't count
+ * these, and of those at rest only a part, in which more can be idle than in
+ * all. */
+#define SPARE_IN_FLIGHT 0.05
 /* From this share of failing requests on any part of the targets may be
  * counted.
  */
