Say why the chance of a target past its time stays small

A comment only; found on reading the change as a newcomer: the branch without a deadline looked like an oversight.

--- a/lib/floor.c
+++ b/lib/floor.c
@@ -213,7 +213,9 @@
 	return requests > 1 ? 1 / requests : 1;
 }
 
-/* The chance that this request is the one to be sent to the target. */
+/* The chance that this request is the one to be sent to the target. It stays
+ * small for one that was not asked for before its time was over: there all VMs
+ * would send at once. */
 static double chance_of(const struct tr_floor_check *check,
 			const struct tr_floor_idle *idle, double rate)
 {
