Log what a VM holds of the bound on repeats

The record of the incident can't tell which VM sent what once more, what it held to be left of the bound, or how old its news of the others were: repeats_total leaves out requests that were refused and sent on, and those begun again on a new connection. A line 'repeats', once a second for a service that wants some, says so; resent_total and repeats_denied_total count all. entry/repeat.c holds the one way to ask the bound, which exchange.c and upstream.c each had written out. No decision is changed.

--- a/entry/endpoints.c
+++ b/entry/endpoints.c
@@ -138,6 +138,8 @@
 		{ "refused_total", c->refused },
 		{ "failed_total", c->failed },
 		{ "repeats_total", c->repeats },
+		{ "resent_total", c->resent },
+		{ "repeats_denied_total", c->repeats_denied },
 		{ "callers_gone_total", c->callers_gone },
 		{ "lookups_total", c->lookups },
 		{ "store_calls_total", c->store_calls },
--- a/entry/entry.h
+++ b/entry/entry.h
@@ -28,6 +28,8 @@
 	uint64_t refused;
 	uint64_t failed;
 	uint64_t repeats;
+	uint64_t resent;
+	uint64_t repeats_denied;
 	uint64_t callers_gone;
 	uint64_t lookups;
 	uint64_t store_calls;
@@ -51,7 +53,7 @@
  * The blackboard of an entry VM. settles_at: until when requests under limits
  * wait after its start. Writers: reader.c and mesh.c the roster's
  * listing, the routes, their proof and the members; upstream.c the rows' work
- * and evidence; exchange.c the allowances; exchange_identify.c the limits;
+ * and evidence; repeat.c the allowances; exchange_identify.c the limits;
  * exchange_fatal.c and mesh_fatal.c the requests under which targets end;
  * kept.c the connections that rest.
  */
@@ -78,6 +80,7 @@
 	apr_time_t stepped_at;
 	apr_time_t idle_looked_at;
 	apr_time_t floors_looked_at;
+	apr_time_t repeats_looked_at;
 	apr_time_t hold_until;
 	apr_time_t started_at;
 	apr_time_t settles_at;
--- a/entry/exchange.c
+++ b/entry/exchange.c
@@ -11,6 +11,7 @@
 #include "mechanism.h"
 #include "mesh.h"
 #include "place.h"
+#include "repeat.h"
 #include "exchange_internal.h"
 
 /* A running attempt is seconded by another when its target is gray with this
@@ -172,10 +173,7 @@
 	    x->ends_at - entry_now(e) < exchange_usual(x) / 2 ||
 	    !tr_fatal_may_repeat(&e->fatals, x->identity))
 		return false;
-	if (tr_allowance_spend(
-		    entry_allowance(e, x->service), &e->repeat_bound,
-		    tr_membership_heard_share(&e->members, entry_now(e)),
-		    entry_now(e)))
+	if (repeat_admit(e, x->service))
 		return true;
 	x->bound_reached = true;
 	return false;
--- /dev/null
+++ b/entry/repeat.c
@@ -0,0 +1,76 @@
+/* Repeats of requests, of whatever cause: whether the fleet's bound allows one
+ * more, and log lines on what this VM holds of the bound. */
+#include "repeat.h"
+
+#include "eventlog.h"
+
+/* How often a service that wants repeats is logged. */
+#define LOG_EVERY TR_SEC(1)
+
+/* How long ago the VM of the group that has been silent longest was heard. */
+static apr_time_t oldest_news(const struct tr_membership *m, apr_time_t now)
+{
+	apr_time_t oldest = 0;
+
+	for (unsigned i = 1; i < m->count; i++) {
+		const struct tr_node *node = &m->nodes[i];
+
+		if (node->near && tr_node_alive(m, node, now) &&
+		    now - node->heard_at > oldest)
+			oldest = now - node->heard_at;
+	}
+	return oldest;
+}
+
+/* May a request be sent to one more target? If so, it is counted. */
+bool repeat_admit(struct entry *e, uint32_t service)
+{
+	apr_time_t now = entry_now(e);
+	struct tr_allowance *a = entry_allowance(e, service);
+
+	if (tr_allowance_spend(a, &e->repeat_bound,
+			       tr_membership_heard_share(&e->members, now),
+			       now)) {
+		e->counts.resent++;
+		return true;
+	}
+	a->denied++;
+	e->counts.repeats_denied++;
+	return false;
+}
+
+static void log_allowance(const struct entry *e, uint32_t service,
+			  const struct tr_allowance *a, apr_time_t now)
+{
+	const struct tr_membership *m = &e->members;
+	struct tr_allowance_sums sums;
+
+	tr_allowance_sum(a, &sums);
+	eventlog(EVENT_BELIEF, "repeats",
+		 "service=%s sent=%u denied=%u window_requests=%u "
+		 "window_repeats=%u own_requests=%u heard_share=%.2f "
+		 "heard_lately=%.2f oldest_news_ms=%ld up_ms=%ld",
+		 e->roster.services[service].name, a->own.repeats, a->denied,
+		 sums.requests, sums.repeats, sums.own_requests,
+		 tr_membership_heard_share(m, now),
+		 tr_membership_heard_lately(m, now),
+		 (long)(oldest_news(m, now) / 1000),
+		 (long)((now - e->started_at) / 1000));
+}
+
+/* Log what this VM holds of the bound for services that wanted repeats since
+ * the last line. */
+void repeat_step(struct entry *e, apr_time_t now)
+{
+	if (now - e->repeats_looked_at < LOG_EVERY)
+		return;
+	e->repeats_looked_at = now;
+	for (uint32_t i = 0; i < e->allowances_count; i++) {
+		struct tr_allowance *a = &e->allowances[i];
+		unsigned wanted = a->own.repeats + a->denied;
+
+		if (wanted != a->wanted_logged)
+			log_allowance(e, i, a, now);
+		a->wanted_logged = wanted;
+	}
+}
--- /dev/null
+++ b/entry/repeat.h
@@ -0,0 +1,9 @@
+#ifndef REPEAT_H
+#define REPEAT_H
+
+#include "entry.h"
+
+bool repeat_admit(struct entry *e, uint32_t service);
+void repeat_step(struct entry *e, apr_time_t now);
+
+#endif
--- a/entry/toucanreel_entry.c
+++ b/entry/toucanreel_entry.c
@@ -21,6 +21,7 @@
 #include "mesh.h"
 #include "platform.h"
 #include "reader.h"
+#include "repeat.h"
 #include "version.h"
 
 #define EXIT_USAGE 2
@@ -171,6 +172,7 @@
 	exchange_serve_held(e);
 	tr_roster_step(&e->roster, now);
 	idle_step(e, now);
+	repeat_step(e, now);
 	kept_step(e);
 	reader_step(e->reader);
 	mesh_step(e->mesh);
--- a/entry/upstream.c
+++ b/entry/upstream.c
@@ -7,6 +7,7 @@
 #include "mechanism.h"
 #include "mesh.h"
 #include "notices.h"
+#include "repeat.h"
 
 #define ANSWER_HEAD_MAX 32768
 #define ANSWER_BODY_MAX (16 * 1024 * 1024)
@@ -312,9 +313,7 @@
 	apr_time_t now = entry_now(e);
 
 	return row && tr_instance_usable(row, now) && limit_allows(u, row) &&
-	       tr_allowance_spend(
-		       entry_allowance(e, row->service), &e->repeat_bound,
-		       tr_membership_heard_share(&e->members, now), now);
+	       repeat_admit(e, row->service);
 }
 
 /* The kept connection was dead: the same on a new one. Nothing is said of the
--- a/lib/allowance.c
+++ b/lib/allowance.c
@@ -78,6 +78,18 @@
 	return fmax(all / (part_s * TR_ALLOWANCE_PARTS), lately / part_s);
 }
 
+/* Add up the parts of the window, as they were when last turned. */
+void tr_allowance_sum(const struct tr_allowance *a,
+		      struct tr_allowance_sums *sums)
+{
+	*sums = (struct tr_allowance_sums){ 0 };
+	for (int i = 0; i < TR_ALLOWANCE_SLOTS; i++) {
+		sums->requests += a->requests[i];
+		sums->repeats += a->repeats[i];
+		sums->own_requests += a->own_requests[i];
+	}
+}
+
 /* Fill this VM's bucket by its own part of the repeats that are left. */
 static void refill(struct tr_allowance *a, double left, double own_part,
 		   apr_time_t now)
@@ -102,21 +114,18 @@
 			const struct tr_repeat_bound *bound, double heard_share,
 			apr_time_t now)
 {
-	double requests = 0;
-	double repeats = 0;
-	double own = 0;
+	struct tr_allowance_sums sums;
+	double own_part = 1;
 	double left;
 
 	turn(a, bound, now);
-	for (int i = 0; i < TR_ALLOWANCE_SLOTS; i++) {
-		requests += a->requests[i];
-		repeats += a->repeats[i];
-		own += a->own_requests[i];
-	}
-	left = USED_SHARE *
-		       (bound->ratio * requests + bound->slack * heard_share) -
-	       repeats;
-	refill(a, fmax(left, 0), requests > 0 ? own / requests : 1, now);
+	tr_allowance_sum(a, &sums);
+	left = USED_SHARE * (bound->ratio * sums.requests +
+			     bound->slack * heard_share) -
+	       sums.repeats;
+	if (sums.requests)
+		own_part = (double)sums.own_requests / sums.requests;
+	refill(a, fmax(left, 0), own_part, now);
 	if (left < 1 || a->tokens < 1)
 		return false;
 	a->tokens--;
--- a/lib/allowance.h
+++ b/lib/allowance.h
@@ -27,7 +27,7 @@
  * Requests for one service, and those that were sent to one more target, by
  * the whole fleet as far as it is heard: over the window, in parts. own is what
  * this VM adds, to be told to the others; tokens are repeats that it may send
- * now.
+ * now. denied and wanted_logged are for the log.
  */
 struct tr_allowance {
 	uint32_t requests[TR_ALLOWANCE_SLOTS];
@@ -37,6 +37,15 @@
 	double tokens;
 	apr_time_t filled_at;
 	struct tr_work_totals own;
+	unsigned denied;
+	unsigned wanted_logged;
+};
+
+/* What the window holds, as far as it is known. */
+struct tr_allowance_sums {
+	unsigned requests;
+	unsigned repeats;
+	unsigned own_requests;
 };
 
 void tr_allowance_request(struct tr_allowance *a,
@@ -47,6 +56,8 @@
 			const struct tr_work_totals *reported, apr_time_t now);
 double tr_allowance_rate(struct tr_allowance *a,
 			 const struct tr_repeat_bound *bound, apr_time_t now);
+void tr_allowance_sum(const struct tr_allowance *a,
+		      struct tr_allowance_sums *sums);
 bool tr_allowance_spend(struct tr_allowance *a,
 			const struct tr_repeat_bound *bound, double heard_share,
 			apr_time_t now);
