Failing tests of the bound on repeats: late and lost news, cuts, restarts

The load test of the bound only knew VMs that all hear of each other after 0.1 s and never stop. It now plays messages that are late or lost, halves of the fleet that are cut, VMs that stand still, and processes that start anew and know nothing, before three sizes of service, as the entry daemon takes the messages: what a VM tells for the first time is no news, and one that is silent for 2.8 s is forgotten.

--- a/tests/allowance_load_test.cc
+++ b/tests/allowance_load_test.cc
@@ -1,7 +1,8 @@
 /*
  * The fleet's bound on repeats under load, played with a virtual clock: targets
  * turn requests away, VMs send them once more, and hear of each other's repeats
- * only some messages later.
+ * only some messages later, or not at all: messages are late or lost, links are
+ * cut, VMs stand still or start anew.
  */
 #include <algorithm>
 #include <deque>
@@ -20,23 +21,40 @@
 const apr_time_t STEP = TR_MSEC(5);
 const apr_time_t TELL_EVERY = TR_MSEC(40);
 const apr_time_t NEWS_TAKE = TR_MSEC(100);
+/* A VM that is silent for so long counts as lost. */
+const apr_time_t LOST_AFTER = TR_MSEC(2800);
+const apr_time_t RESTART_TAKES = TR_MSEC(500);
 const unsigned TRIES_MOST = 8;
 
+/* What a VM heard of another one last. */
+struct Heard {
+	unsigned life = 0;
+	bool known = false;
+	tr_work_totals totals{};
+	apr_time_t at = 0;
+};
+
 struct Vm {
 	tr_allowance allowance{};
-	tr_work_totals told{};
+	std::vector<Heard> others;
+	unsigned life = 1;
+	unsigned side = 0;
+	apr_time_t down_until = 0;
+	apr_time_t stopped_until = 0;
 };
 
 struct Message {
 	apr_time_t arrives;
 	unsigned from;
-	tr_work_totals before;
+	unsigned life;
+	unsigned side;
 	tr_work_totals told;
 };
 
 struct Refused {
 	apr_time_t at;
 	unsigned vm;
+	unsigned life;
 	unsigned tries;
 };
 
@@ -49,11 +67,34 @@
 	std::vector<apr_time_t> requests;
 	std::vector<apr_time_t> repeats;
 	apr_time_t now = TR_SEC(100);
+	apr_time_t news_take = NEWS_TAKE;
 	double refusing = 0;
+	double lost = 0;
 
 	Fleet(unsigned n, double slack, uint64_t seed)
 	    : bound{ 0.2, slack, TR_SEC(10) }, random{ seed }, vms(n)
 	{
+		for (Vm &vm : vms)
+			vm.others.resize(n);
+	}
+
+	bool runs(const Vm &vm) const
+	{
+		return now >= vm.down_until && now >= vm.stopped_until;
+	}
+
+	/* Kill the VM; its next life knows nothing. */
+	void restart(unsigned i)
+	{
+		Vm &vm = vms[i];
+		unsigned life = vm.life + 1;
+		unsigned side = vm.side;
+
+		vm = Vm{};
+		vm.others.resize(vms.size());
+		vm.life = life;
+		vm.side = side;
+		vm.down_until = now + RESTART_TAKES;
 	}
 
 	void send(unsigned vm, unsigned tries)
@@ -66,7 +107,17 @@
 			{ now + TR_MSEC(5) +
 				  tr_random_below(&random,
 						  (uint32_t)TR_MSEC(150)),
-			  vm, tries });
+			  vm, vms[vm].life, tries });
+	}
+
+	/* The part of the fleet that the VM holds to be there. */
+	double heard_share(const Vm &vm) const
+	{
+		unsigned n = 1;
+
+		for (const Heard &h : vm.others)
+			n += h.known && now - h.at <= LOST_AFTER;
+		return std::min(1.0, (double)n / (double)vms.size());
 	}
 
 	void repeat()
@@ -74,7 +125,8 @@
 		std::vector<Refused> due;
 
 		for (size_t i = 0; i < refused.size();) {
-			if (refused[i].at > now) {
+			if (refused[i].at > now ||
+			    vms[refused[i].vm].stopped_until > now) {
 				i++;
 				continue;
 			}
@@ -83,15 +135,31 @@
 			refused.pop_back();
 		}
 		for (const Refused &r : due) {
-			if (r.tries >= TRIES_MOST ||
-			    !tr_allowance_spend(&vms[r.vm].allowance, &bound, 1,
-						now))
+			Vm &vm = vms[r.vm];
+
+			if (r.tries >= TRIES_MOST || r.life != vm.life ||
+			    !tr_allowance_spend(&vm.allowance, &bound,
+						heard_share(vm), now))
 				continue;
 			repeats.push_back(now);
 			send(r.vm, r.tries + 1);
 		}
 	}
 
+	void hear(Vm &vm, const Message &m)
+	{
+		Heard &h = vm.others[m.from];
+
+		if (m.life < h.life)
+			return;
+		if (m.life != h.life || now - h.at > LOST_AFTER)
+			h.known = false;
+		if (h.known)
+			tr_allowance_heard(&vm.allowance, &bound, &h.totals,
+					   &m.told, now);
+		h = Heard{ m.life, true, m.told, now };
+	}
+
 	void tell()
 	{
 		while (!messages.empty() && messages.front().arrives <= now) {
@@ -99,22 +167,39 @@
 
 			messages.pop_front();
 			for (unsigned i = 0; i < vms.size(); i++)
-				if (i != m.from)
-					tr_allowance_heard(&vms[i].allowance,
-							   &bound, &m.before,
-							   &m.told, now);
+				if (i != m.from && runs(vms[i]) &&
+				    vms[i].side == m.side &&
+				    tr_random_unit(&random) >= lost)
+					hear(vms[i], m);
 		}
 		for (unsigned i = 0; i < vms.size(); i++) {
 			Vm &vm = vms[i];
 
-			if ((now / STEP + i) % (TELL_EVERY / STEP))
+			if ((now / STEP + i) % (TELL_EVERY / STEP) || !runs(vm))
 				continue;
-			messages.push_back({ now + NEWS_TAKE, i, vm.told,
-					     vm.allowance.own });
-			vm.told = vm.allowance.own;
+			messages.push_back({ now + news_take, i, vm.life,
+					     vm.side, vm.allowance.own });
 		}
 	}
 
+	/* A VM that callers reach. */
+	unsigned draw()
+	{
+		unsigned vm;
+
+		do
+			vm = tr_random_below(&random, (uint32_t)vms.size());
+		while (vms[vm].down_until > now);
+		return vm;
+	}
+
+	bool any_up() const
+	{
+		return std::any_of(vms.begin(), vms.end(), [&](const Vm &vm) {
+			return vm.down_until <= now;
+		});
+	}
+
 	void play(apr_time_t length, double a_second)
 	{
 		apr_time_t end = now + length;
@@ -126,10 +211,11 @@
 			repeat();
 			due += a_second * (double)STEP / 1e6;
 			for (; due >= 1; due--) {
-				unsigned vm = tr_random_below(
-					&random, (uint32_t)vms.size());
-
 				requests.push_back(now);
+				if (!any_up())
+					continue;
+				unsigned vm = draw();
+
 				tr_allowance_request(&vms[vm].allowance, &bound,
 						     now);
 				send(vm, 1);
@@ -167,6 +253,36 @@
 	}
 };
 
+/* Fleets of two sizes before services with many, some and few requests. */
+struct Size {
+	unsigned vms;
+	double slack;
+	double a_second;
+};
+
+const Size SIZES[] = { { 100, 174, 1000 }, { 44, 62, 75 }, { 44, 62, 8.67 } };
+
+/* Play a fault that begins a second after targets begin to refuse, and expect
+ * the bound to hold in any window. */
+template <typename F> void expect_bound(const Size &size, F fault)
+{
+	for (double refusing : { 0.55, 0.9 }) {
+		for (unsigned seed = 1; seed <= 4; seed++) {
+			Fleet fleet(size.vms, size.slack, seed * 7919);
+
+			fleet.play(TR_SEC(12), size.a_second);
+			fleet.refusing = refusing;
+			fleet.play(TR_SEC(1), size.a_second);
+			fault(fleet);
+			fleet.play(TR_SEC(13), size.a_second);
+			EXPECT_LE(fleet.most_used(), 1.0)
+				<< size.vms << " VMs, " << size.a_second
+				<< " requests a second, " << refusing
+				<< " refused, seed " << seed;
+		}
+	}
+}
+
 /* Guards against repeats that outrun the news of them when most targets turn
  * requests away at once. */
 TEST(AllowanceLoad, TheBoundHoldsWhenAllTargetsRefuseAtOnce)
@@ -198,4 +314,106 @@
 	EXPECT_GE(small.most_used(), 0.85);
 }
 
+/* Guards against VMs that take for unused what others spent and they have not
+ * heard of yet. */
+TEST(AllowanceLoad, TheBoundHoldsWhileNewsAreLate)
+{
+	for (const Size &size : SIZES)
+		for (apr_time_t late : { TR_MSEC(300), TR_SEC(1), TR_SEC(2) })
+			expect_bound(size, [&](Fleet &fleet) {
+				fleet.news_take = late;
+			});
+}
+
+/* Guards against the same where news were late all along. */
+TEST(AllowanceLoad, TheBoundHoldsWhereNewsAreAlwaysLate)
+{
+	for (const Size &size : SIZES) {
+		for (apr_time_t late : { TR_MSEC(600), TR_SEC(2) }) {
+			Fleet fleet(size.vms, size.slack, 7919);
+
+			fleet.news_take = late;
+			fleet.play(TR_SEC(12), size.a_second);
+			fleet.refusing = 0.95;
+			fleet.play(TR_SEC(14), size.a_second);
+			EXPECT_LE(fleet.most_used(), 1.0)
+				<< size.vms << " VMs, " << size.a_second
+				<< " requests a second, news after " << late;
+		}
+	}
+}
+
+/* Guards against messages between VMs that are lost for good. */
+TEST(AllowanceLoad, TheBoundHoldsWhileMessagesAreLost)
+{
+	for (const Size &size : SIZES)
+		for (double lost : { 0.3, 0.9, 1.0 })
+			expect_bound(size,
+				     [&](Fleet &fleet) { fleet.lost = lost; });
+}
+
+/* Guards against a fleet that is split and spends the whole bound on each side.
+ */
+TEST(AllowanceLoad, TheBoundHoldsWhileHalvesOfTheFleetAreCut)
+{
+	for (const Size &size : SIZES)
+		expect_bound(size, [&](Fleet &fleet) {
+			for (unsigned i = 0; i < size.vms; i += 2)
+				fleet.vms[i].side = 1;
+			fleet.play(TR_SEC(3), size.a_second);
+			for (unsigned i = 0; i < size.vms; i += 2)
+				fleet.vms[i].side = 0;
+		});
+}
+
+/* Guards against processes that take the window before their start for unused.
+ */
+TEST(AllowanceLoad, TheBoundHoldsAsSomeVmsRestart)
+{
+	for (const Size &size : SIZES)
+		for (unsigned every : { 10U, 3U, 2U })
+			expect_bound(size, [&](Fleet &fleet) {
+				for (unsigned i = 0; i < size.vms; i += every)
+					fleet.restart(i);
+			});
+}
+
+/* Guards against the same where no VM is left that knows the window. */
+TEST(AllowanceLoad, TheBoundHoldsAsAllVmsRestart)
+{
+	for (const Size &size : SIZES)
+		for (apr_time_t after : { TR_MSEC(0), TR_SEC(2), TR_SEC(5) })
+			expect_bound(size, [&](Fleet &fleet) {
+				fleet.play(after, size.a_second);
+				for (unsigned i = 0; i < size.vms; i++)
+					fleet.restart(i);
+			});
+}
+
+/* Guards against the same in a rolling restart. */
+TEST(AllowanceLoad, TheBoundHoldsAsVmsRestartInTurn)
+{
+	for (const Size &size : SIZES)
+		for (unsigned at_once : { 1U, 3U })
+			expect_bound(size, [&](Fleet &fleet) {
+				for (unsigned i = 0; i < size.vms; i++) {
+					fleet.restart(i);
+					if (i % at_once == 0)
+						fleet.play(TR_MSEC(200),
+							   size.a_second);
+				}
+			});
+}
+
+/* Guards against VMs that stood still and take what they missed for unused. */
+TEST(AllowanceLoad, TheBoundHoldsAsVmsStandStill)
+{
+	for (const Size &size : SIZES)
+		expect_bound(size, [&](Fleet &fleet) {
+			for (unsigned i = 0; i < size.vms; i += 3)
+				fleet.vms[i].stopped_until =
+					fleet.now + TR_SEC(3);
+		});
+}
+
 } // namespace
