Each VM earns the repeats that it may send

Cause: VMs spent from one pool, as far as each knew it, and what a VM had not heard of counted as unused. So a process that had just started took the whole slack, its own earlier repeats included; and while news were late or lost each VM went on as if nobody else had repeated anything. Ruled out: sends that nobody counts; what VMs say they sent is what targets saw.

Now a VM earns repeats by the requests that come to it and by its part of the slack. A request is counted by one VM, wherever its caller goes, so what all earn in a window is the bound however callers move; what a VM saves up is limited and lost with its process; and within a window each keeps to a pace at which what a process sent before its end and what the next one earns add up to its part. None of this needs a message. What is heard still makes VMs stop earlier. By their addresses VMs round differently, so that together they use fractions too.

--- a/entry/entry.c
+++ b/entry/entry.c
@@ -1,6 +1,7 @@
 /* What comes from the store or from another VM goes onto the blackboard. */
 #include "entry.h"
 
+#include <arpa/inet.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -36,6 +37,8 @@
 		.ratio = s->bounds.repeat_ratio,
 		.slack = s->bounds.repeat_slack,
 		.window = s->repeat_window_us,
+		.vms = e->repeat_bound.vms,
+		.heard = e->repeat_bound.heard,
 	};
 	e->limit_bound = (struct tr_limit_bound){
 		.window = s->limit_window_us,
@@ -197,8 +200,12 @@
 
 		e->allowances =
 			g_realloc_n(e->allowances, n, sizeof(*e->allowances));
-		memset(e->allowances + e->allowances_count, 0,
-		       (n - e->allowances_count) * sizeof(*e->allowances));
+		for (unsigned i = e->allowances_count; i < n; i++)
+			tr_allowance_init(&e->allowances[i],
+					  ntohl(e->members.nodes[0].ip),
+					  (uint32_t)tr_hash_string(
+						  e->roster.services[i].name),
+					  e->started_at);
 		e->allowances_count = n;
 	}
 	return &e->allowances[service];
--- a/entry/mesh_rows.c
+++ b/entry/mesh_rows.c
@@ -253,9 +253,10 @@
 		if (mesh_service_hash(e, i) == in->service)
 			tr_allowance_heard(entry_allowance(e, i),
 					   &e->repeat_bound, &work->totals,
-					   &reported, now);
+					   &reported, work->at, now);
 	work->service = in->service;
 	work->totals = reported;
+	work->at = now;
 }
 
 /* Take in what another VM did at targets. */
--- a/entry/repeat.c
+++ b/entry/repeat.c
@@ -6,6 +6,8 @@
 
 /* How often a service that wants repeats is logged. */
 #define LOG_EVERY TR_SEC(1)
+/* How long after its start a VM knows how many there are. */
+#define SIZE_KNOWN_AFTER TR_SEC(1)
 
 /* How long ago the VM of the group that has been silent longest was heard. */
 static apr_time_t oldest_news(const struct tr_membership *m, apr_time_t now)
@@ -28,9 +30,7 @@
 	apr_time_t now = entry_now(e);
 	struct tr_allowance *a = entry_allowance(e, service);
 
-	if (tr_allowance_spend(a, &e->repeat_bound,
-			       tr_membership_heard_share(&e->members, now),
-			       now)) {
+	if (tr_allowance_spend(a, &e->repeat_bound, now)) {
 		e->counts.resent++;
 		return true;
 	}
@@ -48,20 +48,35 @@
 	tr_allowance_sum(a, &sums);
 	eventlog(EVENT_BELIEF, "repeats",
 		 "service=%s sent=%u denied=%u window_requests=%u "
-		 "window_repeats=%u own_requests=%u heard_share=%.2f "
-		 "heard_lately=%.2f oldest_news_ms=%ld up_ms=%ld",
+		 "window_repeats=%u own_requests=%u own_repeats=%u "
+		 "tokens=%.2f vms=%u heard_lately=%.2f oldest_news_ms=%ld "
+		 "up_ms=%ld",
 		 e->roster.services[service].name, a->own.repeats, a->denied,
 		 sums.requests, sums.repeats, sums.own_requests,
-		 tr_membership_heard_share(m, now),
+		 sums.own_repeats, a->tokens, e->repeat_bound.vms,
 		 tr_membership_heard_lately(m, now),
 		 (long)(oldest_news(m, now) / 1000),
 		 (long)((now - e->started_at) / 1000));
 }
 
-/* Log what this VM holds of the bound for services that wanted repeats since
- * the last line. */
+/* Among how many VMs the slack is divided. Until this VM has heard others it
+ * can't know. */
+static unsigned slack_vms(const struct entry *e, apr_time_t now)
+{
+	const struct tr_membership *m = &e->members;
+
+	if (m->count > 1 &&
+	    (!m->heard_any || now - e->started_at < SIZE_KNOWN_AFTER))
+		return 0;
+	return tr_membership_size(m);
+}
+
+/* Follow the size of the fleet, and log what this VM holds of the bound for
+ * services that wanted repeats since the last line. */
 void repeat_step(struct entry *e, apr_time_t now)
 {
+	e->repeat_bound.vms = slack_vms(e, now);
+	e->repeat_bound.heard = e->members.near_count;
 	if (now - e->repeats_looked_at < LOG_EVERY)
 		return;
 	e->repeats_looked_at = now;
--- a/lib/allowance.c
+++ b/lib/allowance.c
@@ -1,23 +1,38 @@
 /*
- * The fleet's bound on repeats. VMs tell each other what they took and what
- * they repeated, so that one that meets a fault may use what others leave:
- * split evenly, a VM that sees three requests a second would have a repeat or
- * two a window, and three quarters of the bound stayed unused while reads
- * failed.
+ * The fleet's bound on repeats. Each VM earns repeats by the requests that come
+ * to it and by its part of the slack, and saves up few of them, so that all
+ * together keep the bound even if no VM hears of another: a request is counted
+ * by one VM, wherever its caller goes, and what a process that ends had saved
+ * up is lost.
+ *
+ * VMs also tell each other what came and what they repeated. By that they stop
+ * earlier, where callers have moved away from VMs that had already spent.
  */
 #include "allowance.h"
 
 #include <math.h>
 
-/* Part of the bound that is used: the rest is for what the news of requests and
- * repeats are late by. */
-#define USED_SHARE 0.94
-/* What is left of the bound is spent over no less than so long, several times
- * what news take, so that VMs that all meet refusals at once hear of each
- * other's repeats before the bound is reached. */
-#define SPENT_OVER_S 0.5
-/* Of its own part of what is left a VM may send so much at once. */
-#define AT_ONCE 0.25
+/* Part of the bound that is used: the rest is for what arrives in another
+ * window than it was counted in. */
+#define USED_SHARE 0.96
+/* Part of a window's repeats that a VM saves up. */
+#define SAVED_SHARE 0.7
+/* The same where that is less than one repeat. */
+#define SAVED_SHARE_FEW 0.9
+/* Windows over which the requests that come to a VM are evened out. */
+#define STEADY_WINDOWS 3
+/* Consecutive addresses times this, less whole numbers, are spread evenly. */
+#define GOLDEN 0.6180339887498949
+
+/* Begin to count. Which VM of which service it is decides how it rounds. */
+void tr_allowance_init(struct tr_allowance *a, uint32_t vm, uint32_t service,
+		       apr_time_t now)
+{
+	double whole;
+
+	*a = (struct tr_allowance){ .known_since = now };
+	a->ahead = modf(((double)vm + service % 1024) * GOLDEN, &whole);
+}
 
 static void turn(struct tr_allowance *a, const struct tr_repeat_bound *bound,
 		 apr_time_t now)
@@ -33,10 +48,65 @@
 		a->requests[at] = 0;
 		a->repeats[at] = 0;
 		a->own_requests[at] = 0;
+		a->spent[at] = 0;
 	}
 	a->part = part;
 }
 
+/* This VM's part of what the bound allows beside requests, a window. */
+static double own_slack(const struct tr_repeat_bound *bound)
+{
+	return bound->vms ? bound->slack / bound->vms : 0;
+}
+
+/* How many repeats this VM may send in a window, by the pace at which requests
+ * come to it in the long run: by those of the window alone VMs would each spend
+ * when their own luck is best. */
+static double own_most(const struct tr_allowance *a,
+		       const struct tr_repeat_bound *bound, apr_time_t now)
+{
+	double steady_for = STEADY_WINDOWS * (double)bound->window;
+	double counted =
+		fmax((double)(now - a->first_at), (double)bound->window);
+	double faded = exp(-(double)(now - a->faded_at) / steady_for);
+	double requests = a->steady * faded / (1 - exp(-counted / steady_for)) /
+			  STEADY_WINDOWS;
+
+	return USED_SHARE * (bound->ratio * requests + own_slack(bound));
+}
+
+/* How many of these it may save up, and send at once. */
+static double saved_most(double own)
+{
+	return fmax(SAVED_SHARE * own, fmin(1, SAVED_SHARE_FEW * own));
+}
+
+/*
+ * Earn repeats, less what an earlier process of this VM may have saved up and
+ * sent in the part of the window before this one began.
+ */
+static void earn(struct tr_allowance *a, const struct tr_repeat_bound *bound,
+		 double repeats, apr_time_t now)
+{
+	double own = own_most(a, bound, now);
+	double earned = USED_SHARE * repeats;
+
+	if (now - a->known_since < bound->window && own > 0)
+		earned *= 1 - saved_most(own) / own;
+	a->tokens = fmin(a->tokens + earned, saved_most(own));
+}
+
+/* Earn the part of the slack for the time that has passed. */
+static void earn_slack(struct tr_allowance *a,
+		       const struct tr_repeat_bound *bound, apr_time_t now)
+{
+	apr_time_t since = a->earned_at ? a->earned_at : a->known_since;
+	double windows = fmin(1, (double)(now - since) / (double)bound->window);
+
+	a->earned_at = now;
+	earn(a, bound, windows * own_slack(bound), now);
+}
+
 /* A caller's request for the service has come. */
 void tr_allowance_request(struct tr_allowance *a,
 			  const struct tr_repeat_bound *bound, apr_time_t now)
@@ -45,19 +115,41 @@
 	a->requests[a->part % TR_ALLOWANCE_SLOTS]++;
 	a->own_requests[a->part % TR_ALLOWANCE_SLOTS]++;
 	a->own.requests++;
+	if (!a->first_at)
+		a->first_at = now;
+	a->steady *= exp(-(double)(now - a->faded_at) /
+			 (STEADY_WINDOWS * (double)bound->window));
+	a->steady++;
+	a->faded_at = now;
+	earn(a, bound, bound->ratio, now);
 }
 
-/* Another VM has told its totals; before is what it told last. */
+/* Another VM has told its totals; before is what it told last, at since.
+ * Requests count when they came, by an even pace; repeats, of which none may be
+ * forgotten too early, count now. */
 void tr_allowance_heard(struct tr_allowance *a,
 			const struct tr_repeat_bound *bound,
 			const struct tr_work_totals *before,
-			const struct tr_work_totals *reported, apr_time_t now)
+			const struct tr_work_totals *reported, apr_time_t since,
+			apr_time_t now)
 {
+	unsigned requests = (uint16_t)(reported->requests - before->requests);
+	apr_time_t parts;
+
 	turn(a, bound, now);
-	a->requests[a->part % TR_ALLOWANCE_SLOTS] +=
-		(uint16_t)(reported->requests - before->requests);
 	a->repeats[a->part % TR_ALLOWANCE_SLOTS] +=
 		(uint16_t)(reported->repeats - before->repeats);
+	parts = a->part - since / (bound->window / TR_ALLOWANCE_PARTS) + 1;
+	if (parts > TR_ALLOWANCE_SLOTS) {
+		requests = (unsigned)(requests * TR_ALLOWANCE_SLOTS / parts);
+		parts = TR_ALLOWANCE_SLOTS;
+	}
+	for (apr_time_t i = parts; i > 0; i--) {
+		unsigned part = requests / (unsigned)i;
+
+		requests -= part;
+		a->requests[(a->part - i + 1) % TR_ALLOWANCE_SLOTS] += part;
+	}
 }
 
 /* Requests a second that the VMs heard get for the service: over the window, or
@@ -87,49 +179,67 @@
 		sums->requests += a->requests[i];
 		sums->repeats += a->repeats[i];
 		sums->own_requests += a->own_requests[i];
+		sums->own_repeats += a->spent[i];
 	}
 }
 
-/* Fill this VM's bucket by its own part of the repeats that are left. */
-static void refill(struct tr_allowance *a, double left, double own_part,
-		   apr_time_t now)
+/*
+ * What the fleet may still send in the window, as far as it is heard. Of the
+ * part of the window before this VM began, the slack counts as used.
+ */
+static double fleet_left(const struct tr_allowance *a,
+			 const struct tr_repeat_bound *bound,
+			 const struct tr_allowance_sums *sums, apr_time_t now)
 {
-	double passed_s = (double)(now - a->filled_at) / 1e6;
-	double most = fmax(1, left * own_part * AT_ONCE);
-
-	if (a->filled_at)
-		a->tokens += passed_s * left * own_part / SPENT_OVER_S;
-	else
-		a->tokens = most;
-	a->tokens = fmin(a->tokens, most);
-	a->filled_at = now;
+	double known =
+		fmin(1, (double)(now - a->known_since) / (double)bound->window);
+	double slack = own_slack(bound) * bound->heard * known;
+
+	return USED_SHARE * (bound->ratio * sums->requests + slack) -
+	       sums->repeats;
 }
 
 /*
- * May a request be sent to one more target? If so, it is counted. heard_share
- * is the part of the known VMs that are heard: in a fleet that is split each
- * side has only its part of the slack.
+ * Would one more repeat be within this VM's part of the bound, in the window
+ * and at every moment of it? What was saved up may be sent at once, the rest as
+ * it is earned: a process that took over in the window from one that ended
+ * can't know what that had sent.
  */
+static bool keeps_pace(const struct tr_allowance *a,
+		       const struct tr_repeat_bound *bound, apr_time_t now)
+{
+	double own = own_most(a, bound, now);
+	double saved = saved_most(own);
+	double sent = 1 - a->ahead;
+
+	for (int i = 0; i < TR_ALLOWANCE_SLOTS; i++) {
+		apr_time_t at =
+			(a->part + TR_ALLOWANCE_SLOTS - i) % TR_ALLOWANCE_SLOTS;
+
+		sent += a->spent[at];
+		if (sent > saved + (own - saved) * i / TR_ALLOWANCE_PARTS)
+			return false;
+	}
+	return true;
+}
+
+/* May a request be sent to one more target? If so, it is counted. */
 bool tr_allowance_spend(struct tr_allowance *a,
-			const struct tr_repeat_bound *bound, double heard_share,
-			apr_time_t now)
+			const struct tr_repeat_bound *bound, apr_time_t now)
 {
 	struct tr_allowance_sums sums;
-	double own_part = 1;
-	double left;
+	unsigned at;
 
 	turn(a, bound, now);
+	earn_slack(a, bound, now);
 	tr_allowance_sum(a, &sums);
-	left = USED_SHARE * (bound->ratio * sums.requests +
-			     bound->slack * heard_share) -
-	       sums.repeats;
-	if (sums.requests)
-		own_part = (double)sums.own_requests / sums.requests;
-	refill(a, fmax(left, 0), own_part, now);
-	if (left < 1 || a->tokens < 1)
+	if (a->tokens + a->ahead < 1 || !keeps_pace(a, bound, now) ||
+	    fleet_left(a, bound, &sums, now) < 1)
 		return false;
+	at = a->part % TR_ALLOWANCE_SLOTS;
 	a->tokens--;
-	a->repeats[a->part % TR_ALLOWANCE_SLOTS]++;
+	a->spent[at]++;
+	a->repeats[at]++;
 	a->own.repeats++;
 	return true;
 }
--- a/lib/allowance.h
+++ b/lib/allowance.h
@@ -10,11 +10,15 @@
 #define TR_ALLOWANCE_PARTS 20
 #define TR_ALLOWANCE_SLOTS (TR_ALLOWANCE_PARTS + 1)
 
-/* The fleet's bound on repeats, from the settings. */
+/* The fleet's bound on repeats, from the settings. vms: among how many VMs the
+ * slack is divided; 0 while that is not known, and no slack may be used. heard:
+ * how many of these tell this VM what they repeat. */
 struct tr_repeat_bound {
 	double ratio;
 	double slack;
 	apr_time_t window;
+	unsigned vms;
+	unsigned heard;
 };
 
 /* Running totals of one VM for one service; they wrap around. */
@@ -25,17 +29,26 @@
 
 /*
  * Requests for one service, and those that were sent to one more target, by
- * the whole fleet as far as it is heard: over the window, in parts. own is what
- * this VM adds, to be told to the others; tokens are repeats that it may send
- * now. denied and wanted_logged are for the log.
+ * parts of the window: requests and repeats by the whole fleet as far as it is
+ * heard; own_requests and spent by this VM alone. own is what this VM adds, to
+ * be told to the others. tokens: repeats that it may send now, at earned_at;
+ * ahead: how much of a token may be missing when it sends one. steady: this
+ * VM's requests, which fade slowly, at faded_at, since the first. known_since:
+ * when this VM began to count. denied and wanted_logged are for the log.
  */
 struct tr_allowance {
 	uint32_t requests[TR_ALLOWANCE_SLOTS];
 	uint32_t repeats[TR_ALLOWANCE_SLOTS];
 	uint32_t own_requests[TR_ALLOWANCE_SLOTS];
+	uint16_t spent[TR_ALLOWANCE_SLOTS];
 	apr_time_t part;
+	apr_time_t known_since;
+	apr_time_t earned_at;
 	double tokens;
-	apr_time_t filled_at;
+	double ahead;
+	double steady;
+	apr_time_t faded_at;
+	apr_time_t first_at;
 	struct tr_work_totals own;
 	unsigned denied;
 	unsigned wanted_logged;
@@ -46,20 +59,23 @@
 	unsigned requests;
 	unsigned repeats;
 	unsigned own_requests;
+	unsigned own_repeats;
 };
 
+void tr_allowance_init(struct tr_allowance *a, uint32_t vm, uint32_t service,
+		       apr_time_t now);
 void tr_allowance_request(struct tr_allowance *a,
 			  const struct tr_repeat_bound *bound, apr_time_t now);
 void tr_allowance_heard(struct tr_allowance *a,
 			const struct tr_repeat_bound *bound,
 			const struct tr_work_totals *before,
-			const struct tr_work_totals *reported, apr_time_t now);
+			const struct tr_work_totals *reported, apr_time_t since,
+			apr_time_t now);
 double tr_allowance_rate(struct tr_allowance *a,
 			 const struct tr_repeat_bound *bound, apr_time_t now);
 void tr_allowance_sum(const struct tr_allowance *a,
 		      struct tr_allowance_sums *sums);
 bool tr_allowance_spend(struct tr_allowance *a,
-			const struct tr_repeat_bound *bound, double heard_share,
-			apr_time_t now);
+			const struct tr_repeat_bound *bound, apr_time_t now);
 
 #endif
--- a/lib/membership.h
+++ b/lib/membership.h
@@ -36,10 +36,11 @@
 	uint16_t sent;
 };
 
-/* What a VM last told of the requests for one service. */
+/* What a VM last told of the requests for one service, and when. */
 struct tr_work_report {
 	uint32_t service;
 	struct tr_work_totals totals;
+	apr_time_t at;
 };
 
 /* What a VM last told of the requests of one organisation. */
--- a/tests/allowance_load_test.cc
+++ b/tests/allowance_load_test.cc
@@ -72,10 +72,12 @@
 	double lost = 0;
 
 	Fleet(unsigned n, double slack, uint64_t seed)
-	    : bound{ 0.2, slack, TR_SEC(10) }, random{ seed }, vms(n)
+	    : bound{ 0.2, slack, TR_SEC(10), n, n }, random{ seed }, vms(n)
 	{
-		for (Vm &vm : vms)
-			vm.others.resize(n);
+		for (unsigned i = 0; i < n; i++) {
+			tr_allowance_init(&vms[i].allowance, i, 0, 0);
+			vms[i].others.resize(n);
+		}
 	}
 
 	bool runs(const Vm &vm) const
@@ -95,6 +97,7 @@
 		vm.life = life;
 		vm.side = side;
 		vm.down_until = now + RESTART_TAKES;
+		tr_allowance_init(&vm.allowance, i, 0, vm.down_until);
 	}
 
 	void send(unsigned vm, unsigned tries)
@@ -110,16 +113,6 @@
 			  vm, vms[vm].life, tries });
 	}
 
-	/* The part of the fleet that the VM holds to be there. */
-	double heard_share(const Vm &vm) const
-	{
-		unsigned n = 1;
-
-		for (const Heard &h : vm.others)
-			n += h.known && now - h.at <= LOST_AFTER;
-		return std::min(1.0, (double)n / (double)vms.size());
-	}
-
 	void repeat()
 	{
 		std::vector<Refused> due;
@@ -138,8 +131,7 @@
 			Vm &vm = vms[r.vm];
 
 			if (r.tries >= TRIES_MOST || r.life != vm.life ||
-			    !tr_allowance_spend(&vm.allowance, &bound,
-						heard_share(vm), now))
+			    !tr_allowance_spend(&vm.allowance, &bound, now))
 				continue;
 			repeats.push_back(now);
 			send(r.vm, r.tries + 1);
@@ -156,7 +148,7 @@
 			h.known = false;
 		if (h.known)
 			tr_allowance_heard(&vm.allowance, &bound, &h.totals,
-					   &m.told, now);
+					   &m.told, h.at, now);
 		h = Heard{ m.life, true, m.told, now };
 	}
 
--- a/tests/floor_turns_test.cc
+++ b/tests/floor_turns_test.cc
@@ -81,7 +81,7 @@
 	 * other. */
 	double held_after(double before, double rate, apr_time_t after)
 	{
-		const tr_repeat_bound bound = { 0.2, 62, TR_SEC(10) };
+		const tr_repeat_bound bound = { 0.2, 62, TR_SEC(10), 1, 1 };
 		const apr_time_t turn = TR_SEC(100);
 		tr_allowance a{};
 		double due = 0;
--- a/tests/place_test.cc
+++ b/tests/place_test.cc
@@ -621,7 +621,7 @@
  */
 TEST(Allowance, TheFleetKeepsItsBoundAndUsesIt)
 {
-	tr_repeat_bound bound = { 0.2, 56, TR_SEC(10) };
+	tr_repeat_bound bound = { 0.2, 56, TR_SEC(10), 32, 32 };
 	std::vector<tr_allowance> vms(32);
 	std::vector<tr_work_totals> told(32);
 	apr_time_t now = TR_SEC(1000);
@@ -632,14 +632,15 @@
 
 		now += TR_MSEC(10);
 		tr_allowance_request(&vm, &bound, now);
-		repeats += tr_allowance_spend(&vm, &bound, 1, now);
+		repeats += tr_allowance_spend(&vm, &bound, now);
 		for (size_t v = 0; i % 8 == 0 && v < 32; v++) {
 			tr_work_totals own = vms[v].own;
 
 			for (size_t o = 0; o < 32; o++)
 				if (o != v)
 					tr_allowance_heard(&vms[o], &bound,
-							   &told[v], &own, now);
+							   &told[v], &own, now,
+							   now);
 			told[v] = own;
 		}
 	}
@@ -656,13 +657,13 @@
  */
 TEST(Allowance, NoSpanOfTheWindowHoldsMore)
 {
-	tr_repeat_bound bound = { 0, 50, TR_SEC(10) };
+	tr_repeat_bound bound = { 0, 50, TR_SEC(10), 1, 1 };
 	std::vector<apr_time_t> spent;
 	tr_allowance vm{};
 
 	for (apr_time_t now = TR_SEC(1001) + TR_MSEC(500); now < TR_SEC(1040);
 	     now += TR_MSEC(10))
-		if (tr_allowance_spend(&vm, &bound, 1, now))
+		if (tr_allowance_spend(&vm, &bound, now))
 			spent.push_back(now);
 	for (size_t i = 0; i < spent.size(); i++) {
 		auto in_span = [&](apr_time_t at) {
@@ -676,33 +677,34 @@
 
 TEST(Allowance, ASplitFleetSharesTheSlack)
 {
-	tr_repeat_bound bound = { 0.2, 56, TR_SEC(10) };
+	tr_repeat_bound bound = { 0.2, 56, TR_SEC(10), 2, 2 };
 	tr_allowance sides[2] = {};
 	int repeats = 0;
 
 	for (auto &side : sides)
 		for (int i = 0; i < 100; i++)
-			repeats += tr_allowance_spend(&side, &bound, 0.5,
-						      TR_SEC(1000));
+			repeats +=
+				tr_allowance_spend(&side, &bound, TR_SEC(1000));
 	EXPECT_LE(repeats, 56);
 }
 
 /* Totals wrap around without a jump. */
 TEST(Allowance, TotalsWrapAround)
 {
-	tr_repeat_bound bound = { 0.2, 0, TR_SEC(10) };
+	tr_repeat_bound bound = { 0.2, 0, TR_SEC(10), 1, 1 };
 	tr_allowance a{};
 	tr_work_totals before = { 65530, 10 };
 	tr_work_totals told = { 4, 10 };
 
-	tr_allowance_heard(&a, &bound, &before, &told, TR_SEC(1000));
+	tr_allowance_heard(&a, &bound, &before, &told, TR_SEC(1000),
+			   TR_SEC(1000));
 	EXPECT_EQ(a.requests[a.part % TR_ALLOWANCE_SLOTS], 10u);
 	EXPECT_EQ(a.repeats[a.part % TR_ALLOWANCE_SLOTS], 0u);
 }
 
 TEST(Allowance, OldRequestsAllowNothing)
 {
-	tr_repeat_bound bound = { 0.2, 0, TR_SEC(10) };
+	tr_repeat_bound bound = { 0.2, 0, TR_SEC(10), 1, 1 };
 	tr_allowance vm{};
 	apr_time_t now = TR_SEC(1000);
 	int repeats = 0;
@@ -711,7 +713,7 @@
 		tr_allowance_request(&vm, &bound, now);
 	now += TR_SEC(60);
 	for (int i = 0; i < 20; i++)
-		repeats += tr_allowance_spend(&vm, &bound, 1, now);
+		repeats += tr_allowance_spend(&vm, &bound, now);
 	EXPECT_EQ(repeats, 0);
 }
 
