The first repeats that a process tells of count

Cause: what a VM tells for the first time was taken for old, also of a process that has only just started and of which all is new; tr_node_heard_from_start, by which the totals of targets and organisations are told apart, was not asked. The first totals of a process that has been heard since its start now count.

--- a/entry/mesh_rows.c
+++ b/entry/mesh_rows.c
@@ -248,12 +248,16 @@
 	};
 	struct tr_work_report *work = work_report_of(node, in->service);
 
+	bool is_first = !work->service;
 	/* What it counted before this VM listened is old. */
-	for (unsigned i = 0; work->service && i < e->roster.services_count; i++)
+	bool is_news = !is_first || tr_node_heard_from_start(node, now);
+
+	for (unsigned i = 0; is_news && i < e->roster.services_count; i++)
 		if (mesh_service_hash(e, i) == in->service)
 			tr_allowance_heard(entry_allowance(e, i),
 					   &e->repeat_bound, &work->totals,
-					   &reported, work->at, now);
+					   &reported, is_first ? now : work->at,
+					   now);
 	work->service = in->service;
 	work->totals = reported;
 	work->at = now;
--- a/tests/mesh_test.cc
+++ b/tests/mesh_test.cc
@@ -339,4 +339,72 @@
 	EXPECT_EQ(row->used_at, heard_at);
 }
 
+/* What two VMs tell each other of what the whole fleet shares: repeats of a
+ * service's requests, and the requests of an organisation. */
+struct Shares : Rows {
+	tr_limit *limit, *own_limit;
+
+	void SetUp() override
+	{
+		Rows::SetUp();
+		for (entry *vm : { &e, &other }) {
+			tr_membership_init(&vm->members, 1, 1, "dc-1");
+			vm->repeat_bound = { 0.2, 50, TR_SEC(10), 2, 2 };
+			vm->limit_bound = { TR_SEC(5), 0.25, 20 };
+			tr_limits_place(&vm->limits, "org");
+		}
+		own_limit = &e.limits.rows[0];
+		limit = &other.limits.rows[0];
+		entry_allowance(&e, 0);
+	}
+
+	void TearDown() override
+	{
+		for (entry *vm : { &e, &other }) {
+			tr_membership_release(&vm->members);
+			tr_limits_release(&vm->limits);
+			g_free(vm->allowances);
+		}
+		free(node.work);
+		free(node.limits);
+		Rows::TearDown();
+	}
+
+	void tell()
+	{
+		mesh_work work[MESH_MAX_WORK];
+		mesh_use uses[MESH_MAX_USES];
+		mesh_message msg{};
+
+		mesh_add_work(&m, &msg, work);
+		mesh_add_uses(&m, &msg, uses);
+		mesh_take_rows(&other_mesh, &node, &msg, now);
+		mesh_take_limits(&other_mesh, &node, &msg, now);
+		now += TR_MSEC(50);
+	}
+
+	void repeat(unsigned n)
+	{
+		entry_allowance(&e, 0)->own.requests += n;
+		entry_allowance(&e, 0)->own.repeats += n;
+	}
+
+	unsigned repeats_heard()
+	{
+		tr_allowance_sums sums;
+
+		tr_allowance_sum(entry_allowance(&other, 0), &sums);
+		return sums.repeats;
+	}
+};
+
+/* Guards against repeats of a process that has just started, which are told for
+ * the first time and yet are no old ones. */
+TEST_F(Shares, TheFirstRepeatsOfAProcessCount)
+{
+	repeat(4);
+	tell();
+	EXPECT_EQ(repeats_heard(), 4u);
+}
+
 } // namespace
