Release what VMs told of targets with limits

tr_membership_release left each VM's table of requests sent to targets with a limit behind. Found by reading; the process ends right after, so callers saw nothing. The table is freed with the others now.

--- a/lib/membership.c
+++ b/lib/membership.c
@@ -93,6 +93,7 @@
 		free(m->nodes[i].reported);
 		free(m->nodes[i].work);
 		free(m->nodes[i].limits);
+		free(m->nodes[i].sent);
 	}
 	free(m->nodes);
 	free(m->groups);
