Keep what a lost VM counted until it starts anew

What VMs share by running totals went wrong wherever one was silent for long, behind a cut or lossy link, and heard again. And its requests of organisations and outcomes at targets, all that it had ever counted, were taken for news: an organisation with 300 requests let through looked as if it had 602 in a window, and was refused below its limit; idle targets looked used.

Cause: mesh_forget_reports dropped the totals of a VM that was lost, though only its requests in flight are gone; it may run on and count on. What comes first after that was no news or all news. Now only what it has in flight is forgotten; totals go with the process that counted them, when another start of the VM is heard.

--- a/entry/mesh_rows.c
+++ b/entry/mesh_rows.c
@@ -103,17 +103,26 @@
 	}
 }
 
-/* What the VM told is void: it restarted, or is lost with its requests. */
+/* The VM is lost, and with it what it has in flight. What it counted is kept:
+ * it may go on counting, and be heard again. */
 void mesh_forget_reports(struct mesh *mesh, struct tr_node *node)
 {
 	for (unsigned i = 0; i < node->reported_count; i++) {
-		const struct tr_report *reported = &node->reported[i];
+		struct tr_report *reported = &node->reported[i];
 		struct tr_instance *row =
 			tr_roster_by_hash(&mesh->e->roster, reported->target);
 
 		if (row)
 			row->others_in_flight -= reported->in_flight;
+		reported->in_flight = 0;
 	}
+	node->reports_work = false;
+}
+
+/* The VM has restarted, and counts anew. */
+void mesh_forget_node(struct mesh *mesh, struct tr_node *node)
+{
+	mesh_forget_reports(mesh, node);
 	free(node->reported);
 	node->reported = NULL;
 	node->reported_count = 0;
@@ -130,7 +139,7 @@
 	node->sent_count = 0;
 }
 
-/* Forget what VMs told that are lost since; a few at each step. */
+/* Forget what VMs have in flight that are lost since; a few at each step. */
 void mesh_forget_lost(struct mesh *mesh, apr_time_t now)
 {
 	struct tr_membership *m = &mesh->e->members;
@@ -138,9 +147,7 @@
 	for (int i = 0; i < FORGOTTEN_A_STEP; i++) {
 		struct tr_node *node = &m->nodes[mesh->node_next++ % m->count];
 
-		if ((node->reported_count || node->work_count ||
-		     node->limits_count || node->sent_count) &&
-		    !tr_node_alive(m, node, now))
+		if (node->reports_work && !tr_node_alive(m, node, now))
 			mesh_forget_reports(mesh, node);
 	}
 }
@@ -213,6 +220,7 @@
 		: has_begun(reported, in, &totals))
 		row->used_at = now;
 	reported->in_flight = (uint16_t)in->in_flight;
+	node->reports_work = true;
 	for (int s = 0; s < TR_SYMPTOMS; s++) {
 		uint16_t news = totals.count[s] - reported->totals.count[s];
 
--- a/lib/membership.h
+++ b/lib/membership.h
@@ -54,7 +54,7 @@
  * this VM's group. here: of its data centre. held: the revision of the routes
  * that it has in force, and 1 where it has a list of targets. gap: the usual
  * time between two of its messages. proven_at: until when its configuration is
- * proven, as it said in passing.
+ * proven, as it said in passing. reports_work: it may have requests in flight.
  */
 struct tr_node {
 	uint32_t ip;
@@ -77,6 +77,7 @@
 	bool cannot_read;
 	uint64_t held[TR_HOLDINGS];
 	apr_time_t proven_at;
+	bool reports_work;
 	struct tr_report *reported;
 	unsigned reported_count;
 	unsigned reported_room;
--- a/tests/mesh_test.cc
+++ b/tests/mesh_test.cc
@@ -398,6 +398,20 @@
 	}
 };
 
+/* Guards against repeats beyond the bound after links heal: what a VM sent
+ * while it was lost to others would never be counted by them. */
+TEST_F(Shares, RepeatsThatALostVmSentCountOnceItIsHeard)
+{
+	repeat(3);
+	tell();
+	EXPECT_EQ(repeats_heard(), 3u);
+	now += TR_SEC(3);
+	mesh_forget_reports(&other_mesh, &node);
+	repeat(5);
+	tell();
+	EXPECT_EQ(repeats_heard(), 8u);
+}
+
 /* Guards against repeats of a process that has just started, which are told for
  * the first time and yet are no old ones. */
 TEST_F(Shares, TheFirstRepeatsOfAProcessCount)
@@ -407,4 +421,22 @@
 	EXPECT_EQ(repeats_heard(), 4u);
 }
 
+/* Guards against organisations that are refused, since a VM that was lost for a
+ * while tells all requests that it ever let through once more. */
+TEST_F(Shares, AVmThatIsHeardAgainTellsNoOldRequestsOfAnOrganisation)
+{
+	own_limit->own = { 300, 300 };
+	own_limit->changed = true;
+	tell();
+	double used = tr_limit_used(limit);
+
+	now += TR_SEC(1);
+	node.heard_since = now - TR_SEC(20);
+	mesh_forget_reports(&other_mesh, &node);
+	own_limit->own = { 302, 302 };
+	own_limit->changed = true;
+	tell();
+	EXPECT_EQ(tr_limit_used(limit), used + 2);
+}
+
 } // namespace
