VMs know from their settings that nothing was sent before a first start

Since VMs earn their repeats, reads in the first seconds of a new fleet were hardly sent to a second target, for a process can't know what an earlier one of its VM sent.

The setting first_start, which the platform fills in, says that no VM of the fleet has run before; then the window before the start is known to be empty.

--- a/entry/entry.c
+++ b/entry/entry.c
@@ -205,7 +205,7 @@
 					  ntohl(e->members.nodes[0].ip),
 					  (uint32_t)tr_hash_string(
 						  e->roster.services[i].name),
-					  e->started_at);
+					  e->repeats_known_since);
 		e->allowances_count = n;
 	}
 	return &e->allowances[service];
--- a/entry/entry.h
+++ b/entry/entry.h
@@ -51,7 +51,8 @@
 
 /*
  * The blackboard of an entry VM. settles_at: until when requests under limits
- * wait after its start. Writers: reader.c and mesh.c the roster's
+ * wait after its start; repeats_known_since: from when on it knows all repeats
+ * that it sent. Writers: reader.c and mesh.c the roster's
  * listing, the routes, their proof and the members; upstream.c the rows' work
  * and evidence; repeat.c the allowances; exchange_identify.c the limits;
  * exchange_fatal.c and mesh_fatal.c the requests under which targets end;
@@ -83,6 +84,7 @@
 	apr_time_t repeats_looked_at;
 	apr_time_t hold_until;
 	apr_time_t started_at;
+	apr_time_t repeats_known_since;
 	apr_time_t settles_at;
 	GPtrArray *held;
 	struct mesh *mesh;
--- a/entry/entry_settings.c
+++ b/entry/entry_settings.c
@@ -66,6 +66,7 @@
 	CYAML_FIELD_UINT("peer_port", CYAML_FLAG_DEFAULT, SET, peer_port),
 	CYAML_FIELD_UINT("metrics_port", OPT, SET, metrics_port),
 	CYAML_FIELD_FLOAT("link_mbps", OPT, SET, link_mbps),
+	CYAML_FIELD_BOOL("first_start", OPT, SET, first_start),
 	CYAML_FIELD_SEQUENCE("seeds", PTR, SET, seeds, &word, 0, 64),
 	CYAML_FIELD_MAPPING("bounds", CYAML_FLAG_DEFAULT, SET, bounds,
 			    bounds_fields),
--- a/entry/entry_settings.h
+++ b/entry/entry_settings.h
@@ -27,7 +27,8 @@
 	char *drain;
 };
 
-/* The settings of one entry VM. Addresses are IP:PORT. */
+/* The settings of one entry VM. Addresses are IP:PORT. first_start: no VM of
+ * the fleet has run before. */
 struct entry_settings {
 	char *name;
 	char *ip;
@@ -40,6 +41,7 @@
 	uint32_t peer_port;
 	uint32_t metrics_port;
 	double link_mbps;
+	bool first_start;
 	char **seeds;
 	unsigned seeds_count;
 	struct entry_bounds bounds;
--- a/entry/toucanreel_entry.c
+++ b/entry/toucanreel_entry.c
@@ -261,6 +261,7 @@
 	e->draw = tr_random_unit(&e->random);
 	e->held = g_ptr_array_new();
 	e->started_at = entry_now(e);
+	e->repeats_known_since = s->first_start ? 0 : e->started_at;
 	e->settles_at = e->started_at + SETTLES_LEAST +
 			TR_MSEC(tr_random_below(&e->random, SETTLES_MS));
 	entry_set_bounds(e);
@@ -330,9 +331,10 @@
 		code = say(&err);
 	} else {
 		eventlog(EVENT_LIFE, "start",
-			 "version=%s front=%s data_centre=%s seeds=%u",
+			 "version=%s front=%s data_centre=%s seeds=%u first=%d",
 			 TOUCANREEL_VERSION, d.settings->front,
-			 d.settings->data_centre, d.settings->seeds_count);
+			 d.settings->data_centre, d.settings->seeds_count,
+			 d.settings->first_start);
 		loop_before_poll(d.e.loop, before_poll, &d);
 		step(&d);
 		loop_run(d.e.loop);
--- a/tests/soak/vm.h
+++ b/tests/soak/vm.h
@@ -33,10 +33,12 @@
 		kill_now();
 	}
 
-	void write_settings(const std::vector<std::string> &seeds)
+	void write_settings(const std::vector<std::string> &seeds_)
 	{
 		std::ofstream out(path());
 
+		seeds = seeds_;
+
 		out << "name: vm-" << ip << "\nip: " << ip
 		    << "\ndata_centre: " << centre << "\nfront: " << ip << ":"
 		    << FRONT_PORT << "\nready: " << ip << ":" << READY_PORT
@@ -45,6 +47,7 @@
 		    << "\nseeds:\n";
 		for (const auto &seed : seeds)
 			out << "- " << seed << ":" << PEER_PORT << "\n";
+		out << "first_start: " << (starts ? "false" : "true") << "\n";
 		out << "bounds:\n  repeat_ratio: 0.2\n  repeat_slack: 50\n"
 		    << "  floor_share: 0.7\n  repeat_window: 10s\n"
 		    << "  keep_most: 2s\n  grace: 3s\n  drain: 2s\n";
@@ -55,7 +58,8 @@
 	{
 		if (pid > 0)
 			return;
-		starts++;
+		if (starts++ == 1)
+			write_settings(seeds);
 		disturb();
 		int log = open((dir + "/" + ip + ".log").c_str(),
 			       O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
@@ -126,6 +130,7 @@
 	}
 
 	std::string program, dir, store;
+	std::vector<std::string> seeds;
 	pid_t pid = -1;
 };
 
