See that a target ended under a kept connection where no repeat is left

Cause: a read goes on a kept connection, the target ends and closes it; only the attempt to begin again on a new connection found out that the target is gone, and where the bound refused that attempt the end was taken for a broken connection.

Now, where the request must not be sent again, a connection without a request tells whether the target ended, as it already did for new connections.

--- a/entry/upstream.c
+++ b/entry/upstream.c
@@ -316,28 +316,6 @@
 	       repeat_admit(e, row->service);
 }
 
-/* The kept connection was dead: the same on a new one. Nothing is said of the
- * target, which has mostly not seen the request. */
-static void begin_again(struct upstream *u)
-{
-	u->e->counts.reused_dead++;
-	kept_was_dead(u->e, u->rested);
-	u->rested = 0;
-	u->begun_again = true;
-	u->connected = false;
-	u->began = entry_now(u->e);
-	u->broke_at = u->began;
-	if (!may_send_again(u)) {
-		over(u, UPSTREAM_BROKEN);
-		return;
-	}
-	count_sent(u, row_of(u));
-	if (connect_to(u, &calls)) {
-		u->target_ended = u->stream.refused;
-		over(u, unreached(u));
-	}
-}
-
 static void check_connected(void *ctx)
 {
 	over(ctx, UPSTREAM_BROKEN);
@@ -386,6 +364,29 @@
 	u->check_timer = loop_after(u->e->loop, CONNECT_TIMEOUT, check_late, u);
 }
 
+/* The kept connection was dead: the same on a new one. Nothing is said of the
+ * target, which has mostly not seen the request, unless it must not be sent
+ * again: then only a look tells whether the target has ended under it. */
+static void begin_again(struct upstream *u)
+{
+	u->e->counts.reused_dead++;
+	kept_was_dead(u->e, u->rested);
+	u->rested = 0;
+	u->begun_again = true;
+	u->connected = false;
+	u->began = entry_now(u->e);
+	u->broke_at = u->began;
+	if (!may_send_again(u)) {
+		check_end(u);
+		return;
+	}
+	count_sent(u, row_of(u));
+	if (connect_to(u, &calls)) {
+		u->target_ended = u->stream.refused;
+		over(u, unreached(u));
+	}
+}
+
 static void ended(void *ctx, enum stream_end why)
 {
 	struct upstream *u = ctx;
--- a/tests/crash_path_test.cc
+++ b/tests/crash_path_test.cc
@@ -406,6 +406,24 @@
 	EXPECT_LE(falls, 2u);
 }
 
+/* Guards against requests that end targets and are sent on for ever, since the
+ * end of a target under a kept connection is seen only where a repeat is left.
+ */
+TEST_F(CrashPath, AnEndUnderAKeptConnectionIsSeenWhereNoRepeatIsLeft)
+{
+	for (auto &vm : vms) {
+		vm->repeats = false;
+		vm->kill_now();
+		vm->start();
+	}
+	for (unsigned i = 0; i < VMS; i++)
+		ASSERT_TRUE(
+			becomes([&] { return ask(i, "/read/warm") == 200; }));
+	for (unsigned n = 0; n < 20 * VMS; n++)
+		ask(n % VMS, "/read/warm");
+	EXPECT_LE(fall_under(24, "/read/fall"), 3u);
+}
+
 /*
  * Beside it: targets that end for other reasons, two at a time, under a read
  * that four callers ask for all the time. It is never refused for that.
--- a/tests/soak/vm.h
+++ b/tests/soak/vm.h
@@ -48,7 +48,10 @@
 		for (const auto &seed : seeds)
 			out << "- " << seed << ":" << PEER_PORT << "\n";
 		out << "first_start: " << (starts ? "false" : "true") << "\n";
-		out << "bounds:\n  repeat_ratio: 0.2\n  repeat_slack: 50\n"
+		out << "bounds:\n  repeat_ratio: "
+		    << (repeats ? "0.2\n  repeat_slack: 50"
+				: "0\n  repeat_slack: 0")
+		    << "\n"
 		    << "  floor_share: 0.7\n  repeat_window: 10s\n"
 		    << "  keep_most: 2s\n  grace: 3s\n  drain: 2s\n";
 	}
@@ -113,6 +116,8 @@
 	const std::string centre;
 	int ended_with = 0;
 	unsigned starts = 0;
+	/* Does the fleet's bound allow any? */
+	bool repeats = true;
 	bool paused = false;
 	Time resumed_at{};
 	/* When it was last started, signalled or ended. */
