VMs tell of the work for all services in turn

Of a fleet with more than 16 services no VM heard of the repeats and requests for the seventeenth and later ones, so that there the bound on repeats was kept by none but each VM's own part, and the floor asked by its own requests alone. Cause: a message told of the first 16 and the next one began anew. Messages now go on where the last one ended, as they do for organisations. Shares.WorkForManyServicesIsToldInTurn failed before for services 17 to 24.

--- a/entry/mesh_internal.h
+++ b/entry/mesh_internal.h
@@ -56,6 +56,7 @@
 	bool lists;
 	apr_time_t reported_at;
 	uint32_t row_again;
+	uint32_t work_next;
 	uint32_t leaving_again;
 	uint32_t state_next;
 	uint32_t node_next;
--- a/entry/mesh_rows.c
+++ b/entry/mesh_rows.c
@@ -82,16 +82,18 @@
 	}
 }
 
-/* How many requests came for each service, and were sent once more. */
+/* How many requests came for each service, and were sent once more; going on
+ * where the last message ended. */
 void mesh_add_work(struct mesh *mesh, struct mesh_message *msg,
 		   struct mesh_work *work)
 {
 	const struct entry *e = mesh->e;
 
 	msg->work.work_val = work;
-	for (unsigned i = 0;
-	     i < e->allowances_count && msg->work.work_len < MESH_MAX_WORK;
-	     i++) {
+	for (unsigned n = 0;
+	     n < e->allowances_count && msg->work.work_len < MESH_MAX_WORK;
+	     n++) {
+		unsigned i = mesh->work_next++ % e->allowances_count;
 		const struct tr_work_totals *own = &e->allowances[i].own;
 
 		if (!own->requests && !own->repeats)
--- a/tests/mesh_test.cc
+++ b/tests/mesh_test.cc
@@ -421,6 +421,31 @@
 	EXPECT_EQ(repeats_heard(), 4u);
 }
 
+/* Guards against services beyond the first ones that a message has room for,
+ * which nobody else would hear of. */
+TEST_F(Shares, WorkForManyServicesIsToldInTurn)
+{
+	const unsigned services = MESH_MAX_WORK + 8;
+	char name[16];
+
+	for (entry *vm : { &e, &other })
+		for (unsigned i = 0; i < services; i++) {
+			snprintf(name, sizeof(name), "svc-%u", i);
+			tr_roster_service(&vm->roster, name);
+		}
+	entry_allowance(&e, services);
+	for (unsigned i = 1; i <= services; i++)
+		e.allowances[i].own = { 3, 2 };
+	for (int messages = 0; messages < 3; messages++)
+		tell();
+	for (unsigned i = 1; i <= services; i++) {
+		tr_allowance_sums sums;
+
+		tr_allowance_sum(entry_allowance(&other, i), &sums);
+		EXPECT_EQ(sums.repeats, 2u) << "service " << i;
+	}
+}
+
 /* Guards against organisations that are refused, since a VM that was lost for a
  * while tells all requests that it ever let through once more. */
 TEST_F(Shares, AVmThatIsHeardAgainTellsNoOldRequestsOfAnOrganisation)
