--- a/lib/membership.c
+++ b/lib/membership.c
@@ -401,19 +401,6 @@
 	return n;
 }
 
-/*
- * The part of the fleet that tells this VM of its requests: those of its group
- * that are heard, this one included.
- */
-double tr_membership_heard_share(const struct tr_membership *m, apr_time_t now)
-{
-	unsigned n = 0;
-
-	for (unsigned i = 0; i < m->count; i++)
-		n += m->nodes[i].near && tr_node_alive(m, &m->nodes[i], now);
-	return (double)n / tr_membership_size(m);
-}
-
 /* How long a VM of the group may be silent until it is not heard lately: some
  * of its usual gaps, of which one message in forty is lost on a bad link, and
  * no more than a routine message takes. */
--- a/lib/membership.h
+++ b/lib/membership.h
@@ -159,7 +159,6 @@
 			   const struct tr_node *node, apr_time_t now);
 struct tr_node *tr_membership_lost(struct tr_membership *m, apr_time_t now);
 unsigned tr_membership_alive(const struct tr_membership *m, apr_time_t now);
-double tr_membership_heard_share(const struct tr_membership *m, apr_time_t now);
 double tr_membership_heard_lately(const struct tr_membership *m,
 				  apr_time_t now);
 unsigned tr_membership_place(const struct tr_membership *m, apr_time_t now,
