While many requests fail a hang holds its target back for two seconds

Cause: a target counted as having failed when a VM's wait for it ended, three seconds after the request was sent. So a target whose newest request hung was asked again 4.5 to 5 s after it (3 s in flight, 1.45 s since the end, up to 0.5 s to be sent), while operators count it as sound again two seconds after what it failed.

Now, while a tenth fails, which is when operators look, the end of a wait holds a target back until two seconds after the request was sent, and 1.45 s more, as long as a failure does that shows at once. It is asked by 3.95 s and not by 4.95 s. While less than a tenth fails nothing changes: what is asked earlier then is lost more often and nobody counts it. One whose newest request still hangs gets no second one, as before.

--- a/entry/idle.c
+++ b/entry/idle.c
@@ -57,19 +57,36 @@
 	unsigned count[TR_FLOOR_IDLE + 1];
 };
 
-/* How the target stands for a request that must run once. */
-static enum tr_floor_standing standing_of(const struct tr_instance *row,
-					  apr_time_t now)
+/* What came of the service's requests lately. */
+static struct tr_floor_load load_of(struct entry *e, uint32_t service,
+				    apr_time_t now)
 {
-	struct tr_floor_check check;
+	const struct tr_service_stats *svc = &e->roster.services[service];
+
+	return (struct tr_floor_load){
+		.outcomes = tr_service_stats_ended(svc, now),
+		.failing = tr_service_stats_failing(svc),
+		.rate = tr_allowance_rate(entry_allowance(e, service),
+					  &e->repeat_bound, now),
+	};
+}
 
-	tr_floor_check_init(&check, false);
-	return tr_floor_standing(&check, row, now);
+/* Begin to look at a service as requests that must run once do. */
+static void begin_check(struct tr_floor_check *check, struct entry *e,
+			uint32_t service, apr_time_t now)
+{
+	const struct tr_floor_load load = load_of(e, service, now);
+
+	tr_floor_check_init(check, false);
+	tr_floor_check_set_load(check, &load);
 }
 
-static void log_idle(const struct entry *e, const struct tr_instance *row,
+static void log_idle(struct entry *e, const struct tr_instance *row,
 		     apr_time_t now)
 {
+	struct tr_floor_check check;
+
+	begin_check(&check, e, row->service, now);
 	eventlog(EVENT_BELIEF, "target-idle",
 		 "id=%s service=%s risk=%.2f used_ms=%ld failed_ms=%ld "
 		 "known_ms=%ld in_flight=%u others_in_flight=%u full=%d "
@@ -81,7 +98,7 @@
 		 row->others_in_flight, row->full_until > now,
 		 row->unreachable_until > now, row->rests_until > now,
 		 tr_roster_limit(&e->roster, row) != NULL,
-		 standing_words[standing_of(row, now)]);
+		 standing_words[tr_floor_standing(&check, row, now)]);
 }
 
 static const char *const verdict_words[] = {
@@ -105,12 +122,7 @@
 		      const struct unasked *unasked, apr_time_t now)
 {
 	const struct tr_service_stats *svc = &e->roster.services[service];
-	const struct tr_floor_load load = {
-		.outcomes = tr_service_stats_ended(svc, now),
-		.failing = tr_service_stats_failing(svc),
-		.rate = tr_allowance_rate(entry_allowance(e, service),
-					  &e->repeat_bound, now),
-	};
+	const struct tr_floor_load load = load_of(e, service, now);
 	double missing;
 	enum tr_floor_verdict verdict = tr_floor_verdict(
 		check, e->settings->bounds.floor_share, &load, &missing);
@@ -141,7 +153,7 @@
 		g_new0(struct unasked, roster->services_count);
 
 	for (uint32_t s = 0; s < roster->services_count; s++)
-		tr_floor_check_init(&checks[s], false);
+		begin_check(&checks[s], e, s, now);
 	for (uint32_t i = 0; i < roster->count; i++) {
 		const struct tr_instance *row = &roster->rows[i];
 
@@ -152,7 +164,8 @@
 				   tr_gray_probability(&row->gray, now),
 				   row->full_until <= now, now);
 		if (now - row->used_at >= IDLE_FOR)
-			unasked[row->service].count[standing_of(row, now)]++;
+			unasked[row->service].count[tr_floor_standing(
+				&checks[row->service], row, now)]++;
 	}
 	for (uint32_t s = 0; s < roster->services_count; s++)
 		log_floor(e, s, &checks[s], &unasked[s], now);
--- a/lib/floor.c
+++ b/lib/floor.c
@@ -21,6 +21,8 @@
 /* Requests that may be sent once more find out earlier, so that those that must
  * run once are sent to fewer suspects. */
 #define IDLE_AFTER_REPEATABLE TR_MSEC(800)
+/* To operators a target that failed is sound again after so long. */
+#define SOUND_AFTER TR_SEC(2)
 /* A target that has just come is not expected to be at work. */
 #define NEW_FOR TR_SEC(2)
 /* A target at which a request hangs is at work, for so long at most. */
@@ -68,6 +70,13 @@
 	check->turns = *turns;
 }
 
+/* What came of the service's requests lately, before targets are added. */
+void tr_floor_check_set_load(struct tr_floor_check *check,
+			     const struct tr_floor_load *load)
+{
+	check->many_fail = load->failing >= FAILING;
+}
+
 /* Keep those that are most probably well, in order. */
 static void add_idle(struct tr_floor_check *check,
 		     const struct tr_floor_idle *idle)
@@ -83,11 +92,20 @@
 	check->idle[i] = *idle;
 }
 
-/* Since when the target has been idle: a failure counts as work, because
- * operators don't expect it to serve so soon after. */
-static apr_time_t idle_since(const struct tr_instance *row)
+/*
+ * Since when the target has been idle: a failure counts as work, because
+ * operators don't expect it to serve so soon after. A VM's wait may end long
+ * after that; while many requests fail the target is not idle for longer by it.
+ */
+static apr_time_t idle_since(const struct tr_floor_check *check,
+			     const struct tr_instance *row)
 {
-	return row->failed_at > row->used_at ? row->failed_at : row->used_at;
+	apr_time_t failed_at = row->failed_at;
+	apr_time_t sound_at = row->hung_at + SOUND_AFTER;
+
+	if (check->many_fail && failed_at > sound_at)
+		failed_at = sound_at;
+	return failed_at > row->used_at ? failed_at : row->used_at;
 }
 
 /* How the target stands with the floor. */
@@ -97,7 +115,7 @@
 {
 	if (now - row->used_at < check->idle_after)
 		return TR_FLOOR_AT_WORK;
-	if (now - idle_since(row) < check->idle_after)
+	if (now - idle_since(check, row) < check->idle_after)
 		return TR_FLOOR_FAILED_LATELY;
 	if (now - row->known_since < NEW_FOR)
 		return TR_FLOOR_NEW;
@@ -115,7 +133,7 @@
 			const struct tr_instance *row, uint32_t at, double risk,
 			bool fits, apr_time_t now)
 {
-	apr_time_t late = now - idle_since(row) - check->idle_after;
+	apr_time_t late = now - idle_since(check, row) - check->idle_after;
 	enum tr_floor_standing stands = tr_floor_standing(check, row, now);
 	double well = 1 - risk;
 
--- a/lib/floor.h
+++ b/lib/floor.h
@@ -27,11 +27,13 @@
  * How much of a service is at work: its targets, each by the chance that it is
  * well; those that had a request within idle_after, of them those at rest,
  * which have none in flight; and those that are idle, the one with the least
- * time left first.
+ * time left first. many_fail: so many requests fail that operators look at
+ * which targets are at work.
  */
 struct tr_floor_check {
 	struct tr_floor_turns turns;
 	apr_time_t idle_after;
+	bool many_fail;
 	double at_work;
 	double at_rest;
 	double idle_well;
@@ -68,6 +70,8 @@
 void tr_floor_check_init(struct tr_floor_check *check, bool may_repeat);
 void tr_floor_check_take_turns(struct tr_floor_check *check,
 			       const struct tr_floor_turns *turns);
+void tr_floor_check_set_load(struct tr_floor_check *check,
+			     const struct tr_floor_load *load);
 enum tr_floor_standing tr_floor_standing(const struct tr_floor_check *check,
 					 const struct tr_instance *row,
 					 apr_time_t now);
--- a/lib/place.c
+++ b/lib/place.c
@@ -207,22 +207,29 @@
 	return drawn;
 }
 
-/* The target that the floor asks this request for, or TR_NO_ROW. */
-static uint32_t floor_pick(const struct tr_roster *roster,
-			   const struct tr_place_request *req,
-			   const struct tr_floor_check *check,
-			   struct tr_random *random, apr_time_t now)
+/* What came of the requests of the service that this one is for. */
+static struct tr_floor_load load_of(const struct tr_roster *roster,
+				    const struct tr_place_request *req,
+				    apr_time_t now)
 {
 	const struct tr_service_stats *svc = &roster->services[req->service];
-	const struct tr_floor_load load = {
+
+	return (struct tr_floor_load){
 		.outcomes = tr_service_stats_ended(svc, now),
 		.failing = tr_service_stats_failing(svc),
 		.rate = req->wanted,
 	};
+}
 
+/* The target that the floor asks this request for, or TR_NO_ROW. */
+static uint32_t floor_pick(const struct tr_place_request *req,
+			   const struct tr_floor_check *check,
+			   const struct tr_floor_load *load,
+			   struct tr_random *random)
+{
 	if (!tr_mechanism_on(TR_MECH_FLOOR) || !check->idle_count)
 		return TR_NO_ROW;
-	return tr_floor_check_pick(check, req->floor_share, &load,
+	return tr_floor_check_pick(check, req->floor_share, load,
 				   tr_random_unit(random));
 }
 
@@ -239,6 +246,7 @@
 {
 	unsigned known = 0;
 	unsigned untried = 0;
+	const struct tr_floor_load load = load_of(roster, req, now);
 	struct tr_floor_check check;
 	double loss = loss_of(req);
 	unsigned fitting = 0;
@@ -251,6 +259,7 @@
 	tr_floor_check_init(&check,
 			    req->may_repeat && tr_mechanism_on(TR_MECH_SCOUTS));
 	tr_floor_check_take_turns(&check, &req->turns);
+	tr_floor_check_set_load(&check, &load);
 	placing->row = TR_NO_ROW;
 	placing->cost = INFINITY;
 	for (uint32_t i = 0; i < roster->count; i++) {
@@ -292,7 +301,7 @@
 			*placing = p;
 	}
 	placing->for_floor = false;
-	picked = floor_pick(roster, req, &check, random, now);
+	picked = floor_pick(req, &check, &load, random);
 	if (picked != TR_NO_ROW) {
 		placing->row = picked;
 		placing->for_floor = true;
