--- a/lib/floor.c
+++ b/lib/floor.c
@@ -94,8 +94,9 @@
 
 /*
  * Since when the target has been idle: a failure counts as work, because
- * operators don't expect it to serve so soon after. A VM's wait may end long
- * after that; while many requests fail the target is not idle for longer by it.
+ * operators don't expect it to serve so soon after. For a VM a request that
+ * hangs fails when its wait ends; while many requests fail that counts as no
+ * later than SOUND_AFTER from when it was sent.
  */
 static apr_time_t idle_since(const struct tr_floor_check *check,
 			     const struct tr_instance *row)
