The fleet's sum of repeats keeps the pace that each VM keeps

Cause: a VM's own bound follows the requests that come to it. Where callers leave VMs that have already sent their part, because these are lost or the callers crowd elsewhere, those that get them earn for them once more, and only the sum of what all VMs told holds them. That sum was too generous twice:

- Requests and repeats were both added up over the window and the part before it, 10 to 10.5 s.
Where no repeat fell into that part, since targets refused only after it, half a second more of requests than the window has allowed repeats.
- VMs that are left may use all that the window allows at once.
Those that start meanwhile earn three tenths of their part by right, on top.

Change: requests count in the parts that lie wholly in the window, repeats in the one before it too; and the sum of repeats may not exceed at any moment what VMs may save up and the rest as time passes, as each VM's own.

Why it works: both errors are now on the safe side, and what a VM that starts earns by time is not yet sent by the others.

--- a/lib/allowance.c
+++ b/lib/allowance.c
@@ -183,58 +183,66 @@
 	}
 }
 
-/*
- * What the fleet may still send in the window, as far as it is heard. Of the
- * part of the window before this VM began, the slack counts as used.
- */
-static double fleet_left(const struct tr_allowance *a,
-			 const struct tr_repeat_bound *bound,
-			 const struct tr_allowance_sums *sums, apr_time_t now)
+/* Do so many repeats in each part, and sent beside them now, keep to the pace:
+ * what may be saved up at once, the rest as time passes? */
+static bool keeps_pace(const uint32_t *repeats, apr_time_t part, double sent,
+		       double most)
 {
-	double known =
-		fmin(1, (double)(now - a->known_since) / (double)bound->window);
-	double slack = own_slack(bound) * bound->heard * known;
+	double saved = saved_most(most);
 
-	return USED_SHARE * (bound->ratio * sums->requests + slack) -
-	       sums->repeats;
+	for (int i = 0; i < TR_ALLOWANCE_SLOTS; i++) {
+		sent += repeats[(part + TR_ALLOWANCE_SLOTS - i) %
+				TR_ALLOWANCE_SLOTS];
+		if (sent > saved + (most - saved) * i / TR_ALLOWANCE_PARTS)
+			return false;
+	}
+	return true;
 }
 
 /*
  * Would one more repeat be within this VM's part of the bound, in the window
- * and at every moment of it? What was saved up may be sent at once, the rest as
- * it is earned: a process that took over in the window from one that ended
- * can't know what that had sent.
+ * and at every moment of it? A process that took over in the window from one
+ * that ended can't know what that had sent, and earns the rest only.
  */
-static bool keeps_pace(const struct tr_allowance *a,
-		       const struct tr_repeat_bound *bound, apr_time_t now)
+static bool vm_keeps_pace(const struct tr_allowance *a,
+			  const struct tr_repeat_bound *bound, apr_time_t now)
 {
-	double own = own_most(a, bound, now);
-	double saved = saved_most(own);
-	double sent = 1 - a->ahead;
+	return keeps_pace(a->spent, a->part, 1 - a->ahead,
+			  own_most(a, bound, now));
+}
 
-	for (int i = 0; i < TR_ALLOWANCE_SLOTS; i++) {
-		apr_time_t at =
-			(a->part + TR_ALLOWANCE_SLOTS - i) % TR_ALLOWANCE_SLOTS;
+/*
+ * The same of the fleet, as far as it is heard, so that what a process that
+ * starts earns is left. Of the part of the window before this VM began, the
+ * slack counts as used. Of the oldest part, which is in the window no longer
+ * than this one is filled, the repeats count and the requests don't.
+ */
+static bool fleet_keeps_pace(const struct tr_allowance *a,
+			     const struct tr_repeat_bound *bound,
+			     apr_time_t now)
+{
+	double known =
+		fmin(1, (double)(now - a->known_since) / (double)bound->window);
+	double slack = own_slack(bound) * bound->heard * known;
+	struct tr_allowance_sums sums;
+	unsigned oldest = a->requests[(a->part + 1) % TR_ALLOWANCE_SLOTS];
 
-		sent += a->spent[at];
-		if (sent > saved + (own - saved) * i / TR_ALLOWANCE_PARTS)
-			return false;
-	}
-	return true;
+	tr_allowance_sum(a, &sums);
+	return keeps_pace(
+		a->repeats, a->part, 1,
+		USED_SHARE * (bound->ratio * (sums.requests - oldest) + slack));
 }
 
 /* May a request be sent to one more target? If so, it is counted. */
 bool tr_allowance_spend(struct tr_allowance *a,
 			const struct tr_repeat_bound *bound, apr_time_t now)
 {
-	struct tr_allowance_sums sums;
 	unsigned at;
 
 	turn(a, bound, now);
 	earn_slack(a, bound, now);
-	tr_allowance_sum(a, &sums);
-	if (a->tokens + a->ahead < 1 || !keeps_pace(a, bound, now) ||
-	    fleet_left(a, bound, &sums, now) < 1)
+	if (a->tokens + a->ahead < 1 || !vm_keeps_pace(a, bound, now) ||
+	    !fleet_keeps_pace(a, bound, now))
 		return false;
 	at = a->part % TR_ALLOWANCE_SLOTS;
 	a->tokens--;
--- a/lib/allowance.h
+++ b/lib/allowance.h
@@ -40,7 +40,7 @@
 	uint32_t requests[TR_ALLOWANCE_SLOTS];
 	uint32_t repeats[TR_ALLOWANCE_SLOTS];
 	uint32_t own_requests[TR_ALLOWANCE_SLOTS];
-	uint16_t spent[TR_ALLOWANCE_SLOTS];
+	uint32_t spent[TR_ALLOWANCE_SLOTS];
 	apr_time_t part;
 	apr_time_t known_since;
 	apr_time_t earned_at;
--- a/tests/allowance_load_test.cc
+++ b/tests/allowance_load_test.cc
@@ -6,6 +6,7 @@
  */
 #include <algorithm>
 #include <deque>
+#include <functional>
 #include <gtest/gtest.h>
 #include <vector>
 
@@ -68,9 +69,12 @@
 	apr_time_t news_take = NEWS_TAKE;
 	double refusing = 0;
 	double lost = 0;
+	/* How many of the VMs callers use, the first ones. */
+	unsigned used;
 
 	Fleet(unsigned n, double slack, uint64_t seed)
-	    : bound{ 0.2, slack, TR_SEC(10), n, n }, random{ seed }, vms(n)
+	    : bound{ 0.2, slack, TR_SEC(10), n, n }, random{ seed }, vms(n),
+	      used(n)
 	{
 		for (unsigned i = 0; i < n; i++) {
 			tr_allowance_init(&vms[i].allowance, i, 0, 0);
@@ -84,7 +88,7 @@
 	}
 
 	/* Kill the VM; its next life knows nothing. */
-	void restart(unsigned i)
+	void restart(unsigned i, apr_time_t takes = RESTART_TAKES)
 	{
 		Vm &vm = vms[i];
 		unsigned life = vm.life + 1;
@@ -94,7 +98,7 @@
 		vm.others.resize(vms.size());
 		vm.life = life;
 		vm.side = side;
-		vm.down_until = now + RESTART_TAKES;
+		vm.down_until = now + takes;
 		tr_allowance_init(&vm.allowance, i, 0, vm.down_until);
 	}
 
@@ -128,8 +132,9 @@
 		for (const Refused &r : due) {
 			Vm &vm = vms[r.vm];
 
-			if (r.tries >= TRIES_MOST || r.life != vm.life ||
-			    !tr_allowance_spend(&vm.allowance, &bound, now))
+			if (r.tries >= TRIES_MOST || r.life != vm.life)
+				continue;
+			if (!tr_allowance_spend(&vm.allowance, &bound, now))
 				continue;
 			repeats.push_back(now);
 			send(r.vm, r.tries + 1);
@@ -174,22 +179,23 @@
 		}
 	}
 
-	/* A VM that callers reach. */
+	/* A VM that callers reach; any that runs while none of theirs does. */
 	unsigned draw()
 	{
+		unsigned among = any_up(used) ? used : (unsigned)vms.size();
 		unsigned vm;
 
 		do
-			vm = tr_random_below(&random, (uint32_t)vms.size());
+			vm = tr_random_below(&random, among);
 		while (vms[vm].down_until > now);
 		return vm;
 	}
 
-	bool any_up() const
+	bool any_up(size_t among) const
 	{
-		return std::any_of(vms.begin(), vms.end(), [&](const Vm &vm) {
-			return vm.down_until <= now;
-		});
+		return std::any_of(
+			vms.begin(), vms.begin() + (long)among,
+			[&](const Vm &vm) { return vm.down_until <= now; });
 	}
 
 	void play(apr_time_t length, double a_second)
@@ -204,7 +210,7 @@
 			due += a_second * (double)STEP / 1e6;
 			for (; due >= 1; due--) {
 				requests.push_back(now);
-				if (!any_up())
+				if (!any_up(vms.size()))
 					continue;
 				unsigned vm = draw();
 
@@ -408,4 +414,154 @@
 		});
 }
 
+/* Guards against VMs that get the callers of others, and earn once more for
+ * what those have already sent. */
+TEST(AllowanceLoad, TheBoundHoldsAsCallersCrowdOnAQuarterOfTheVms)
+{
+	for (const Size &size : SIZES) {
+		for (unsigned seed = 1; seed <= 4; seed++) {
+			Fleet fleet(size.vms, size.slack, seed * 7919);
+
+			fleet.play(TR_SEC(3), size.a_second);
+			fleet.refusing = 0.9;
+			fleet.play(TR_SEC(6), size.a_second);
+			fleet.used = size.vms / 4;
+			fleet.play(TR_SEC(12), size.a_second);
+			EXPECT_LE(fleet.most_used(), 1.0)
+				<< size.vms << " VMs, " << size.a_second
+				<< " requests a second, seed " << seed;
+		}
+	}
+}
+
+/* A change to the fleet or its load, at a time. */
+struct Event {
+	apr_time_t at;
+	std::function<void(Fleet &)> happens;
+};
+
+/* One to five faults near the time at which targets begin to refuse; a seed
+ * always draws the same ones. */
+class Drawn
+{
+      public:
+	Drawn(const Size &size, uint64_t seed)
+	    : fleet(size.vms, size.slack, seed), draws{ seed * 7919 }
+	{
+		a_second = size.a_second;
+	}
+
+	/* What the worst window has of the bound. */
+	double play()
+	{
+		double refused = within(0.5, 0.97);
+		double begins = within(0.5, 14);
+		unsigned n = 1 + tr_random_below(&draws, 5);
+
+		add(begins, [=](Fleet &f) { f.refusing = refused; });
+		for (unsigned i = 0; i < n; i++)
+			add_fault(std::max(0.1, begins + within(-1, 9)));
+		std::stable_sort(events.begin(), events.end(),
+				 [](const Event &a, const Event &b) {
+					 return a.at < b.at;
+				 });
+		add(begins + 18, [](Fleet &) {});
+		for (const Event &e : events) {
+			if (e.at > fleet.now)
+				fleet.play(e.at - fleet.now, a_second);
+			e.happens(fleet);
+		}
+		return fleet.most_used();
+	}
+
+      private:
+	Fleet fleet;
+	tr_random draws;
+	double a_second;
+	std::vector<Event> events;
+
+	double within(double least, double most)
+	{
+		return least + (most - least) * tr_random_unit(&draws);
+	}
+
+	void add(double at_s, std::function<void(Fleet &)> happens)
+	{
+		events.push_back({ TR_SEC(100) + (apr_time_t)(at_s * 1e6),
+				   std::move(happens) });
+	}
+
+	/* Let it happen to a part of the VMs. */
+	static void each(Fleet &f, double share,
+			 const std::function<void(unsigned)> &happens)
+	{
+		for (unsigned i = 0; i < f.vms.size(); i++)
+			if (tr_random_unit(&f.random) < share)
+				happens(i);
+	}
+
+	void add_fault(double at)
+	{
+		double share = within(0.1, 0.95);
+		double for_s = within(0.5, 8);
+		auto lasts = (apr_time_t)(for_s * 1e6);
+
+		switch (tr_random_below(&draws, 7)) {
+		case 0:
+		case 1:
+		case 2:
+			add(at, [=](Fleet &f) {
+				each(f, share,
+				     [&](unsigned i) { f.restart(i, lasts); });
+			});
+			break;
+		case 3:
+			add(at, [=](Fleet &f) {
+				each(f, share,
+				     [&](unsigned i) { f.vms[i].side = 1; });
+			});
+			add(at + for_s, [](Fleet &f) {
+				for (Vm &vm : f.vms)
+					vm.side = 0;
+			});
+			break;
+		case 4:
+			add(at, [=](Fleet &f) {
+				each(f, share, [&](unsigned i) {
+					f.vms[i].stopped_until = f.now + lasts;
+				});
+			});
+			break;
+		case 5: {
+			double usual = a_second;
+			double times = within(1.5, 4);
+
+			add(at, [this, usual, times](Fleet &) {
+				a_second = usual * times;
+			});
+			add(at + for_s,
+			    [this, usual](Fleet &) { a_second = usual; });
+			break;
+		}
+		default:
+			add(at, [](Fleet &f) { f.used = f.vms.size() / 4; });
+			add(at + for_s,
+			    [](Fleet &f) { f.used = (unsigned)f.vms.size(); });
+		}
+	}
+};
+
+/* Guards against faults that each keep the bound and together don't: VMs are
+ * lost, cut off or stand still, callers crowd or come in a burst. */
+TEST(AllowanceLoad, TheBoundHoldsUnderSeveralFaultsAtOnce)
+{
+	const Size sizes[] = { { 44, 62, 93 }, { 44, 62, 300 }, SIZES[2] };
+
+	for (const Size &size : sizes)
+		for (unsigned seed = 1; seed <= 40; seed++)
+			EXPECT_LE(Drawn(size, seed).play(), 1.0)
+				<< size.vms << " VMs, " << size.a_second
+				<< " requests a second, seed " << seed;
+}
+
 } // namespace
