What VMs that fall silent may have sent counts as sent

Cause: what a VM sent since its last message, and all that it sent behind a cut in which it was lost, is never told. Those that are left with its callers took that for unused.

Change: from what a VM tells, the others follow what it can have saved up. While it is silent that counts as sent, until it is heard again and tells the truth or the window has passed; if it starts anew, it counts for good.

Why it works: a VM never sends more than it saved up and earned. What it earned in silence was by requests that aren't heard of either, so the bound that the others reckon with lacks both.

--- a/entry/mesh_internal.h
+++ b/entry/mesh_internal.h
@@ -124,7 +124,7 @@
 void mesh_call_one(struct mesh *mesh, uint32_t ip, bool answer);
 void mesh_forget_lost(struct mesh *mesh, apr_time_t now);
 void mesh_forget_reports(struct mesh *mesh, struct tr_node *node);
-void mesh_forget_node(struct mesh *mesh, struct tr_node *node);
+void mesh_forget_node(struct mesh *mesh, struct tr_node *node, apr_time_t now);
 
 /* What takes in one part of a message; see mesh_take.c. */
 typedef void mesh_take_fn(struct mesh *mesh, struct tr_node *node,
--- a/entry/mesh_rows.c
+++ b/entry/mesh_rows.c
@@ -121,10 +121,34 @@
 	node->reports_work = false;
 }
 
+static struct tr_allowance *allowance_of(struct entry *e, uint32_t service)
+{
+	for (unsigned i = 0; i < e->roster.services_count; i++)
+		if (mesh_service_hash(e, i) == service)
+			return entry_allowance(e, i);
+	return NULL;
+}
+
+/* What the VM's last process may have sent and not told counts as sent. */
+static void keep_untold(struct entry *e, const struct tr_node *node,
+			apr_time_t now)
+{
+	for (unsigned i = 0; i < node->work_count; i++) {
+		const struct tr_work_report *work = &node->work[i];
+		struct tr_allowance *a = allowance_of(e, work->service);
+
+		if (a)
+			tr_allowance_restarted(a, &e->repeat_bound,
+					       &work->purse, work->at, now);
+	}
+}
+
 /* The VM has restarted, and counts anew. */
-void mesh_forget_node(struct mesh *mesh, struct tr_node *node)
+void mesh_forget_node(struct mesh *mesh, struct tr_node *node, apr_time_t now)
 {
 	mesh_forget_reports(mesh, node);
+	if (node->near)
+		keep_untold(mesh->e, node, now);
 	free(node->reported);
 	node->reported = NULL;
 	node->reported_count = 0;
@@ -261,18 +285,48 @@
 	bool is_first = !work->service;
 	/* What it counted before this VM listened is old. */
 	bool is_news = !is_first || tr_node_heard_from_start(node, now);
+	struct tr_allowance *a = is_news ? allowance_of(e, in->service) : NULL;
 
-	for (unsigned i = 0; is_news && i < e->roster.services_count; i++)
-		if (mesh_service_hash(e, i) == in->service)
-			tr_allowance_heard(entry_allowance(e, i),
-					   &e->repeat_bound, &work->totals,
-					   &reported, is_first ? now : work->at,
-					   now);
+	if (a) {
+		tr_allowance_heard(a, &e->repeat_bound, &work->totals,
+				   &reported, is_first ? now : work->at, now);
+		tr_purse_heard(&work->purse, &e->repeat_bound, &work->totals,
+			       &reported, now);
+	}
 	work->service = in->service;
 	work->totals = reported;
 	work->at = now;
 }
 
+static double untold_by(const struct entry *e, const struct tr_node *node,
+			uint32_t service, apr_time_t now)
+{
+	for (unsigned i = 0; i < node->work_count; i++)
+		if (node->work[i].service == service)
+			return tr_purse_untold(&node->work[i].purse,
+					       &e->repeat_bound,
+					       node->work[i].at, now);
+	return 0;
+}
+
+/* How many repeats for the service VMs of the group that are silent may have
+ * sent since they were heard. */
+double mesh_untold_repeats(const struct entry *e, uint32_t service,
+			   apr_time_t now)
+{
+	const struct tr_membership *m = &e->members;
+	uint32_t hash = mesh_service_hash(e, service);
+	double sum = 0;
+
+	for (unsigned i = 1; i < m->count; i++) {
+		const struct tr_node *node = &m->nodes[i];
+
+		if (node->near && !tr_node_heard_lately(m, node, now))
+			sum += untold_by(e, node, hash, now);
+	}
+	return sum;
+}
+
 /* Take in what another VM did at targets. */
 void mesh_take_rows(struct mesh *mesh, struct tr_node *node,
 		    const struct mesh_message *msg, apr_time_t now)
--- a/entry/mesh_take.c
+++ b/entry/mesh_take.c
@@ -50,7 +50,7 @@
 	if (!node)
 		return;
 	if (restarted) {
-		mesh_forget_node(mesh, node);
+		mesh_forget_node(mesh, node, now);
 		if (!(msg->flags & MESH_ANSWER))
 			mesh_call_one(mesh, ip, true);
 	}
--- a/entry/repeat.c
+++ b/entry/repeat.c
@@ -3,6 +3,7 @@
 #include "repeat.h"
 
 #include "eventlog.h"
+#include "mesh.h"
 
 /* How often a service that wants repeats is logged. */
 #define LOG_EVERY TR_SEC(1)
@@ -30,6 +31,7 @@
 	apr_time_t now = entry_now(e);
 	struct tr_allowance *a = entry_allowance(e, service);
 
+	a->untold = mesh_untold_repeats(e, service, now);
 	if (tr_allowance_spend(a, &e->repeat_bound, now)) {
 		e->counts.resent++;
 		return true;
@@ -46,17 +48,18 @@
 	struct tr_allowance_sums sums;
 
 	tr_allowance_sum(a, &sums);
-	eventlog(EVENT_BELIEF, "repeats",
-		 "service=%s sent=%u denied=%u window_requests=%u "
-		 "window_repeats=%u own_requests=%u own_repeats=%u "
-		 "tokens=%.2f vms=%u heard_lately=%.2f oldest_news_ms=%ld "
-		 "up_ms=%ld",
-		 e->roster.services[service].name, a->own.repeats, a->denied,
-		 sums.requests, sums.repeats, sums.own_requests,
-		 sums.own_repeats, a->tokens, e->repeat_bound.vms,
-		 tr_membership_heard_lately(m, now),
-		 (long)(oldest_news(m, now) / 1000),
-		 (long)((now - e->started_at) / 1000));
+	eventlog(
+		EVENT_BELIEF, "repeats",
+		"service=%s sent=%u denied=%u window_requests=%u "
+		"window_repeats=%u own_requests=%u own_repeats=%u "
+		"tokens=%.2f untold=%.2f vms=%u heard_lately=%.2f oldest_news_ms=%ld "
+		"up_ms=%ld",
+		e->roster.services[service].name, a->own.repeats, a->denied,
+		sums.requests, sums.repeats, sums.own_requests,
+		sums.own_repeats, a->purse.tokens, a->untold,
+		e->repeat_bound.vms, tr_membership_heard_lately(m, now),
+		(long)(oldest_news(m, now) / 1000),
+		(long)((now - e->started_at) / 1000));
 }
 
 /* Among how many VMs the slack is divided. Until this VM has heard others it
--- a/lib/allowance.c
+++ b/lib/allowance.c
@@ -59,17 +59,17 @@
 	return bound->vms ? bound->slack / bound->vms : 0;
 }
 
-/* How many repeats this VM may send in a window, by the pace at which requests
- * come to it in the long run: by those of the window alone VMs would each spend
- * when their own luck is best. */
-static double own_most(const struct tr_allowance *a,
+/* How many repeats the VM of the purse may send in a window, by the pace at
+ * which requests come to it in the long run: by those of the window alone VMs
+ * would each spend when their own luck is best. */
+static double own_most(const struct tr_repeat_purse *p,
 		       const struct tr_repeat_bound *bound, apr_time_t now)
 {
 	double steady_for = STEADY_WINDOWS * (double)bound->window;
 	double counted =
-		fmax((double)(now - a->first_at), (double)bound->window);
-	double faded = exp(-(double)(now - a->faded_at) / steady_for);
-	double requests = a->steady * faded / (1 - exp(-counted / steady_for)) /
+		fmax((double)(now - p->first_at), (double)bound->window);
+	double faded = exp(-(double)(now - p->faded_at) / steady_for);
+	double requests = p->steady * faded / (1 - exp(-counted / steady_for)) /
 			  STEADY_WINDOWS;
 
 	return USED_SHARE * (bound->ratio * requests + own_slack(bound));
@@ -81,30 +81,48 @@
 	return fmax(SAVED_SHARE * own, fmin(1, SAVED_SHARE_FEW * own));
 }
 
-/*
- * Earn repeats, less what an earlier process of this VM may have saved up and
- * sent in the part of the window before this one began.
- */
-static void earn(struct tr_allowance *a, const struct tr_repeat_bound *bound,
+/* Requests have come to the VM of the purse. */
+static void add_requests(struct tr_repeat_purse *p,
+			 const struct tr_repeat_bound *bound, unsigned requests,
+			 apr_time_t now)
+{
+	if (!p->first_at)
+		p->first_at = now;
+	p->steady *= exp(-(double)(now - p->faded_at) /
+			 (STEADY_WINDOWS * (double)bound->window));
+	p->steady += requests;
+	p->faded_at = now;
+}
+
+static void earn(struct tr_repeat_purse *p, const struct tr_repeat_bound *bound,
 		 double repeats, apr_time_t now)
 {
-	double own = own_most(a, bound, now);
-	double earned = USED_SHARE * repeats;
+	p->tokens = fmin(p->tokens + USED_SHARE * repeats,
+			 saved_most(own_most(p, bound, now)));
+}
 
-	if (now - a->known_since < bound->window && own > 0)
-		earned *= 1 - saved_most(own) / own;
-	a->tokens = fmin(a->tokens + earned, saved_most(own));
+/* The part of the slack for the time that has passed. */
+static double passed_slack(struct tr_repeat_purse *p,
+			   const struct tr_repeat_bound *bound, apr_time_t now)
+{
+	double windows =
+		fmin(1, (double)(now - p->earned_at) / (double)bound->window);
+
+	p->earned_at = now;
+	return windows * own_slack(bound);
 }
 
-/* Earn the part of the slack for the time that has passed. */
-static void earn_slack(struct tr_allowance *a,
-		       const struct tr_repeat_bound *bound, apr_time_t now)
+/* Which part of what this VM earns it may save up: less what an earlier process
+ * of it may have saved up and sent in the part of the window before this one
+ * began. */
+static double earned_share(const struct tr_allowance *a,
+			   const struct tr_repeat_bound *bound, apr_time_t now)
 {
-	apr_time_t since = a->earned_at ? a->earned_at : a->known_since;
-	double windows = fmin(1, (double)(now - since) / (double)bound->window);
+	double own = own_most(&a->purse, bound, now);
 
-	a->earned_at = now;
-	earn(a, bound, windows * own_slack(bound), now);
+	if (now - a->known_since >= bound->window || own <= 0)
+		return 1;
+	return 1 - saved_most(own) / own;
 }
 
 /* A caller's request for the service has come. */
@@ -115,13 +133,8 @@
 	a->requests[a->part % TR_ALLOWANCE_SLOTS]++;
 	a->own_requests[a->part % TR_ALLOWANCE_SLOTS]++;
 	a->own.requests++;
-	if (!a->first_at)
-		a->first_at = now;
-	a->steady *= exp(-(double)(now - a->faded_at) /
-			 (STEADY_WINDOWS * (double)bound->window));
-	a->steady++;
-	a->faded_at = now;
-	earn(a, bound, bound->ratio, now);
+	add_requests(&a->purse, bound, 1, now);
+	earn(&a->purse, bound, earned_share(a, bound, now) * bound->ratio, now);
 }
 
 /* Another VM has told its totals; before is what it told last, at since.
@@ -152,6 +165,48 @@
 	}
 }
 
+/* Another VM has told its totals; before is what it told last. What it may have
+ * saved up by now. */
+void tr_purse_heard(struct tr_repeat_purse *purse,
+		    const struct tr_repeat_bound *bound,
+		    const struct tr_work_totals *before,
+		    const struct tr_work_totals *reported, apr_time_t now)
+{
+	unsigned requests = (uint16_t)(reported->requests - before->requests);
+	unsigned repeats = (uint16_t)(reported->repeats - before->repeats);
+	double earned;
+
+	if (!requests && !repeats)
+		return;
+	add_requests(purse, bound, requests, now);
+	earned = passed_slack(purse, bound, now) + bound->ratio * requests;
+	earn(purse, bound, earned - repeats / USED_SHARE, now);
+	purse->tokens = fmax(purse->tokens, 0);
+}
+
+/* How many repeats another VM may have sent in the window since it was last
+ * heard: what it had saved up. What it earned since was by requests that are
+ * not heard of either. */
+double tr_purse_untold(const struct tr_repeat_purse *purse,
+		       const struct tr_repeat_bound *bound, apr_time_t heard_at,
+		       apr_time_t now)
+{
+	return now - heard_at < bound->window ? purse->tokens : 0;
+}
+
+/* Another VM, of which this is the purse, has started anew: what its last
+ * process may have sent and not told counts as sent. */
+void tr_allowance_restarted(struct tr_allowance *a,
+			    const struct tr_repeat_bound *bound,
+			    const struct tr_repeat_purse *purse,
+			    apr_time_t heard_at, apr_time_t now)
+{
+	double untold = tr_purse_untold(purse, bound, heard_at, now);
+
+	turn(a, bound, now);
+	a->repeats[a->part % TR_ALLOWANCE_SLOTS] += (uint32_t)ceil(untold);
+}
+
 /* Requests a second that the VMs heard get for the service: over the window, or
  * lately if that are more. */
 double tr_allowance_rate(struct tr_allowance *a,
@@ -208,7 +263,7 @@
 			  const struct tr_repeat_bound *bound, apr_time_t now)
 {
 	return keeps_pace(a->spent, a->part, 1 - a->ahead,
-			  own_most(a, bound, now));
+			  own_most(&a->purse, bound, now));
 }
 
 /*
@@ -229,7 +284,7 @@
 
 	tr_allowance_sum(a, &sums);
 	return keeps_pace(
-		a->repeats, a->part, 1,
+		a->repeats, a->part, 1 + a->untold,
 		USED_SHARE * (bound->ratio * (sums.requests - oldest) + slack));
 }
 
@@ -237,15 +292,19 @@
 bool tr_allowance_spend(struct tr_allowance *a,
 			const struct tr_repeat_bound *bound, apr_time_t now)
 {
+	double slack;
 	unsigned at;
 
 	turn(a, bound, now);
-	earn_slack(a, bound, now);
-	if (a->tokens + a->ahead < 1 || !vm_keeps_pace(a, bound, now) ||
+	if (!a->purse.earned_at)
+		a->purse.earned_at = a->known_since;
+	slack = passed_slack(&a->purse, bound, now);
+	earn(&a->purse, bound, earned_share(a, bound, now) * slack, now);
+	if (a->purse.tokens + a->ahead < 1 || !vm_keeps_pace(a, bound, now) ||
 	    !fleet_keeps_pace(a, bound, now))
 		return false;
 	at = a->part % TR_ALLOWANCE_SLOTS;
-	a->tokens--;
+	a->purse.tokens--;
 	a->spent[at]++;
 	a->repeats[at]++;
 	a->own.repeats++;
--- a/lib/allowance.h
+++ b/lib/allowance.h
@@ -27,14 +27,24 @@
 	uint16_t repeats;
 };
 
+/* What a VM has saved up: the repeats that it may send now, at earned_at.
+ * steady: its requests, which fade slowly, at faded_at, since the first. */
+struct tr_repeat_purse {
+	double tokens;
+	double steady;
+	apr_time_t earned_at;
+	apr_time_t faded_at;
+	apr_time_t first_at;
+};
+
 /*
  * Requests for one service, and those that were sent to one more target, by
  * parts of the window: requests and repeats by the whole fleet as far as it is
  * heard; own_requests and spent by this VM alone. own is what this VM adds, to
- * be told to the others. tokens: repeats that it may send now, at earned_at;
- * ahead: how much of a token may be missing when it sends one. steady: this
- * VM's requests, which fade slowly, at faded_at, since the first. known_since:
- * when this VM began to count. denied and wanted_logged are for the log.
+ * be told to the others. ahead: how much of a token may be missing when it
+ * sends one. untold: what VMs that are silent may have sent since they were
+ * last heard. known_since: when this VM began to count. denied and
+ * wanted_logged are for the log.
  */
 struct tr_allowance {
 	uint32_t requests[TR_ALLOWANCE_SLOTS];
@@ -43,12 +53,9 @@
 	uint32_t spent[TR_ALLOWANCE_SLOTS];
 	apr_time_t part;
 	apr_time_t known_since;
-	apr_time_t earned_at;
-	double tokens;
+	struct tr_repeat_purse purse;
 	double ahead;
-	double steady;
-	apr_time_t faded_at;
-	apr_time_t first_at;
+	double untold;
 	struct tr_work_totals own;
 	unsigned denied;
 	unsigned wanted_logged;
@@ -71,6 +78,10 @@
 			const struct tr_work_totals *before,
 			const struct tr_work_totals *reported, apr_time_t since,
 			apr_time_t now);
+void tr_allowance_restarted(struct tr_allowance *a,
+			    const struct tr_repeat_bound *bound,
+			    const struct tr_repeat_purse *purse,
+			    apr_time_t heard_at, apr_time_t now);
 double tr_allowance_rate(struct tr_allowance *a,
 			 const struct tr_repeat_bound *bound, apr_time_t now);
 void tr_allowance_sum(const struct tr_allowance *a,
@@ -78,4 +89,12 @@
 bool tr_allowance_spend(struct tr_allowance *a,
 			const struct tr_repeat_bound *bound, apr_time_t now);
 
+void tr_purse_heard(struct tr_repeat_purse *purse,
+		    const struct tr_repeat_bound *bound,
+		    const struct tr_work_totals *before,
+		    const struct tr_work_totals *reported, apr_time_t now);
+double tr_purse_untold(const struct tr_repeat_purse *purse,
+		       const struct tr_repeat_bound *bound, apr_time_t heard_at,
+		       apr_time_t now);
+
 #endif
--- a/lib/membership.c
+++ b/lib/membership.c
@@ -415,8 +415,9 @@
 	return span < most ? span : most;
 }
 
-static bool is_heard_lately(const struct tr_membership *m,
-			    const struct tr_node *node, apr_time_t now)
+/* Is the VM not silent for much longer than usual? */
+bool tr_node_heard_lately(const struct tr_membership *m,
+			  const struct tr_node *node, apr_time_t now)
 {
 	if (!node->near)
 		return tr_node_alive(m, node, now);
@@ -440,8 +441,8 @@
 	for (unsigned i = 0; i < m->count; i++) {
 		const struct tr_node *node = &m->nodes[i];
 
-		lately += node->near && is_heard_lately(m, node, now);
-		elsewhere += !node->near && is_heard_lately(m, node, now);
+		lately += node->near && tr_node_heard_lately(m, node, now);
+		elsewhere += !node->near && tr_node_heard_lately(m, node, now);
 	}
 	return (double)lately / m->near_count * (m->near_count + elsewhere) /
 	       tr_membership_size(m);
@@ -476,7 +477,7 @@
 	for (unsigned i = 1; i < m->count; i++)
 		before += score(&m->nodes[i]) > mine && !m->nodes[i].leaving &&
 			  m->nodes[i].held[TR_HOLDS_LIST] &&
-			  is_heard_lately(m, &m->nodes[i], now);
+			  tr_node_heard_lately(m, &m->nodes[i], now);
 	return before;
 }
 
--- a/lib/membership.h
+++ b/lib/membership.h
@@ -36,10 +36,12 @@
 	uint16_t sent;
 };
 
-/* What a VM last told of the requests for one service, and when. */
+/* What a VM last told of the requests for one service, and when; purse: the
+ * repeats that it may have saved up since. */
 struct tr_work_report {
 	uint32_t service;
 	struct tr_work_totals totals;
+	struct tr_repeat_purse purse;
 	apr_time_t at;
 };
 
@@ -154,6 +156,8 @@
 apr_time_t tr_membership_period(const struct tr_membership *m, apr_time_t now);
 bool tr_node_alive(const struct tr_membership *m, const struct tr_node *node,
 		   apr_time_t now);
+bool tr_node_heard_lately(const struct tr_membership *m,
+			  const struct tr_node *node, apr_time_t now);
 bool tr_node_heard_from_start(const struct tr_node *node, apr_time_t now);
 bool tr_node_takes_callers(const struct tr_membership *m,
 			   const struct tr_node *node, apr_time_t now);
--- a/tests/allowance_load_test.cc
+++ b/tests/allowance_load_test.cc
@@ -23,6 +23,8 @@
 const apr_time_t TELL_EVERY = TR_MSEC(40);
 const apr_time_t NEWS_TAKE = TR_MSEC(100);
 const apr_time_t RESTART_TAKES = TR_MSEC(500);
+/* After so long without a message a VM counts as silent. */
+const apr_time_t SILENT_AFTER = TR_MSEC(200);
 const unsigned TRIES_MOST = 8;
 
 /* What a VM heard of another one last. */
@@ -30,6 +32,7 @@
 	unsigned life = 0;
 	bool known = false;
 	tr_work_totals totals{};
+	tr_repeat_purse purse{};
 	apr_time_t at = 0;
 };
 
@@ -115,6 +118,18 @@
 			  vm, vms[vm].life, tries });
 	}
 
+	/* What those that are silent may have sent since the VM heard them. */
+	double untold(const Vm &vm) const
+	{
+		double sum = 0;
+
+		for (const Heard &h : vm.others)
+			if (h.known && now - h.at > SILENT_AFTER)
+				sum += tr_purse_untold(&h.purse, &bound, h.at,
+						       now);
+		return sum;
+	}
+
 	void repeat()
 	{
 		std::vector<Refused> due;
@@ -134,6 +149,7 @@
 
 			if (r.tries >= TRIES_MOST || r.life != vm.life)
 				continue;
+			vm.allowance.untold = untold(vm);
 			if (!tr_allowance_spend(&vm.allowance, &bound, now))
 				continue;
 			repeats.push_back(now);
@@ -149,12 +165,18 @@
 
 		if (m.life < h.life)
 			return;
-		if (restarted)
-			h = Heard{ m.life, true, {}, now };
-		if (h.known)
+		if (restarted) {
+			tr_allowance_restarted(&vm.allowance, &bound, &h.purse,
+					       h.at, now);
+			h = Heard{ m.life, true, {}, {}, now };
+		}
+		if (h.known) {
 			tr_allowance_heard(&vm.allowance, &bound, &h.totals,
 					   &m.told, h.at, now);
-		h = Heard{ m.life, true, m.told, now };
+			tr_purse_heard(&h.purse, &bound, &h.totals, &m.told,
+				       now);
+		}
+		h = Heard{ m.life, true, m.told, h.purse, now };
 	}
 
 	void tell()
@@ -414,8 +436,32 @@
 		});
 }
 
-/* Guards against VMs that get the callers of others, and earn once more for
- * what those have already sent. */
+/* Guards against VMs that are left with the callers of most others, and earn
+ * once more what the lost ones have already sent. */
+TEST(AllowanceLoad, TheBoundHoldsAsMostVmsAreLostForSeconds)
+{
+	for (const Size &size : SIZES) {
+		for (unsigned kept : { 3U, 7U, 20U }) {
+			for (unsigned seed = 1; seed <= 3; seed++) {
+				Fleet fleet(size.vms, size.slack, seed * 7919);
+
+				fleet.play(TR_MSEC(2700), size.a_second);
+				fleet.refusing = 0.9;
+				fleet.play(TR_SEC(5), size.a_second);
+				for (unsigned i = 0; i < size.vms; i++)
+					if (i % kept)
+						fleet.restart(i, TR_SEC(6));
+				fleet.play(TR_SEC(12), size.a_second);
+				EXPECT_LE(fleet.most_used(), 1.0)
+					<< size.vms << " VMs, " << size.a_second
+					<< " requests a second, one in " << kept
+					<< " kept, seed " << seed;
+			}
+		}
+	}
+}
+
+/* Guards against the same where callers leave VMs that run on. */
 TEST(AllowanceLoad, TheBoundHoldsAsCallersCrowdOnAQuarterOfTheVms)
 {
 	for (const Size &size : SIZES) {
@@ -434,6 +480,40 @@
 	}
 }
 
+/* Guards against VMs that take for unused what others sent in the moment before
+ * they were lost, or behind a cut that they were lost in. */
+TEST(AllowanceLoad, TheBoundHoldsAsVmsAreLostThatHaveNotToldAll)
+{
+	const Size sizes[] = { { 44, 62, 300 }, SIZES[0] };
+
+	for (const Size &size : sizes) {
+		for (bool cut : { false, true }) {
+			for (unsigned seed = 1; seed <= 4; seed++) {
+				Fleet fleet(size.vms, size.slack, seed * 7919);
+
+				fleet.play(TR_SEC(9), size.a_second);
+				fleet.refusing = 0.85;
+				fleet.play(TR_SEC(1), size.a_second);
+				for (unsigned i = 0; cut && i < size.vms; i++)
+					fleet.vms[i].side = i % 6 != 0;
+				if (cut)
+					fleet.play(TR_SEC(3), size.a_second);
+				for (unsigned i = 0; i < size.vms; i++)
+					if (i % 6)
+						fleet.restart(i, TR_SEC(5));
+				fleet.play(TR_SEC(1), size.a_second);
+				for (Vm &vm : fleet.vms)
+					vm.side = 0;
+				fleet.play(TR_SEC(11), size.a_second);
+				EXPECT_LE(fleet.most_used(), 1.0)
+					<< size.vms << " VMs, "
+					<< (cut ? "cut, " : "") << "seed "
+					<< seed;
+			}
+		}
+	}
+}
+
 /* A change to the fleet or its load, at a time. */
 struct Event {
 	apr_time_t at;
