Say in comments what a first window earns; the log line's format by lines

A newcomer's reading: take_slack changes what it reads, so its name says so, and the comment on what a process earns in its first window told the reason but not the effect. No change of behaviour; the program's decisions are as before.

--- a/entry/repeat.c
+++ b/entry/repeat.c
@@ -48,18 +48,17 @@
 	struct tr_allowance_sums sums;
 
 	tr_allowance_sum(a, &sums);
-	eventlog(
-		EVENT_BELIEF, "repeats",
-		"service=%s sent=%u denied=%u window_requests=%u "
-		"window_repeats=%u own_requests=%u own_repeats=%u "
-		"tokens=%.2f untold=%.2f vms=%u heard_lately=%.2f oldest_news_ms=%ld "
-		"up_ms=%ld",
-		e->roster.services[service].name, a->own.repeats, a->denied,
-		sums.requests, sums.repeats, sums.own_requests,
-		sums.own_repeats, a->purse.tokens, a->untold,
-		e->repeat_bound.vms, tr_membership_heard_lately(m, now),
-		(long)(oldest_news(m, now) / 1000),
-		(long)((now - e->started_at) / 1000));
+	eventlog(EVENT_BELIEF, "repeats",
+		 "service=%s sent=%u denied=%u window_requests=%u "
+		 "window_repeats=%u own_requests=%u own_repeats=%u "
+		 "tokens=%.2f untold=%.2f vms=%u heard_lately=%.2f "
+		 "oldest_news_ms=%ld up_ms=%ld",
+		 e->roster.services[service].name, a->own.repeats, a->denied,
+		 sums.requests, sums.repeats, sums.own_requests,
+		 sums.own_repeats, a->purse.tokens, a->untold,
+		 e->repeat_bound.vms, tr_membership_heard_lately(m, now),
+		 (long)(oldest_news(m, now) / 1000),
+		 (long)((now - e->started_at) / 1000));
 }
 
 /* Among how many VMs the slack is divided. Until this VM has heard others it
--- a/lib/allowance.c
+++ b/lib/allowance.c
@@ -101,9 +101,10 @@
 			 saved_most(own_most(p, bound, now)));
 }
 
-/* The part of the slack for the time that has passed. */
-static double passed_slack(struct tr_repeat_purse *p,
-			   const struct tr_repeat_bound *bound, apr_time_t now)
+/* Take the part of the slack for the time that has passed since it was last
+ * taken. */
+static double take_slack(struct tr_repeat_purse *p,
+			 const struct tr_repeat_bound *bound, apr_time_t now)
 {
 	double windows =
 		fmin(1, (double)(now - p->earned_at) / (double)bound->window);
@@ -112,9 +113,8 @@
 	return windows * own_slack(bound);
 }
 
-/* Which part of what this VM earns it may save up: less what an earlier process
- * of it may have saved up and sent in the part of the window before this one
- * began. */
+/* Which part of what a request or time earns this VM gets: in its first window
+ * not what an earlier process of it may have saved up and sent. */
 static double earned_share(const struct tr_allowance *a,
 			   const struct tr_repeat_bound *bound, apr_time_t now)
 {
@@ -179,7 +179,7 @@
 	if (!requests && !repeats)
 		return;
 	add_requests(purse, bound, requests, now);
-	earned = passed_slack(purse, bound, now) + bound->ratio * requests;
+	earned = take_slack(purse, bound, now) + bound->ratio * requests;
 	earn(purse, bound, earned - repeats / USED_SHARE, now);
 	purse->tokens = fmax(purse->tokens, 0);
 }
@@ -298,7 +298,7 @@
 	turn(a, bound, now);
 	if (!a->purse.earned_at)
 		a->purse.earned_at = a->known_since;
-	slack = passed_slack(&a->purse, bound, now);
+	slack = take_slack(&a->purse, bound, now);
 	earn(&a->purse, bound, earned_share(a, bound, now) * slack, now);
 	if (a->purse.tokens + a->ahead < 1 || !vm_keeps_pace(a, bound, now) ||
 	    !fleet_keeps_pace(a, bound, now))
