--- /dev/null
+++ b/tests/cut_path_test.cc
@@ -0,0 +1,387 @@
+/*
+ * VMs that are cut off from all targets while callers, the store and the other
+ * VMs reach them, over loopback: real entry VMs, whose connections to targets
+ * can be refused or hang, see cut_calls.c.
+ */
+#include <gtest/gtest.h>
+#include <memory>
+
+#include "soak/store.h"
+#include "soak/vm.h"
+
+using namespace soak;
+
+namespace
+{
+
+constexpr unsigned VMS = 4, TARGETS = 5;
+constexpr uint16_t PORT = 9000, FULL_PORT = 9002;
+constexpr int DEADLINE_MS = 2500;
+/* From this probability of being gray on, a target counts as a suspect. */
+constexpr double SUSPECT = 0.5;
+
+enum class Path { Open, Refused, Hangs };
+
+/* A request that reached a target. */
+struct Arrival {
+	std::string id, vm;
+};
+
+/* Accepts nothing: its queue of new connections is full. */
+class FullListener
+{
+      public:
+	explicit FullListener(const Address &at)
+	{
+		sockaddr_in addr = to_sockaddr(at);
+
+		fds.push_back(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0));
+		if (bind(fds[0], (sockaddr *)&addr, sizeof(addr)) ||
+		    listen(fds[0], 0))
+			abort();
+		for (int i = 0; i < 3; i++) {
+			fds.push_back(socket(
+				AF_INET,
+				SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0));
+			connect(fds.back(), (sockaddr *)&addr, sizeof(addr));
+		}
+	}
+
+	~FullListener()
+	{
+		for (int fd : fds)
+			close(fd);
+	}
+
+      private:
+	std::vector<int> fds;
+};
+
+class CutPath : public testing::Test
+{
+      protected:
+	std::string net, dir;
+	std::unique_ptr<Store> store;
+	std::vector<std::unique_ptr<Vm>> vms;
+	std::vector<std::unique_ptr<Listener>> targets;
+	std::vector<std::unique_ptr<FullListener>> full;
+	std::mutex mutex;
+	std::vector<Arrival> arrivals;
+	std::atomic<unsigned> asked{ 0 };
+	std::atomic<unsigned> abandoned{ 0 };
+
+	void SetUp() override
+	{
+		char made[] = "/tmp/cut-path-XXXXXX";
+
+		signal(SIGPIPE, SIG_IGN);
+		ASSERT_NE(mkdtemp(made), nullptr);
+		dir = made;
+		net = "127." + std::to_string(192 + getpid() % 60) + "." +
+		      std::to_string(getpid() / 64 % 250) + ".";
+		ASSERT_EQ(setenv("CUT_PATH_DIR", made, 1), 0);
+		store = std::make_unique<Store>(Address{ net + "250", 8500 });
+		ASSERT_TRUE(store->open());
+		write_store();
+		for (unsigned i = 0; i < TARGETS; i++) {
+			targets.push_back(std::make_unique<Listener>(
+				address(i, PORT),
+				[this](int fd, const std::string &vm) {
+					serve(fd, vm);
+				}));
+			ASSERT_TRUE(targets[i]->open());
+			full.push_back(std::make_unique<FullListener>(
+				address(i, FULL_PORT)));
+		}
+		start_vms();
+	}
+
+	void TearDown() override
+	{
+		for (unsigned i = 0; HasFailure() && i < vms.size(); i++)
+			printf("%s", log_of(i).c_str());
+		vms.clear();
+		targets.clear();
+		full.clear();
+		store.reset();
+		std::string command = "rm -rf " + dir;
+		EXPECT_EQ(system(command.c_str()), 0);
+	}
+
+	void write_store()
+	{
+		store->write(
+			"op/config",
+			R"({"version":1,"routes":{"columns":["name","host",)"
+			R"("prefix","kind","timeout","targetLatency",)"
+			R"("priority","maxAttempts","service"],"rows":[["r1",)"
+			R"("h.x","/read/","safe","3s","1s",1,2,"s1"],["r2",)"
+			R"("h.x","/order/","unsafe","3s","1s",1,2,"s1"]]},)"
+			R"("services":{"columns":["name","healthPath",)"
+			R"("maxConns"],"rows":[["s1","/health",90]]},"limits":)"
+			R"({"maxHeaderBytes":4096,"maxBodyBytes":900000,)"
+			R"("headerTimeout":"3s","idleTimeout":"9s"}})");
+		for (unsigned i = 0; i < TARGETS; i++)
+			store->write(
+				"servers/i-" + std::to_string(i),
+				R"({"address":")" + address(i, PORT).text() +
+					R"(","info":{"service":"s1",)"
+					R"("version":"v","zone":"z0","slots":)"
+					R"(3},"status":{"state":"ready",)"
+					R"("coldLeft":"0ms","sequence":1}})");
+	}
+
+	Address address(unsigned target, uint16_t port)
+	{
+		return { net + std::to_string(100 + target), port };
+	}
+
+	void serve(int fd, const std::string &vm)
+	{
+		std::string rest;
+
+		for (;;) {
+			std::string request = read_message(fd, rest);
+
+			if (request.empty() || !respond(fd, vm, request))
+				return;
+		}
+	}
+
+	/* Returns false when the connection has to be closed. */
+	bool respond(int fd, const std::string &vm, const std::string &request)
+	{
+		std::string id = header(request, "X-Request-Id");
+		std::string line = request.substr(0, request.find("\r\n"));
+		std::string head =
+			"X-Request-Id: " + id + "\r\nX-Server-Stamp: s\r\n";
+
+		{
+			std::lock_guard<std::mutex> lock(mutex);
+
+			arrivals.push_back({ id, vm });
+		}
+		if (line.find("until-eof") != std::string::npos) {
+			send_all(fd, "HTTP/1.1 200 OK\r\n" + head + "\r\n" +
+					     std::string(100000, 'x'));
+			return false;
+		}
+		if (line.find("broken") != std::string::npos) {
+			send_all(fd, "HTTP/1.1 200 OK\r\n" + head + "\r\nhal");
+			set_reset_on_close(fd);
+			return false;
+		}
+		if (line.find("hold") != std::string::npos) {
+			char c;
+
+			abandoned += recv(fd, &c, 1, 0) <= 0;
+			return false;
+		}
+		usleep(line.find("slow") != std::string::npos ? 1500000 : 5000);
+		return send_all(fd, http(200, head, body_of(request)));
+	}
+
+	/* Sets the state of the path from the first VMs to all targets. */
+	void set_path(unsigned vms_cut, Path path)
+	{
+		for (unsigned i = 0; i < vms_cut; i++) {
+			std::ofstream out(dir + "/" + vms[i]->ip + ".path");
+
+			out << (path == Path::Open	? "open"
+				: path == Path::Refused ? "refused"
+							: "hangs");
+		}
+	}
+
+	/* Starts the VMs and waits until they serve. VMs with even numbers are
+	 * in one data centre. */
+	void start_vms()
+	{
+		for (unsigned i = 0; i < VMS; i++) {
+			vms.push_back(std::make_unique<Vm>(
+				ENTRY_PROGRAM, dir, net + std::to_string(1 + i),
+				"z" + std::to_string(i % 2),
+				store->address().text()));
+			vms[i]->write_settings({ net + "1", net + "4" });
+			vms[i]->start();
+		}
+		for (unsigned i = 0; i < VMS; i++)
+			ASSERT_TRUE(eventually([&] {
+				return status(i, "/read/warm") == 200 &&
+				       lookup(i).size() == VMS;
+			}));
+		/* So that each VM has idle connections to most targets. */
+		for (unsigned n = 0; n < 10 * VMS; n++)
+			status(n % VMS, "/read/warm");
+	}
+
+	bool eventually(const std::function<bool()> &what)
+	{
+		for (int i = 0; i < 1000; i++) {
+			if (what())
+				return true;
+			std::this_thread::sleep_for(
+				std::chrono::milliseconds(20));
+		}
+		return false;
+	}
+
+	std::string log_of(unsigned vm)
+	{
+		std::ifstream in(dir + "/" + vms[vm]->ip + ".log");
+
+		return { std::istreambuf_iterator<char>(in), {} };
+	}
+
+	std::string ask(const Address &at, const std::string &text)
+	{
+		int fd = dial(at, 2 * DEADLINE_MS);
+		std::string rest, answer;
+
+		if (fd < 0)
+			return "";
+		if (send_all(fd, text))
+			answer = read_message(fd, rest);
+		close(fd);
+		return answer;
+	}
+
+	std::string request_text(const std::string &path,
+				 const std::string &body)
+	{
+		return (body.empty() ? "GET " : "POST ") + path +
+		       " HTTP/1.1\r\nHost: h.x\r\nX-Request-Id: id-" +
+		       std::to_string(++asked) +
+		       "\r\nX-Deadline-Ms: " + std::to_string(DEADLINE_MS) +
+		       "\r\nContent-Length: " + std::to_string(body.size()) +
+		       "\r\n\r\n" + body;
+	}
+
+	std::string send_request(unsigned vm, const std::string &path,
+				 const std::string &body = "")
+	{
+		return ask({ vms[vm]->ip, FRONT_PORT },
+			   request_text(path, body));
+	}
+
+	int status(unsigned vm, const std::string &path,
+		   const std::string &body = "")
+	{
+		std::string answer = send_request(vm, path, body);
+
+		return answer.empty() ? 0 : std::stoi(answer.substr(9, 3));
+	}
+
+	/* The addresses that a VM names to callers of the first data centre. */
+	std::set<std::string> lookup(unsigned vm)
+	{
+		std::string answer =
+			ask({ vms[vm]->ip, DIRECTORY_PORT },
+			    "GET /v1/resolve?name=h.x&region=r&zone=none "
+			    "HTTP/1.1\r\nHost: x\r\n\r\n");
+		std::set<std::string> found;
+
+		for (const auto &each : vms)
+			if (answer.find("\"" + each->ip + ":") !=
+			    std::string::npos)
+				found.insert(each->ip);
+		return found;
+	}
+
+	/* Sends reads and writes to the VM. Returns how many weren't served. */
+	unsigned failures(unsigned vm, unsigned requests)
+	{
+		unsigned failed = 0;
+
+		for (unsigned i = 0; i < requests; i++) {
+			failed += status(vm, "/read/a") != 200;
+			failed += status(vm, "/order/a", "order") != 200;
+		}
+		return failed;
+	}
+
+	/* Waits until the VM says that it is cut off, while it gets requests.
+	 */
+	void wait_until_cut(unsigned vm)
+	{
+		ASSERT_TRUE(eventually([&] {
+			status(vm, "/read/a");
+			return log_of(vm).find("event=path cut=1") !=
+			       std::string::npos;
+		}));
+	}
+
+	/* The greatest probability of being gray, over what a VM has logged of
+	 * targets when it chose them. */
+	double greatest_risk(unsigned vm)
+	{
+		std::string log = log_of(vm);
+		double risk = 0;
+
+		for (size_t at = log.find("tried=i-"); at != std::string::npos;
+		     at = log.find("tried=i-", at + 1))
+			risk = std::max(risk,
+					std::stod(log.substr(at + 10, 4)));
+		return risk;
+	}
+};
+
+/* Guards against refusing callers where another VM reaches the targets. */
+TEST_F(CutPath, CallersOfAVmThatTargetsRefuseAreServedThroughOthers)
+{
+	set_path(1, Path::Refused);
+	EXPECT_EQ(failures(0, 20), 0u);
+}
+
+/* Guards against the same where connections hang. */
+TEST_F(CutPath, CallersOfAVmWhoseConnectionsHangAreServedThroughOthers)
+{
+	set_path(1, Path::Hangs);
+	EXPECT_EQ(failures(0, 20), 0u);
+}
+
+/* Guards against VMs that are cut off asking only each other. */
+TEST_F(CutPath, WhereMostVmsAreCutOffTheOthersServeTheirCallers)
+{
+	set_path(3, Path::Hangs);
+	for (unsigned vm = 0; vm < 3; vm++)
+		EXPECT_EQ(failures(vm, 10), 0u) << vm;
+}
+
+/* Guards against targets that count as gray because one VM can't reach them. */
+TEST_F(CutPath, OtherVmsDontTakeACutForAFaultOfTheTargets)
+{
+	for (Path path : { Path::Refused, Path::Hangs }) {
+		std::atomic<bool> stopped{ false };
+		std::thread callers([&] {
+			while (!stopped)
+				failures(0, 1);
+		});
+
+		set_path(1, path);
+		for (int i = 0; i < 8; i++) {
+			usleep(300000);
+			EXPECT_EQ(failures(1, 1), 0u);
+		}
+		stopped = true;
+		callers.join();
+	}
+	EXPECT_LT(greatest_risk(1), SUSPECT);
+}
+
+/* Guards against lookups that send callers to VMs without a path to targets. */
+TEST_F(CutPath, LookupsLeaveOutAVmWhileItIsCutOff)
+{
+	set_path(1, Path::Refused);
+	EXPECT_TRUE(eventually([&] {
+		status(0, "/read/a");
+		return !lookup(1).count(vms[0]->ip) &&
+		       !lookup(0).count(vms[0]->ip);
+	}));
+	set_path(1, Path::Open);
+	EXPECT_TRUE(eventually([&] {
+		return lookup(1).size() == VMS && lookup(0).size() == VMS;
+	}));
+}
+
+} // namespace
