dial, tunnel, path: reach targets through another VM where the own path is cut

Cause: a connection that a VM could not make was taken for a fault of the target, whoever else reached it. So the VM tried eight targets for 300 ms each and refused, or held all targets to be unreachable and refused at once; and its reports made all other VMs take sound targets for gray.

Evidence: 98 of the refusals at VMs that were cut off are all-tried after 2,380 ms, with nothing sent. At VMs of data centres that were not hit, the probability of being gray of a chosen target rose from 0.05 to 0.96 within five seconds, with the requests in flight there from 0.6 to 3.8; they refused 292 requests themselves. No VM said that it had lost its path.

Ruled out: leaving it to lookups alone, since callers keep an answer and most of a data centre may be cut off; passing whole requests on, which would count repeats, limits and attempts at two VMs (docs/design/018).

The change: if a target does not accept within 75 ms, or refuses, other VMs are asked one after the other to connect to it, and the first connection gets the request. Nothing is sent before that, so a request runs once at most; all decisions and counts stay at the VM that its caller chose. The other VM only passes bytes, in frames, so that a stream that breaks off never looks whole. A target that another VM reaches and this one does not is evidence against the path, by service: after two in a row the path counts as cut, requests begin with another VM, idle connections are closed, what hangs is hedged, and failures on own connections are no evidence against targets. Connections on which nothing is sent find the end of the cut. A VM with no path to any target is left out of lookups while half of the others have one.

--- a/entry/caller.c
+++ b/entry/caller.c
@@ -325,6 +325,18 @@
 	c->timer = loop_add_timer(c->listener->loop, 0, serve_pipelined, c);
 }
 
+/*
+ * Moves the connection of a request that is being handled to another owner,
+ * which speaks another protocol on it, and frees the caller.
+ */
+void caller_detach(struct caller *c, struct stream *to,
+		   const struct stream_callbacks *calls, void *ctx)
+{
+	c->handling = false;
+	stream_move(to, &c->stream, calls, ctx);
+	free_caller(c);
+}
+
 /* Starts to serve an accepted connection. Closes it when out of memory. */
 static void accept_caller(struct listener *listener, int fd)
 {
--- a/entry/caller.h
+++ b/entry/caller.h
@@ -76,6 +76,8 @@
 void listener_close_idle(struct listener *listener);
 void listener_close(struct listener *listener);
 void caller_reply(struct caller *caller, const struct caller_reply *reply);
+void caller_detach(struct caller *caller, struct stream *to,
+		   const struct stream_callbacks *calls, void *ctx);
 const char *status_text(int status);
 
 #endif
--- a/entry/endpoints.c
+++ b/entry/endpoints.c
@@ -10,6 +10,7 @@
 #include "entry_settings.h"
 #include "eventlog.h"
 #include "mesh.h"
+#include "path_watch.h"
 #include "spread.h"
 #include "times.h"
 
@@ -20,6 +21,11 @@
  * data centres twice.
  */
 #define MIN_OWN_CENTRE 2
+/*
+ * And only if at least this share of those that take callers there have a path
+ * to targets: the rest would not bear all callers of the data centre.
+ */
+#define MIN_OWN_CENTRE_SHARE 0.5
 
 static void reply_text(struct caller *caller, int status, const char *type,
 		       const char *text)
@@ -63,11 +69,18 @@
 	return NULL;
 }
 
+/* VMs that a lookup may list. */
+struct selection {
+	const char *centre;	/* NULL for any */
+	bool includes_cut_off;	/* also those without a path to targets */
+	unsigned cut_off_count; /* how many of these there are */
+};
+
 /*
- * Lists up to max addresses of VMs that take callers, of one data centre or of
- * any if centre is NULL. Returns how many; the caller frees each address.
+ * Lists up to max addresses of VMs that take callers. Returns how many; the
+ * caller frees each address.
  */
-static unsigned list_vms(struct entry *e, const char *centre, char **out,
+static unsigned list_vms(struct entry *e, struct selection *from, char **out,
 			 unsigned max)
 {
 	const struct tr_membership *m = &e->members;
@@ -84,7 +97,11 @@
 		char ip[INET_ADDRSTRLEN];
 
 		if (!tr_node_takes_callers(m, node, now) ||
-		    (centre && strcmp(node->data_centre, centre) != 0))
+		    (from->centre &&
+		     strcmp(node->data_centre, from->centre) != 0))
+			continue;
+		from->cut_off_count += node->cut_off;
+		if (node->cut_off && !from->includes_cut_off)
 			continue;
 		inet_ntop(AF_INET, &node->ip, ip, sizeof(ip));
 		out[n++] = g_strdup_printf("%s%s", ip, port);
@@ -98,6 +115,25 @@
 		g_free(out[i]);
 }
 
+/*
+ * Lists VMs for callers of a data centre. VMs that are cut off serve callers
+ * through others, so they are listed only if there is no other.
+ */
+static unsigned list_vms_for(struct entry *e, const char *centre, char **out)
+{
+	struct selection own = { .centre = centre };
+	struct selection any = { 0 };
+	struct selection all = { .includes_cut_off = true };
+	unsigned n = list_vms(e, &own, out, MAX_ADDRESSES);
+
+	if (n >= MIN_OWN_CENTRE &&
+	    n >= MIN_OWN_CENTRE_SHARE * (n + own.cut_off_count))
+		return n;
+	free_addresses(out, n);
+	n = list_vms(e, &any, out, MAX_ADDRESSES);
+	return n ? n : list_vms(e, &all, out, MAX_ADDRESSES);
+}
+
 static void lookup(void *ctx, struct caller *caller)
 {
 	struct entry *e = ctx;
@@ -112,11 +148,7 @@
 	}
 	e->counts.lookups++;
 	centre = query_value(caller, e->dialect->lookup_data_centre_param);
-	n = list_vms(e, centre, out, MAX_ADDRESSES);
-	if (n < MIN_OWN_CENTRE) {
-		free_addresses(out, n);
-		n = list_vms(e, NULL, out, MAX_ADDRESSES);
-	}
+	n = list_vms_for(e, centre, out);
 	/* A VM that knows of no other lists itself rather than nothing. */
 	if (!n)
 		out[n++] = g_strdup(e->settings->front);
@@ -183,6 +215,12 @@
 		{ "targets_saying_leaving", e->roster.says_leaving_count },
 		{ "targets_limited", e->roster.limits.active_count },
 		{ "notices_refused_total", c->notices_refused },
+		{ "paths_cut", path_count_cut(e) },
+		{ "unreached_total", c->unreached },
+		{ "via_peer_total", c->via_peer },
+		{ "detours_total", c->detours },
+		{ "tunnels", e->tunnels_count },
+		{ "tunnels_total", c->tunnels },
 		{ "proof_age_ms", mesh_proof_age(e) },
 		{ "log_lines_left_out_total", eventlog_dropped(EVENT_REQUEST) },
 	};
--- a/entry/entry.h
+++ b/entry/entry.h
@@ -8,6 +8,7 @@
 #include "allowance.h"
 #include "caller.h"
 #include "clock.h"
+#include "dial.h"
 #include "dialect.h"
 #include "fatal.h"
 #include "fetch.h"
@@ -24,7 +25,9 @@
 struct entry_settings;
 struct exchange;
 struct mesh;
+struct path_check;
 struct reader;
+struct tunnel;
 
 /* Counters of the metrics endpoint. */
 struct entry_counts {
@@ -52,6 +55,10 @@
 	uint64_t over_limit;
 	uint64_t fatal;
 	uint64_t notices_refused;
+	uint64_t unreached; /* attempts that no connection was made for */
+	uint64_t via_peer;  /* requests sent through another VM */
+	uint64_t detours;   /* targets that only another VM could reach */
+	uint64_t tunnels;   /* connections made for other VMs */
 };
 
 /*
@@ -60,7 +67,8 @@
  * the members; upstream.c the work and the evidence of the roster's rows;
  * repeat.c the allowances; exchange_identify.c the limits; exchange_fatal.c and
  * mesh_fatal.c the requests under which targets end; kept.c the idle
- * connections.
+ * connections; path_watch.c and upstream.c the paths; dial.c the memory of
+ * relays; tunnel.c the tunnels.
  */
 struct entry {
 	struct loop *loop;
@@ -78,6 +86,10 @@
 	struct tr_proof proof;
 	struct tr_fatals fatals;
 	struct idle_conns idle_conns;
+	struct tr_relay_memory relay_memory;
+	struct path_check *path_checks;
+	struct tunnel *tunnels; /* connections to targets for other VMs */
+	unsigned tunnels_count;
 	uint64_t refused_revision; /* of the last invalid configuration */
 	double split_position;	   /* quasi-random draw of the traffic split */
 	bool leaving;		   /* since the stop signal */
--- a/entry/exchange.c
+++ b/entry/exchange.c
@@ -129,8 +129,9 @@
 		.queued = p->wait > 0,
 		.use_pool = x->use_pool,
 		.known_exits = tr_fatal_count_ends(&e->fatals, x->identity),
+		/* Before other VMs send one for the floor as well. */
+		.announces = p->for_floor,
 	};
-	int res;
 
 	if (row->cold_until > entry_now(e))
 		request.expected += exchange_typical_latency(x);
@@ -139,12 +140,8 @@
 	x->tried[x->tried_count++] = p->row;
 	x->for_floor += p->for_floor;
 	x->runs++;
-	res = upstream_start(free_upstream(x), e, p->row, &request,
-			     upstream_done, x);
-	/* Tell the other VMs before they send one for the floor as well. */
-	if (p->for_floor)
-		mesh_broadcast_now(e->mesh);
-	return res;
+	return upstream_start(free_upstream(x), e, p->row, &request,
+			      upstream_done, x);
 }
 
 static const char *const place_result_names[] = { "found",     "no-target",
@@ -209,22 +206,23 @@
 
 /*
  * Hedges a late attempt: sends the request to a second target if that is less
- * likely to be gray.
+ * likely to be gray, or if the answer can't come before the path is whole.
  */
 static void hedge(struct exchange *x, const struct upstream *u)
 {
 	const struct tr_roster *roster = &x->e->roster;
 	double risk = tr_gray_probability(&roster->rows[u->row].gray,
 					  entry_now(x->e));
+	bool cut = upstream_is_on_cut_path(u);
 	struct tr_placement p;
 
 	if (!tr_mechanism_enabled(TR_MECH_HEDGING))
 		return;
 	if (x->route->kind != TR_KIND_SAFE || x->runs >= x->route->attempts ||
-	    !free_upstream(x) || risk < HEDGE_RISK)
+	    !free_upstream(x) || (risk < HEDGE_RISK && !cut))
 		return;
-	if (choose_target(x, &p) != TR_PLACE_FOUND || p.risk >= risk ||
-	    !may_repeat(x))
+	if (choose_target(x, &p) != TR_PLACE_FOUND ||
+	    (p.risk >= risk && !cut) || !may_repeat(x))
 		return;
 	x->e->counts.repeats++;
 	if (send_to(x, &p))
@@ -389,6 +387,25 @@
 	}
 }
 
+/*
+ * Hedges the requests for a service that were sent on connections of this VM
+ * before its path was cut.
+ */
+void exchange_hedge_all(struct entry *e, uint32_t service)
+{
+	for (struct exchange *x = e->exchanges; x; x = x->next)
+		for (int i = 0; i < MAX_UPSTREAMS && !x->done; i++) {
+			const struct upstream *u = &x->upstreams[i];
+
+			if (x->service == service && u->active &&
+			    u->connected && upstream_is_on_cut_path(u)) {
+				hedge(x, u);
+				set_timer(x);
+				break;
+			}
+		}
+}
+
 /*
  * Replies to all unfinished requests because the process is about to exit. A
  * connection that is closed without a reply does not tell the caller whether
--- a/entry/kept.c
+++ b/entry/kept.c
@@ -196,3 +196,15 @@
 	while (e->idle_conns.first)
 		remove_stream(e->idle_conns.first);
 }
+
+/* Closes the connections to the targets of one service. */
+void conn_pool_clear_service(struct entry *e, uint32_t service)
+{
+	struct pooled_stream *next;
+
+	for (struct pooled_stream *k = e->idle_conns.first; k; k = next) {
+		next = k->next;
+		if (e->roster.rows[k->row].service == service)
+			remove_stream(k);
+	}
+}
--- a/entry/kept.h
+++ b/entry/kept.h
@@ -23,5 +23,6 @@
 void conn_pool_report_dead(struct entry *e, apr_time_t idle);
 void conn_pool_expire(struct entry *e);
 void conn_pool_clear(struct entry *e);
+void conn_pool_clear_service(struct entry *e, uint32_t service);
 
 #endif
--- a/entry/mesh_groups.c
+++ b/entry/mesh_groups.c
@@ -38,7 +38,8 @@
 
 		if (!node->near || !tr_node_alive(m, node, now))
 			continue;
-		if (tr_node_takes_callers(m, node, now) && !node->cannot_read) {
+		if (tr_node_takes_callers(m, node, now) && !node->cannot_read &&
+		    !node->cut_off) {
 			if (msg->members.members_len < MESH_MAX_MEMBERS)
 				members[msg->members.members_len++] = node->ip;
 		} else if (msg->not_ready.not_ready_len < MESH_MAX_MEMBERS) {
@@ -49,7 +50,9 @@
 								: 0) |
 						 (node->cannot_read
 							  ? MESH_CANNOT_READ
-							  : 0),
+							  : 0) |
+						 (node->cut_off ? MESH_CUT_OFF
+								: 0),
 				};
 		}
 	}
@@ -227,6 +230,7 @@
 		.ready = ready,
 		.leaving = flags & MESH_LEAVING,
 		.cannot_read = flags & MESH_CANNOT_READ,
+		.cut_off = flags & MESH_CUT_OFF,
 	};
 
 	tr_membership_receive_indirect(&mesh->e->members, &status, now);
--- a/entry/mesh_internal.h
+++ b/entry/mesh_internal.h
@@ -13,6 +13,7 @@
 #define MESH_CANNOT_READ 4U
 #define MESH_LIST_UPDATE 8U
 #define MESH_REPLY	 16U /* to the first message of a VM */
+#define MESH_CUT_OFF	 32U
 /* Fits into one datagram without fragmentation on an ordinary link. */
 #define DATAGRAM_MAX	  1400
 #define HEADER_BYTES	  268
--- a/entry/mesh_receive.c
+++ b/entry/mesh_receive.c
@@ -37,6 +37,7 @@
 		.ready = msg->flags & MESH_READY,
 		.leaving = msg->flags & MESH_LEAVING,
 		.cannot_read = msg->flags & MESH_CANNOT_READ,
+		.cut_off = msg->flags & MESH_CUT_OFF,
 		.held = { msg->config_revision, msg->as_of > 0 },
 		.fleet_size = msg->fleet_size,
 		.proof_age = msg->proof_age_ms == UINT32_MAX
--- a/entry/pull.c
+++ b/entry/pull.c
@@ -15,6 +15,7 @@
 #include "eventlog.h"
 #include "hash.h"
 #include "pack.h"
+#include "tunnel.h"
 
 #define ROUTES_PATH  "/peer/routes"
 #define TARGETS_PATH "/peer/targets"
@@ -353,11 +354,22 @@
 		send_routes(pull, caller);
 	else if (!strcmp(path, TARGETS_PATH))
 		send_targets(pull, caller);
+	else if (g_str_has_prefix(path, TUNNEL_PATH))
+		tunnel_request(pull->e, caller);
 	else
 		caller_reply(caller, &answer);
 }
 
-static const struct listener_callbacks calls = { .handle = handle };
+static void disconnected(void *ctx, struct caller *caller)
+{
+	(void)ctx;
+	tunnel_caller_gone(caller);
+}
+
+static const struct listener_callbacks calls = {
+	.handle = handle,
+	.disconnected = disconnected,
+};
 
 /* Serves peers on the address. Returns 0, or -1 with errno set. */
 int pull_open(struct pull *pull, struct entry *e, const char *address,
--- a/entry/stream.c
+++ b/entry/stream.c
@@ -69,7 +69,8 @@
 
 static void watch(struct stream *s)
 {
-	int events = LOOP_READ | (s->wants_write ? LOOP_WRITE : 0);
+	int events =
+		(s->paused ? 0 : LOOP_READ) | (s->wants_write ? LOOP_WRITE : 0);
 
 	loop_watch(s->loop, s->fd, events, on_ready, s);
 }
@@ -253,11 +254,27 @@
 	return s->fd < 0 || s->out_offset == s->out->len;
 }
 
+/* Returns how many bytes are in the output buffer. */
+size_t stream_pending(const struct stream *s)
+{
+	return s->fd < 0 ? 0 : s->out->len - s->out_offset;
+}
+
+/* Stops reading, until stream_resume(). */
+void stream_pause(struct stream *s)
+{
+	s->paused = true;
+	if (s->fd >= 0)
+		watch(s);
+}
+
 /*
- * Resumes reading, after the owner had told the loop not to watch the socket.
+ * Resumes reading, also after the owner had told the loop not to watch the
+ * socket.
  */
 void stream_resume(struct stream *s)
 {
+	s->paused = false;
 	if (s->fd >= 0)
 		watch(s);
 }
--- a/entry/stream.h
+++ b/entry/stream.h
@@ -32,6 +32,7 @@
 	bool connecting;
 	bool refused;	   /* nothing listened at the peer */
 	bool wants_write;  /* the loop watches for writability */
+	bool paused;	   /* nothing is read */
 	GByteArray *out;   /* output buffer */
 	size_t out_offset; /* bytes of out that were sent */
 	uint64_t sent;	   /* bytes, since it was opened */
@@ -44,6 +45,8 @@
 		 const struct stream_callbacks *calls, void *ctx);
 void stream_write(struct stream *s, const void *data, size_t len);
 bool stream_is_drained(const struct stream *s);
+size_t stream_pending(const struct stream *s);
+void stream_pause(struct stream *s);
 void stream_resume(struct stream *s);
 void stream_move(struct stream *to, struct stream *from,
 		 const struct stream_callbacks *calls, void *ctx);
--- a/entry/toucanreel_entry.c
+++ b/entry/toucanreel_entry.c
@@ -22,9 +22,11 @@
 #include "exchange.h"
 #include "idle.h"
 #include "mesh.h"
+#include "path_watch.h"
 #include "platform.h"
 #include "reader.h"
 #include "repeat.h"
+#include "tunnel.h"
 #include "version.h"
 
 #define EXIT_USAGE 2
@@ -79,7 +81,7 @@
 		exchange_reply_all(e);
 	if (elapsed > STOP_END_SHARE ||
 	    (elapsed > STOP_REFUSE_SHARE && !e->exchanges_count &&
-	     !e->front.count))
+	     !e->front.count && !e->tunnels_count))
 		loop_stop(e->loop);
 }
 
@@ -192,6 +194,7 @@
 	idle_step(e, now);
 	repeat_step(e, now);
 	conn_pool_expire(e);
+	path_step(e, now);
 	reader_step(e->reader);
 	mesh_step(e->mesh);
 	update_readiness(e);
@@ -299,6 +302,8 @@
 
 	listener_close(&e->front);
 	exchange_free_all(e);
+	path_release(e);
+	tunnel_free_all(e);
 	conn_pool_clear(e);
 	listener_close(&e->directory);
 	listener_close(&e->readiness);
--- a/entry/upstream.c
+++ b/entry/upstream.c
@@ -8,6 +8,7 @@
 #include "mechanism.h"
 #include "mesh.h"
 #include "notices.h"
+#include "path_watch.h"
 #include "repeat.h"
 
 #define MAX_RESPONSE_HEAD 32768
@@ -83,6 +84,27 @@
 		mesh_schedule_report(u->e->mesh);
 }
 
+/*
+ * Returns whether the attempt uses a connection of this VM itself although its
+ * path is cut. Its failure tells nothing of the target.
+ */
+bool upstream_is_on_cut_path(const struct upstream *u)
+{
+	return u->path_failed || (!u->via_peer && path_is_cut(u->e, u->row));
+}
+
+/*
+ * Records a symptom that may be due to this VM's path, unless it is known to
+ * be. What one VM that is cut off reports would make all VMs avoid sound
+ * targets.
+ */
+static void report_failure(struct upstream *u, struct tr_instance *row,
+			   enum tr_symptom symptom)
+{
+	if (!upstream_is_on_cut_path(u))
+		report_symptom(u, row, symptom);
+}
+
 static void report_answered(struct upstream *u, struct tr_instance *row)
 {
 	struct tr_roster *roster = &u->e->roster;
@@ -130,9 +152,11 @@
 		break;
 	case UPSTREAM_UNREACHED:
 		row->unreachable_until = entry_now(u->e) + UNREACHABLE_FOR;
-		report_symptom(
-			u, row,
-			tr_gray_connect_failure_symptom(u->stream.refused));
+		u->e->counts.unreached++;
+		if (dial_failure_is_confirmed(&u->dial))
+			report_failure(u, row,
+				       tr_gray_connect_failure_symptom(
+					       u->dial.refused));
 		break;
 	case UPSTREAM_FAILED:
 	case UPSTREAM_BROKEN:
@@ -142,9 +166,11 @@
 			row->unreachable_until =
 				entry_now(u->e) + UNREACHABLE_FOR;
 		/* An overdue attempt has been reported already. */
-		if (u->stage != TR_STAGE_OVERDUE)
+		if (how == UPSTREAM_FAILED && u->stage != TR_STAGE_OVERDUE)
 			report_symptom(u, row, TR_SYMPTOM_FAILED);
-		else
+		else if (u->stage != TR_STAGE_OVERDUE)
+			report_failure(u, row, TR_SYMPTOM_FAILED);
+		else if (!upstream_is_on_cut_path(u))
 			tr_roster_end_hang(row, entry_now(u->e));
 		break;
 	case UPSTREAM_ABANDONED:
@@ -160,6 +186,7 @@
 	if (!u->active)
 		return;
 	u->active = false;
+	dial_cancel(&u->dial);
 	stream_close(&u->stream);
 	loop_cancel_timer(u->e->loop, u->probe_timer);
 	u->probe_timer = NULL;
@@ -184,8 +211,9 @@
 	const char *text = message_header(&u->response, "Keep-Alive");
 	const char *timeout = text ? strstr(text, "timeout=") : NULL;
 
-	if (!u->use_pool || !u->response.complete || !u->response.keep_alive ||
-	    !u->response.framed || !stream_is_drained(&u->stream))
+	if (!u->use_pool || u->via_peer || !u->response.complete ||
+	    !u->response.keep_alive || !u->response.framed ||
+	    !stream_is_drained(&u->stream))
 		return 0;
 	if (!timeout)
 		return DEFAULT_KEEP_ALIVE;
@@ -255,6 +283,8 @@
 {
 	struct upstream *u = ctx;
 
+	if (!u->via_peer)
+		path_heard(u->e, u->row);
 	while (len) {
 		ssize_t used = message_feed(&u->response, data, len);
 
@@ -282,6 +312,9 @@
 {
 	u->connected = true;
 	u->sent_at = entry_now(u->e);
+	u->e->counts.via_peer += u->via_peer;
+	if (u->announces)
+		mesh_broadcast_now(u->e->mesh);
 	stream_write(&u->stream, u->head->str, u->head->len);
 	if (u->body->len)
 		stream_write(&u->stream, u->body->data, u->body->len);
@@ -307,9 +340,9 @@
 }
 
 static int connect_to(struct upstream *u,
-		      const struct stream_callbacks *callbacks);
+		      const struct dial_callbacks *callbacks);
 
-static const struct stream_callbacks callbacks;
+static const struct dial_callbacks dial_callbacks;
 
 static double heard_share(const struct entry *e)
 {
@@ -349,17 +382,20 @@
 	       repeat_admit(e, row->service);
 }
 
-static void probe_connected(void *ctx)
+static void probe_connected(void *ctx, struct stream *s, bool via_peer)
 {
-	finish(ctx, UPSTREAM_BROKEN);
+	struct upstream *u = ctx;
+
+	stream_close(s);
+	u->path_failed = via_peer && !u->via_peer;
+	finish(u, UPSTREAM_BROKEN);
 }
 
-static void probe_ended(void *ctx, enum stream_end why)
+static void probe_failed(void *ctx)
 {
 	struct upstream *u = ctx;
 
-	(void)why;
-	u->target_exited = u->stream.refused;
+	u->target_exited = u->dial.refused;
 	finish(u, UPSTREAM_BROKEN);
 }
 
@@ -371,9 +407,9 @@
 	finish(u, UPSTREAM_BROKEN);
 }
 
-static const struct stream_callbacks probe_callbacks = {
+static const struct dial_callbacks probe_callbacks = {
 	.connected = probe_connected,
-	.ended = probe_ended,
+	.failed = probe_failed,
 };
 
 /*
@@ -390,7 +426,7 @@
 		return;
 	}
 	if (connect_to(u, &probe_callbacks)) {
-		u->target_exited = u->stream.refused;
+		u->target_exited = u->dial.refused;
 		finish(u, UPSTREAM_BROKEN);
 		return;
 	}
@@ -418,8 +454,8 @@
 		return;
 	}
 	count_sent(u, row_of(u));
-	if (connect_to(u, &callbacks)) {
-		u->target_exited = u->stream.refused;
+	if (connect_to(u, &dial_callbacks)) {
+		u->target_exited = u->dial.refused;
 		finish(u, connect_failed_end(u));
 	}
 }
@@ -428,11 +464,6 @@
 {
 	struct upstream *u = ctx;
 
-	if (!u->connected) {
-		u->target_exited = u->reconnected && u->stream.refused;
-		finish(u, connect_failed_end(u));
-		return;
-	}
 	if (u->pool_idle_time && !u->response.begun) {
 		reconnect(u);
 		return;
@@ -445,33 +476,81 @@
 		probe_target(u);
 }
 
-static void connected(void *ctx)
+/* Unpacks what the target sent from the frames of the other VM. */
+static void received_via_peer(void *ctx, const char *data, size_t len)
+{
+	struct upstream *u = ctx;
+	unsigned attempt = u->attempt;
+	const char *payload;
+	size_t payload_len;
+
+	while ((payload = frame_next(&u->frames, &data, &len, &payload_len))) {
+		received(u, payload, payload_len);
+		/* It may have ended, and another one begun. */
+		if (!u->active || u->attempt != attempt || u->stream.fd < 0)
+			return;
+	}
+	if (u->frames.ended) {
+		stream_close(&u->stream);
+		ended(u, STREAM_CLOSED);
+	}
+}
+
+/* The other VM ends the stream by a frame; anything else is a failure. */
+static void ended_via_peer(void *ctx, enum stream_end why)
 {
-	send_request(ctx);
+	(void)why;
+	ended(ctx, STREAM_RESET);
 }
 
 static const struct stream_callbacks callbacks = {
-	.connected = connected,
 	.received = received,
 	.ended = ended,
 };
 
-static int connect_to(struct upstream *u, const struct stream_callbacks *with)
+static const struct stream_callbacks peer_callbacks = {
+	.received = received_via_peer,
+	.ended = ended_via_peer,
+};
+
+static void connected(void *ctx, struct stream *s, bool via_peer)
+{
+	struct upstream *u = ctx;
+
+	u->via_peer = via_peer;
+	memset(&u->frames, 0, sizeof(u->frames));
+	stream_move(&u->stream, s, via_peer ? &peer_callbacks : &callbacks, u);
+	send_request(u);
+}
+
+static void connect_failed(void *ctx)
 {
-	const struct tr_instance *row = &u->e->roster.rows[u->row];
-	struct sockaddr_in to;
+	struct upstream *u = ctx;
+
+	u->target_exited = u->reconnected && u->dial.refused;
+	finish(u, connect_failed_end(u));
+}
+
+static const struct dial_callbacks dial_callbacks = {
+	.connected = connected,
+	.failed = connect_failed,
+};
 
-	if (stream_parse_address(row->address, &to))
-		return -1;
-	return stream_connect(&u->stream, u->e->loop, &to, u->e->settings->ip,
-			      with, u);
+static int connect_to(struct upstream *u, const struct dial_callbacks *with)
+{
+	return dial_start(&u->dial, u->e, u->row, with, u);
 }
 
-/* Sends the request on an idle connection, if there is one. */
+/*
+ * Sends the request on an idle connection, if there is one. While the path is
+ * in doubt a new connection is made instead, since an idle one can't tell that
+ * it is dead.
+ */
 static bool reuse_connection(struct upstream *u)
 {
-	if (!u->use_pool || !conn_pool_get(u->e, u->row, u->hash, &u->stream,
-					   &callbacks, u, &u->pool_idle_time))
+	if (!u->use_pool || path_is_doubtful(u->e, u->row) ||
+	    !conn_pool_get(u->e, u->row, u->hash, &u->stream, &callbacks, u,
+			   &u->pool_idle_time))
 		return false;
 	u->e->counts.reused++;
 	send_request(u);
@@ -503,6 +582,12 @@
 	u->target_exited = false;
 	u->notice_read = false;
 	u->known_exits = request->known_exits;
+	u->announces = request->announces;
+	u->attempt++;
+	u->via_peer = false;
+	u->path_failed = false;
+	u->stream.fd = -1;
+	memset(&u->dial, 0, sizeof(u->dial));
 	u->request_id = request->request_id;
 	u->head = request->head;
 	u->body = request->body;
@@ -517,12 +602,21 @@
 	tr_roster_mark_dirty(&u->e->roster, row);
 	mesh_schedule_report(e->mesh);
 	u->active = true;
-	if (reuse_connection(u) || !connect_to(u, &callbacks))
+	if (reuse_connection(u) || !connect_to(u, &dial_callbacks))
 		return 0;
 	upstream_stop(u, UPSTREAM_UNREACHED);
 	return -1;
 }
 
+/* Reports that the attempt has reached a later stage. */
+static void note_stage(struct upstream *u, struct tr_instance *row)
+{
+	if (u->stage == TR_STAGE_LATE && !u->via_peer)
+		path_late(u->e, u->row, u->sent_at);
+	if (row)
+		report_failure(u, row, tr_gray_stage_symptom(u->stage));
+}
+
 /*
  * Checks the age of a running attempt and reports what it tells of the target.
  * Returns when to check again. Ends an attempt that could not connect in time.
@@ -550,8 +644,7 @@
 		if (now < at)
 			return at;
 		u->stage = next;
-		if (row)
-			report_symptom(u, row, tr_gray_stage_symptom(next));
+		note_stage(u, row);
 	}
 	return APR_INT64_MAX;
 }
--- a/entry/upstream.h
+++ b/entry/upstream.h
@@ -3,6 +3,7 @@
 
 /* Attempts to have a request answered by a target. */
 #include "entry.h"
+#include "frame.h"
 
 /* How one attempt at a target ended. */
 enum upstream_end {
@@ -30,7 +31,10 @@
 	bool notice_read; /* the target's report about itself was processed */
 	uint32_t row;	  /* index in the roster */
 	uint32_t hash;	  /* distinguishes later targets in the same row */
+	struct dial dial;
 	struct stream stream;
+	bool via_peer;		    /* the stream goes through another VM */
+	struct frame_reader frames; /* of the other VM */
 	struct message response;
 	apr_time_t started_at;
 	apr_time_t sent_at;
@@ -50,6 +54,10 @@
 	 * it was sent.
 	 */
 	unsigned known_exits;
+	/* Distinguishes the attempts that use this structure in turn. */
+	unsigned attempt;
+	bool announces;	  /* the other VMs are told at once when it is sent */
+	bool path_failed; /* the connection broke by a fault of the path */
 	const char *request_id;
 	upstream_done_fn done;
 	void *ctx;
@@ -74,6 +82,8 @@
 	/* Standard deviation of the logarithm of the latency. */
 	double spread;
 	unsigned known_exits;
+	/* Tell the other VMs at once when it is sent. */
+	bool announces;
 };
 
 int upstream_start(struct upstream *u, struct entry *e, uint32_t row,
@@ -81,6 +91,7 @@
 		   upstream_done_fn done, void *ctx);
 apr_time_t upstream_check_age(struct upstream *u, apr_time_t now);
 void upstream_stop(struct upstream *u, enum upstream_end how);
+bool upstream_is_on_cut_path(const struct upstream *u);
 bool upstream_may_have_run(const struct upstream *u);
 void upstream_release(struct upstream *u);
 const char *upstream_end_name(enum upstream_end how);
--- a/lib/membership.c
+++ b/lib/membership.c
@@ -140,6 +140,15 @@
 	return &m->nodes[m->count - 1];
 }
 
+/* Returns whether the VM with that address has ever been heard from. */
+bool tr_membership_has_heard(const struct tr_membership *m, uint32_t ip)
+{
+	uint32_t at;
+	uint32_t i = tr_index_first(&m->by_ip, ip, &at);
+
+	return i != TR_NO_ROW && m->nodes[i].heard_at;
+}
+
 static void set_data_centre(struct tr_membership *m, struct tr_node *node,
 			    const char *data_centre)
 {
@@ -215,6 +224,7 @@
 	node->ready = status->ready;
 	node->leaving = status->leaving;
 	node->cannot_read = status->cannot_read;
+	node->cut_off = status->cut_off;
 	memcpy(node->held, status->held, sizeof(node->held));
 	if (!*restarted && node->heard_at)
 		node->gap += (now - node->heard_at - node->gap) / GAP_WEIGHT;
@@ -241,6 +251,7 @@
 	node->ready = status->ready;
 	node->leaving = status->leaving;
 	node->cannot_read = status->cannot_read;
+	node->cut_off = status->cut_off;
 	node->heard_at = now;
 }
 
--- a/lib/membership.h
+++ b/lib/membership.h
@@ -78,6 +78,7 @@
 	bool ready;
 	bool leaving;
 	bool cannot_read; /* its last read of the store failed */
+	bool cut_off;	  /* it can't connect to targets */
 	/* Revision of the routes in force; 1 if it has a list of targets. */
 	uint64_t held[TR_RESOURCES];
 	apr_time_t proven_at; /* its configuration was current then */
@@ -106,6 +107,7 @@
 	bool ready;
 	bool leaving;
 	bool cannot_read;
+	bool cut_off;
 	uint64_t held[TR_RESOURCES];
 	unsigned fleet_size;
 	apr_time_t proof_age; /* below 0: no proof */
@@ -163,6 +165,7 @@
 		   apr_time_t now);
 bool tr_node_heard_recently(const struct tr_membership *m,
 			    const struct tr_node *node, apr_time_t now);
+bool tr_membership_has_heard(const struct tr_membership *m, uint32_t ip);
 bool tr_node_heard_from_start(const struct tr_node *node, apr_time_t now);
 bool tr_node_takes_callers(const struct tr_membership *m,
 			   const struct tr_node *node, apr_time_t now);
--- a/lib/place.c
+++ b/lib/place.c
@@ -58,6 +58,11 @@
 #define CROSS_DC_COST	    0.1
 #define CROSS_DC_BODY_BYTES 300000.0
 #define CROSS_DC_COST_MAX   0.3
+/*
+ * Cost of a target that this VM reached only through another VM: a connection
+ * more and some milliseconds.
+ */
+#define DETOUR_COST 0.1
 /*
  * Scale of the Gumbel noise that is added to costs, which makes the choice a
  * softmax. What other VMs sent in the last tenth of a second is not known yet;
@@ -177,7 +182,8 @@
 	return p->risk * loss + late_cost(req, takes) +
 	       FAILURE_COST *
 		       probability_over(takes, req->time_left, req->spread) +
-	       share * BUSY_COST + cross_dc_cost(row, req) -
+	       share * BUSY_COST + cross_dc_cost(row, req) +
+	       (row->detour_until > now ? DETOUR_COST : 0) -
 	       reuse_gain(row, req);
 }
 
--- a/lib/roster.h
+++ b/lib/roster.h
@@ -68,6 +68,8 @@
 	struct tr_gray gray;
 	apr_time_t full_until;
 	apr_time_t unreachable_until;
+	/* Until when this VM prefers targets that it reaches by itself. */
+	apr_time_t detour_until;
 	/* It announced in an answer that it is leaving. Unlike leaving, which
 	 * the platform reports, this holds until it ends. */
 	bool says_leaving;
--- a/lib/service_stats.h
+++ b/lib/service_stats.h
@@ -6,6 +6,7 @@
 #include <stdbool.h>
 
 #include "gray.h"
+#include "path.h"
 #include "worktime.h"
 
 /* Longest name of a service, target or data centre, in bytes. */
@@ -28,6 +29,8 @@
 	apr_time_t queue_checked_at;
 	apr_time_t over_aim_for;
 	bool standing_queue;
+	/* This VM's path to the targets. */
+	struct tr_path path;
 };
 
 void tr_service_stats_init(struct tr_service_stats *s, const char *name);
--- a/tests/cut_path_test.cc
+++ b/tests/cut_path_test.cc
@@ -300,12 +300,19 @@
 		return failed;
 	}
 
+	size_t arrivals_count()
+	{
+		std::lock_guard<std::mutex> lock(mutex);
+
+		return arrivals.size();
+	}
+
 	/* Waits until the VM says that it is cut off, while it gets requests.
 	 */
 	void wait_until_cut(unsigned vm)
 	{
 		ASSERT_TRUE(eventually([&] {
-			status(vm, "/read/a");
+			status(vm, "/order/a", "order");
 			return log_of(vm).find("event=path cut=1") !=
 			       std::string::npos;
 		}));
@@ -374,7 +381,7 @@
 {
 	set_path(1, Path::Refused);
 	EXPECT_TRUE(eventually([&] {
-		status(0, "/read/a");
+		status(0, "/order/a", "order");
 		return !lookup(1).count(vms[0]->ip) &&
 		       !lookup(0).count(vms[0]->ip);
 	}));
@@ -384,4 +391,108 @@
 	}));
 }
 
+/* Guards against a VM that stays on detours after the cut. */
+TEST_F(CutPath, AVmConnectsByItselfAgainAfterTheCut)
+{
+	set_path(1, Path::Hangs);
+	wait_until_cut(0);
+	set_path(1, Path::Open);
+	EXPECT_TRUE(eventually([&] {
+		status(0, "/order/a", "order");
+		std::lock_guard<std::mutex> lock(mutex);
+
+		return arrivals.back().vm == vms[0]->ip;
+	}));
+}
+
+/* Guards against orders that run at two targets, or at one for two VMs. */
+TEST_F(CutPath, OrdersRunOnceAtMost)
+{
+	std::map<std::string, unsigned> runs;
+
+	for (Path path : { Path::Refused, Path::Open, Path::Hangs }) {
+		set_path(1, path);
+		for (int i = 0; i < 20; i++)
+			status(0, "/order/a", "order");
+	}
+	std::lock_guard<std::mutex> lock(mutex);
+	for (const Arrival &a : arrivals)
+		runs[a.id]++;
+	for (const auto &[id, count] : runs)
+		EXPECT_EQ(count, 1u) << id;
+}
+
+/* Guards against an answer without a length that loses its end on the way. */
+TEST_F(CutPath, AnAnswerThatEndsWithItsConnectionIsWhole)
+{
+	set_path(1, Path::Refused);
+	wait_until_cut(0);
+	std::string answer = send_request(0, "/read/until-eof");
+
+	EXPECT_EQ(answer.substr(9, 3), "200");
+	EXPECT_EQ(body_of(answer), std::string(100000, 'x'));
+}
+
+/* Guards against an answer that breaks off and is taken for a whole one, since
+ * the other VM's connection ends in order. */
+TEST_F(CutPath, AnAnswerThatBreaksOffIsNotWhole)
+{
+	set_path(1, Path::Refused);
+	wait_until_cut(0);
+	EXPECT_EQ(status(0, "/order/broken", "order"), 502);
+	EXPECT_NE(status(0, "/read/broken"), 200);
+}
+
+/* Guards against large bodies that get lost or stop on the way. */
+TEST_F(CutPath, LargeBodiesPassBothWays)
+{
+	std::string body(800000, 'b');
+
+	set_path(1, Path::Refused);
+	wait_until_cut(0);
+	EXPECT_EQ(body_of(send_request(0, "/order/echo", body)), body);
+}
+
+/* Guards against targets that work on for callers that have left. */
+TEST_F(CutPath, WhenTheCallerLeavesTheTargetsConnectionIsClosed)
+{
+	set_path(1, Path::Refused);
+	wait_until_cut(0);
+	size_t before = arrivals_count();
+	int fd = dial({ vms[0]->ip, FRONT_PORT }, DEADLINE_MS);
+
+	send_all(fd, request_text("/read/hold", ""));
+	EXPECT_TRUE(eventually([&] { return arrivals_count() > before; }));
+	close(fd);
+	EXPECT_TRUE(eventually([&] { return abandoned > 0; }));
+}
+
+/* Guards against answers that are lost because the VM in between stops. */
+TEST_F(CutPath, AVmThatStopsDeliversWhatItCarries)
+{
+	std::string answer;
+
+	set_path(3, Path::Refused);
+	wait_until_cut(0);
+	size_t before = arrivals_count();
+	std::thread caller(
+		[&] { answer = send_request(0, "/order/slow", "order"); });
+
+	EXPECT_TRUE(eventually([&] { return arrivals_count() > before; }));
+	vms[3]->send(SIGTERM);
+	caller.join();
+	EXPECT_EQ(answer.substr(0, 12), "HTTP/1.1 200");
+}
+
+/* Guards against strangers who reach targets through a VM. */
+TEST_F(CutPath, OnlyVmsOfTheFleetGetConnections)
+{
+	std::string answer = ask({ vms[1]->ip, PEER_PORT },
+				 "GET /peer/tunnel/00000001 HTTP/1.1\r\n"
+				 "Host: x\r\nConnection: Upgrade\r\n"
+				 "Upgrade: toucanreel-tunnel\r\n\r\n");
+
+	EXPECT_EQ(answer.substr(9, 3), "403");
+}
+
 } // namespace
