upstream, roster: count requests in flight from the time they are sent

What callers saw: VMs with a path refused 132 requests as too-late within nine seconds while eight others were cut off, since targets seemed full.

Cause: an attempt counted as in flight at its target, and as use of it for the floor, from before it had a connection, and all VMs were told. VMs that are cut off hold several such attempts for 300 ms each; where none has a path the targets seem busy with requests that never arrived.

The change: an attempt without a connection counts at its own VM only (connecting), so that the next request there goes elsewhere. It is in flight once it is sent, and an attempt that was never sent is no use of its target. On a cut path an attempt that is overdue has mostly ended at the target, and only its answer is missing: it no longer counts for the others.

AttemptsWithoutAConnectionAreNoLoadOfTheTargets failed before (1 in flight at a target that no VM could reach) and passes.

--- a/entry/upstream.c
+++ b/entry/upstream.c
@@ -152,6 +152,9 @@
 		break;
 	case UPSTREAM_UNREACHED:
 		row->unreachable_until = entry_now(u->e) + UNREACHABLE_FOR;
+		/* Nothing was sent: for the floor it was not used. */
+		if (row->used_at == u->started_at)
+			row->used_at = u->used_before;
 		u->e->counts.unreached++;
 		if (dial_failure_is_confirmed(&u->dial))
 			report_failure(u, row,
@@ -178,6 +181,32 @@
 	}
 }
 
+/* Moves the attempt's request from those that are connecting to those in
+ * flight, once. */
+static void count_in_flight(struct upstream *u)
+{
+	struct tr_instance *row = &u->e->roster.rows[u->row];
+
+	if (u->in_flight)
+		return;
+	u->in_flight = true;
+	row->connecting--;
+	row->in_flight++;
+	tr_roster_mark_dirty(&u->e->roster, row);
+	mesh_schedule_report(u->e->mesh);
+}
+
+/* The request no longer counts as in flight at the target. */
+static void uncount(struct upstream *u)
+{
+	struct tr_instance *row = &u->e->roster.rows[u->row];
+
+	if (u->in_flight)
+		row->in_flight--;
+	else
+		row->connecting--;
+}
+
 /* Ends the attempt and reports its outcome. The done callback is not called. */
 void upstream_stop(struct upstream *u, enum upstream_end how)
 {
@@ -193,7 +222,7 @@
 	if (u->head)
 		g_string_free(u->head, TRUE);
 	u->head = NULL;
-	u->e->roster.rows[u->row].in_flight--;
+	uncount(u);
 	row = row_of(u);
 	if (!row)
 		return;
@@ -312,6 +341,7 @@
 {
 	u->connected = true;
 	u->sent_at = entry_now(u->e);
+	count_in_flight(u);
 	u->e->counts.via_peer += u->via_peer;
 	if (u->announces)
 		mesh_broadcast_now(u->e->mesh);
@@ -584,6 +614,7 @@
 	u->known_exits = request->known_exits;
 	u->announces = request->announces;
 	u->attempt++;
+	u->in_flight = false;
 	u->via_peer = false;
 	u->path_failed = false;
 	u->stream.fd = -1;
@@ -596,8 +627,9 @@
 	message_init(&u->response, HTTP_RESPONSE, MAX_RESPONSE_HEAD,
 		     MAX_RESPONSE_BODY);
 	u->response.head_only = request->head_only;
-	row->in_flight++;
+	row->connecting++;
 	count_sent(u, row);
+	u->used_before = row->used_at;
 	row->used_at = u->started_at;
 	tr_roster_mark_dirty(&u->e->roster, row);
 	mesh_schedule_report(e->mesh);
@@ -608,13 +640,24 @@
 	return -1;
 }
 
-/* Reports that the attempt has reached a later stage. */
+/*
+ * Reports that the attempt has reached a later stage. On a cut path, what is
+ * overdue has mostly ended at the target, and only its answer is missing.
+ */
 static void note_stage(struct upstream *u, struct tr_instance *row)
 {
 	if (u->stage == TR_STAGE_LATE && !u->via_peer)
 		path_late(u->e, u->row, u->sent_at);
-	if (row)
-		report_failure(u, row, tr_gray_stage_symptom(u->stage));
+	if (!row)
+		return;
+	report_failure(u, row, tr_gray_stage_symptom(u->stage));
+	if (u->stage != TR_STAGE_OVERDUE || !upstream_is_on_cut_path(u) ||
+	    !u->in_flight)
+		return;
+	u->in_flight = false;
+	row->in_flight--;
+	row->connecting++;
+	tr_roster_mark_dirty(&u->e->roster, row);
 }
 
 /*
--- a/entry/upstream.h
+++ b/entry/upstream.h
@@ -56,8 +56,11 @@
 	unsigned known_exits;
 	/* Distinguishes the attempts that use this structure in turn. */
 	unsigned attempt;
+	bool in_flight;	  /* counts as such at the target, not as connecting */
 	bool announces;	  /* the other VMs are told at once when it is sent */
 	bool path_failed; /* the connection broke by a fault of the path */
+	/* What used_at of the target was before this attempt. */
+	apr_time_t used_before;
 	const char *request_id;
 	upstream_done_fn done;
 	void *ctx;
--- a/lib/roster.c
+++ b/lib/roster.c
@@ -112,7 +112,8 @@
 	struct tr_instance *grown;
 
 	for (unsigned i = 0; i < roster->count; i++)
-		if (!roster->rows[i].used && !roster->rows[i].in_flight)
+		if (!roster->rows[i].used && !roster->rows[i].in_flight &&
+		    !roster->rows[i].connecting)
 			return memset(&roster->rows[i], 0, sizeof(*grown));
 	if (roster->count == roster->capacity) {
 		unsigned capacity =
@@ -463,7 +464,7 @@
 			row->gone_at = now;
 		}
 		if (row->gone && now - row->gone_at > TOMBSTONE_TTL &&
-		    !row->in_flight)
+		    !row->in_flight && !row->connecting)
 			free_row(roster, row);
 	}
 }
@@ -579,11 +580,12 @@
  * Returns how many requests are in flight at the target, as far as this VM
  * knows: those of its own group, or what the target's home group last reported
  * if that is more. They are not added, since the report includes this group's
- * requests.
+ * requests. Attempts that have no connection yet count at this VM only.
  */
 uint32_t tr_instance_in_flight(const struct tr_instance *row, apr_time_t now)
 {
-	uint32_t in_flight = row->in_flight + row->others_in_flight;
+	uint32_t in_flight =
+		row->in_flight + row->connecting + row->others_in_flight;
 
 	if (row->remote && row->reported_in_flight > in_flight &&
 	    now - row->reported_at < REPORT_TTL)
--- a/lib/roster.h
+++ b/lib/roster.h
@@ -78,6 +78,8 @@
 	/* Until when it has asked this VM to send nothing. */
 	apr_time_t backoff_until;
 	uint32_t in_flight;
+	/* This VM's attempts that have no connection yet. */
+	uint32_t connecting;
 	/* This VM's idle connections to it. */
 	uint32_t idle_conns;
 	uint32_t others_in_flight;
--- a/tests/cut_path_test.cc
+++ b/tests/cut_path_test.cc
@@ -5,6 +5,8 @@
  */
 #include <gtest/gtest.h>
 #include <memory>
+#include <regex>
+#include <sstream>
 
 #include "soak/store.h"
 #include "soak/vm.h"
@@ -331,6 +333,28 @@
 					std::stod(log.substr(at + 10, 4)));
 		return risk;
 	}
+
+	/* The greatest number of requests in flight at a target that a VM has
+	 * logged when it chose one for a request. */
+	unsigned greatest_load(unsigned vm, const std::string &requests)
+	{
+		static const std::regex tried("i-[0-9]:[0-9.]+:([0-9]+)");
+		std::istringstream lines(log_of(vm));
+		std::string line;
+		unsigned load = 0;
+
+		while (std::getline(lines, line)) {
+			std::smatch found;
+
+			if (line.find(requests) == std::string::npos)
+				continue;
+			for (; std::regex_search(line, found, tried);
+			     line = found.suffix())
+				load = std::max(load,
+						(unsigned)std::stoul(found[1]));
+		}
+		return load;
+	}
 };
 
 /* Guards against refusing callers where another VM reaches the targets. */
@@ -484,6 +508,22 @@
 	EXPECT_EQ(answer.substr(0, 12), "HTTP/1.1 200");
 }
 
+/* Guards against targets that seem busy with requests that never reached them:
+ * where no VM has a path, there is no load. */
+TEST_F(CutPath, AttemptsWithoutAConnectionAreNoLoadOfTheTargets)
+{
+	std::vector<std::thread> callers;
+
+	set_path(VMS, Path::Hangs);
+	for (int i = 0; i < 6; i++)
+		callers.emplace_back([&] { status(0, "/order/a", "order"); });
+	usleep(200000);
+	status(1, "/order/a", "order");
+	for (auto &each : callers)
+		each.join();
+	EXPECT_EQ(greatest_load(1, "kind=unsafe"), 0u);
+}
+
 /* Guards against strangers who reach targets through a VM. */
 TEST_F(CutPath, OnlyVmsOfTheFleetGetConnections)
 {
