soak: cut VMs off from all targets, refused or hanging

No fault of the soak took the path from a VM to targets while callers and the other VMs reached it, so it could not see what callers of such a VM get, nor what runs twice on the way through another VM. The fault hits one to four VMs in five, for up to 2.7 s, and overlaps with the others; the daemon under test is the copy whose connect() and send() the linker wraps.

--- a/tests/cut_path_test.cc
+++ b/tests/cut_path_test.cc
@@ -29,36 +29,6 @@
 	std::string id, vm;
 };
 
-/* Accepts nothing: its queue of new connections is full. */
-class FullListener
-{
-      public:
-	explicit FullListener(const Address &at)
-	{
-		sockaddr_in addr = to_sockaddr(at);
-
-		fds.push_back(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0));
-		if (bind(fds[0], (sockaddr *)&addr, sizeof(addr)) ||
-		    listen(fds[0], 0))
-			abort();
-		for (int i = 0; i < 3; i++) {
-			fds.push_back(socket(
-				AF_INET,
-				SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0));
-			connect(fds.back(), (sockaddr *)&addr, sizeof(addr));
-		}
-	}
-
-	~FullListener()
-	{
-		for (int fd : fds)
-			close(fd);
-	}
-
-      private:
-	std::vector<int> fds;
-};
-
 class CutPath : public testing::Test
 {
       protected:
--- a/tests/soak/net.h
+++ b/tests/soak/net.h
@@ -8,6 +8,7 @@
  */
 #include <arpa/inet.h>
 #include <atomic>
+#include <cstdlib>
 #include <functional>
 #include <list>
 #include <mutex>
@@ -18,6 +19,7 @@
 #include <sys/time.h>
 #include <thread>
 #include <unistd.h>
+#include <vector>
 
 namespace soak
 {
@@ -270,6 +272,36 @@
 	std::thread acceptor;
 };
 
+/* Accepts nothing: its queue of new connections is full. */
+class FullListener
+{
+      public:
+	explicit FullListener(const Address &at)
+	{
+		sockaddr_in addr = to_sockaddr(at);
+
+		fds.push_back(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0));
+		if (bind(fds[0], (sockaddr *)&addr, sizeof(addr)) ||
+		    listen(fds[0], 0))
+			abort();
+		for (int i = 0; i < 3; i++) {
+			fds.push_back(socket(
+				AF_INET,
+				SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0));
+			connect(fds.back(), (sockaddr *)&addr, sizeof(addr));
+		}
+	}
+
+	~FullListener()
+	{
+		for (int fd : fds)
+			close(fd);
+	}
+
+      private:
+	std::vector<int> fds;
+};
+
 } // namespace soak
 
 #endif
--- a/tests/soak/soak.cc
+++ b/tests/soak/soak.cc
@@ -98,6 +98,7 @@
 			return 2;
 		}
 		options.dir = dir;
+		setenv("CUT_PATH_DIR", dir, 1);
 		int bad = run(options);
 
 		failed += bad;
--- a/tests/soak/vm.h
+++ b/tests/soak/vm.h
@@ -56,6 +56,15 @@
 		    << "  keep_most: 2s\n  grace: 3s\n  drain: 2s\n";
 	}
 
+	/* Sets the state of the path from the VM to all targets: "open",
+	 * "refused" or "hangs". Works for the program whose library calls are
+	 * wrapped, see cut_calls.c. */
+	void set_path(const std::string &state)
+	{
+		std::ofstream(dir + "/" + ip + ".path") << state;
+		mark_disturbed();
+	}
+
 	/* Does nothing if the VM is running: with overlapping faults, each
 	 * of them restarts it. */
 	void start()
--- a/tests/soak/world.cc
+++ b/tests/soak/world.cc
@@ -15,6 +15,8 @@
  * a busy machine. */
 constexpr double DRAIN_S = 3;
 constexpr int GRACE_S = 3;
+/* As in cut_calls.c. */
+constexpr uint16_t FULL_PORT = 9002;
 constexpr double MIN_SERVED_SHARE = 0.95;
 
 } // namespace
@@ -177,6 +179,8 @@
 		p->published = { subnet + std::to_string(100 + i), 9000 };
 		p->real = { subnet + std::to_string(100 + i), 9001 };
 		p->proxy = std::make_unique<Proxy>(p->published, p->real);
+		p->full = std::make_unique<FullListener>(
+			Address{ p->published.ip, FULL_PORT });
 		if (!p->proxy->open() ||
 		    !start_target(*p, i % 2 ? "svc-b" : "svc-a"))
 			return false;
@@ -232,12 +236,27 @@
 	}
 }
 
+/* Cuts some VMs off from all targets, in one of two ways. */
+void Cluster::cut_paths(unsigned ms)
+{
+	std::string state = random_below(2) ? "refused" : "hangs";
+	unsigned share = 1 + random_below(4);
+
+	log_event("paths " + state + ", VMs of 5: " + std::to_string(share));
+	for (auto &vm : vms) {
+		if (random_below(5) >= share)
+			continue;
+		vm->set_path(state);
+		schedule_revert(ms, [&vm] { vm->set_path("open"); });
+	}
+}
+
 void Cluster::inject_vm_fault()
 {
 	Vm &vm = *vms[random_below((unsigned)vms.size())];
 	unsigned ms = 200 + random_below(2500);
 
-	switch (random_below(5)) {
+	switch (random_below(6)) {
 	case 0:
 		log_event("kill " + vm.ip);
 		vm.kill_now();
@@ -274,6 +293,9 @@
 		if (random_below(2))
 			vm.send(SIGHUP);
 		break;
+	case 4:
+		cut_paths(ms);
+		break;
 	default:
 		log_event("kill every second VM");
 		for (unsigned i = 0; i < vms.size(); i += 2) {
--- a/tests/soak/world.h
+++ b/tests/soak/world.h
@@ -30,6 +30,7 @@
 /* A target address behind a proxy; successive targets reuse it. */
 struct TargetSlot {
 	std::unique_ptr<Proxy> proxy;
+	std::unique_ptr<FullListener> full;
 	std::unique_ptr<Target> target;
 	Address published, real;
 	std::string zone;
@@ -74,6 +75,7 @@
 
 	void inject_fault();
 	void inject_vm_fault();
+	void cut_paths(unsigned ms);
 	void inject_store_fault();
 	void inject_target_fault();
 	void shed_service(const std::string &service, unsigned ms);
