frame, upstream: a VM in between that is lost is no fault of the target

What callers would have seen: requests that are refused as crashing targets, since a VM that carried them was killed; found by looking for the same cause elsewhere, not reported.

Cause: the connection to the other VM ended alike whether the target's connection broke off or the other VM was gone. Both counted as a failure of the target, and where it then could not be reached, as its exit under the request.

The change: the other VM says in a frame that the stream broke off. A connection that ends without that, and an attempt through a VM that has fallen silent, tell nothing of the target; what may be repeated is hedged. The line of a request says how many attempts went through another VM.

AVmThatIsLostIsNoFaultOfTheTargets failed before (event=fatal-request after one kill with ten orders under way) and passes.

--- a/entry/dial.c
+++ b/entry/dial.c
@@ -83,13 +83,13 @@
 	d->timer = loop_add_timer(d->e->loop, PEER_DELAY, on_timer, d);
 }
 
-static void finish(struct dial *d, struct stream *s, bool via_peer)
+static void finish(struct dial *d, struct stream *s, uint32_t peer)
 {
 	struct stream won = { .fd = -1 };
 
 	stream_move(&won, s, s->calls, s->ctx);
 	dial_cancel(d);
-	d->calls->connected(d->ctx, &won, via_peer);
+	d->calls->connected(d->ctx, &won, peer);
 }
 
 static void own_connected(void *ctx)
@@ -98,7 +98,7 @@
 
 	d->own_pending = false;
 	path_note_connected(d->e, d->row);
-	finish(d, &d->own, false);
+	finish(d, &d->own, 0);
 }
 
 static uint32_t service_of(const struct dial *d)
@@ -146,7 +146,7 @@
 	/* Just after the start an own connection may still come. */
 	if (!d->own_pending || now - d->started_at >= PEER_DELAY)
 		path_note_detour(d->e, d->row);
-	finish(d, &p->stream, true);
+	finish(d, &p->stream, p->ip);
 }
 
 static void peer_failed(struct dial_peer *p)
--- a/entry/dial.h
+++ b/entry/dial.h
@@ -11,8 +11,11 @@
 
 /* Exactly one of them is called, unless the dial is cancelled. */
 struct dial_callbacks {
-	/* The owner takes the stream over with stream_move(). */
-	void (*connected)(void *ctx, struct stream *s, bool via_peer);
+	/*
+	 * The owner takes the stream over with stream_move(). peer: the
+	 * address of the VM that it goes through, or 0.
+	 */
+	void (*connected)(void *ctx, struct stream *s, uint32_t peer);
 	void (*failed)(void *ctx);
 };
 
--- a/entry/exchange.c
+++ b/entry/exchange.c
@@ -366,6 +366,7 @@
 	struct exchange *x = ctx;
 
 	x->reconnected += u->reconnected;
+	x->via_peer += u->peer != 0;
 	if (x->done)
 		return;
 	exchange_fatal_observe(x, u, how);
--- a/entry/exchange_internal.h
+++ b/entry/exchange_internal.h
@@ -43,6 +43,7 @@
 	unsigned runs;	    /* attempts that may have run */
 	unsigned for_floor; /* attempts sent because the floor asked for them */
 	unsigned reconnected; /* attempts whose reused connection was dead */
+	unsigned via_peer;    /* attempts sent through another VM */
 	bool is_trial;	      /* the fleet's trial of a refused request */
 	bool waiting;	      /* for the result of the same request elsewhere */
 	bool needs_key;	      /* the route takes only requests with a key */
--- a/entry/exchange_reply.c
+++ b/entry/exchange_reply.c
@@ -122,7 +122,7 @@
 		"id=%s identity=%016" PRIx64
 		" route=%s service=%s kind=%s status=%d why=%s "
 		"took_ms=%ld aim_ms=%ld left_ms=%ld usual_ms=%ld runs=%u "
-		"for_floor=%u begun_again=%u bound=%d organisation=%s tried=%s version=%" PRIu64
+		"for_floor=%u begun_again=%u via_peer=%u bound=%d organisation=%s tried=%s version=%" PRIu64
 		" view_age_ms=%ld",
 		x->id, x->identity, x->route->name,
 		e->roster.services[x->service].name,
@@ -131,7 +131,7 @@
 		(long)(x->route->latency_aim / 1000),
 		(long)((x->deadline - now) / 1000),
 		(long)(exchange_typical_latency(x) / 1000), x->runs,
-		x->for_floor, x->reconnected, x->budget_exhausted,
+		x->for_floor, x->reconnected, x->via_peer, x->budget_exhausted,
 		x->organisation ? x->organisation->name : "-",
 		format_tried(x, tried, sizeof(tried)), x->routes->version,
 		(long)(entry_view_age(e) / 1000));
--- a/entry/frame.c
+++ b/entry/frame.c
@@ -5,18 +5,32 @@
 
 #include "stream.h"
 
-/* Writes the bytes as one frame; with len 0, the end of the stream. */
-void frame_write(struct stream *s, const void *data, size_t len)
+/* The length that tells that the stream broke off. */
+#define LENGTH_BROKEN UINT32_MAX
+
+static void write_header(struct stream *s, uint32_t len)
 {
 	const uint8_t header[4] = { (uint8_t)(len >> 24), (uint8_t)(len >> 16),
 				    (uint8_t)(len >> 8), (uint8_t)len };
 
 	stream_write(s, header, sizeof(header));
+}
+
+/* Writes the bytes as one frame; with len 0, the end of the stream. */
+void frame_write(struct stream *s, const void *data, size_t len)
+{
+	write_header(s, (uint32_t)len);
 	if (len)
 		stream_write(s, data, len);
 }
 
-/* Reads a frame's header. Returns whether it is complete. */
+/* Writes that the stream broke off. */
+void frame_write_broken(struct stream *s)
+{
+	write_header(s, LENGTH_BROKEN);
+}
+
+/* Reads a frame's header. Returns whether bytes of the stream follow. */
 static bool read_header(struct frame_reader *r, const char **data, size_t *len)
 {
 	while (r->header_len < sizeof(r->header) && *len) {
@@ -29,7 +43,8 @@
 		  (uint32_t)r->header[2] << 8 | r->header[3];
 	r->header_len = 0;
 	r->ended = !r->left;
-	return true;
+	r->broken = r->left == LENGTH_BROKEN;
+	return !r->ended && !r->broken;
 }
 
 /*
@@ -41,8 +56,8 @@
 {
 	const char *payload;
 
-	if (r->ended || !*len ||
-	    (!r->left && (!read_header(r, data, len) || r->ended || !*len)))
+	if (r->ended || r->broken || !*len ||
+	    (!r->left && (!read_header(r, data, len) || !*len)))
 		return NULL;
 	payload = *data;
 	*payload_len = *len < r->left ? *len : r->left;
--- a/entry/path_watch.c
+++ b/entry/path_watch.c
@@ -147,10 +147,10 @@
 	tr_path_heard(path_of(e, row), entry_now(e));
 }
 
-static void check_connected(void *ctx, struct stream *s, bool via_peer)
+static void check_connected(void *ctx, struct stream *s, uint32_t peer)
 {
 	(void)ctx;
-	(void)via_peer;
+	(void)peer;
 	stream_close(s);
 }
 
--- a/entry/tunnel.c
+++ b/entry/tunnel.c
@@ -176,6 +176,8 @@
 	t->ending = true;
 	if (why == STREAM_CLOSED)
 		frame_write(&t->vm, NULL, 0);
+	else
+		frame_write_broken(&t->vm);
 	if (stream_is_drained(&t->vm))
 		end_vm_side(t);
 }
--- a/entry/upstream.c
+++ b/entry/upstream.c
@@ -86,11 +86,18 @@
 
 /*
  * Returns whether the attempt uses a connection of this VM itself although its
- * path is cut. Its failure tells nothing of the target.
+ * path is cut, or goes through a VM that has fallen silent. Its failure tells
+ * nothing of the target.
  */
 bool upstream_is_on_cut_path(const struct upstream *u)
 {
-	return u->path_failed || (!u->via_peer && path_is_cut(u->e, u->row));
+	const struct entry *e = u->e;
+
+	if (u->path_failed)
+		return true;
+	return u->peer ? !tr_membership_hears(&e->members, u->peer,
+					      entry_now(e))
+		       : path_is_cut(e, u->row);
 }
 
 /*
@@ -240,7 +247,7 @@
 	const char *text = message_header(&u->response, "Keep-Alive");
 	const char *timeout = text ? strstr(text, "timeout=") : NULL;
 
-	if (!u->use_pool || u->via_peer || !u->response.complete ||
+	if (!u->use_pool || u->peer || !u->response.complete ||
 	    !u->response.keep_alive || !u->response.framed ||
 	    !stream_is_drained(&u->stream))
 		return 0;
@@ -312,7 +319,7 @@
 {
 	struct upstream *u = ctx;
 
-	if (!u->via_peer)
+	if (!u->peer)
 		path_heard(u->e, u->row);
 	while (len) {
 		ssize_t used = message_feed(&u->response, data, len);
@@ -342,7 +349,7 @@
 	u->connected = true;
 	u->sent_at = entry_now(u->e);
 	count_in_flight(u);
-	u->e->counts.via_peer += u->via_peer;
+	u->e->counts.via_peer += u->peer != 0;
 	if (u->announces)
 		mesh_broadcast_now(u->e->mesh);
 	stream_write(&u->stream, u->head->str, u->head->len);
@@ -412,12 +419,12 @@
 	       repeat_admit(e, row->service);
 }
 
-static void probe_connected(void *ctx, struct stream *s, bool via_peer)
+static void probe_connected(void *ctx, struct stream *s, uint32_t peer)
 {
 	struct upstream *u = ctx;
 
 	stream_close(s);
-	u->path_failed = via_peer && !u->via_peer;
+	u->path_failed = peer && !u->peer;
 	finish(u, UPSTREAM_BROKEN);
 }
 
@@ -520,17 +527,21 @@
 		if (!u->active || u->attempt != attempt || u->stream.fd < 0)
 			return;
 	}
-	if (u->frames.ended) {
-		stream_close(&u->stream);
-		ended(u, STREAM_CLOSED);
-	}
+	if (!u->frames.ended && !u->frames.broken)
+		return;
+	stream_close(&u->stream);
+	ended(u, u->frames.ended ? STREAM_CLOSED : STREAM_RESET);
 }
 
-/* The other VM ends the stream by a frame; anything else is a failure. */
+/* The connection to the other VM was lost, which tells nothing of the target.
+ */
 static void ended_via_peer(void *ctx, enum stream_end why)
 {
+	struct upstream *u = ctx;
+
 	(void)why;
-	ended(ctx, STREAM_RESET);
+	u->path_failed = true;
+	finish(u, UPSTREAM_BROKEN);
 }
 
 static const struct stream_callbacks callbacks = {
@@ -543,13 +554,13 @@
 	.ended = ended_via_peer,
 };
 
-static void connected(void *ctx, struct stream *s, bool via_peer)
+static void connected(void *ctx, struct stream *s, uint32_t peer)
 {
 	struct upstream *u = ctx;
 
-	u->via_peer = via_peer;
+	u->peer = peer;
 	memset(&u->frames, 0, sizeof(u->frames));
-	stream_move(&u->stream, s, via_peer ? &peer_callbacks : &callbacks, u);
+	stream_move(&u->stream, s, peer ? &peer_callbacks : &callbacks, u);
 	send_request(u);
 }
 
@@ -615,7 +626,7 @@
 	u->announces = request->announces;
 	u->attempt++;
 	u->in_flight = false;
-	u->via_peer = false;
+	u->peer = 0;
 	u->path_failed = false;
 	u->stream.fd = -1;
 	memset(&u->dial, 0, sizeof(u->dial));
@@ -646,7 +657,7 @@
  */
 static void note_stage(struct upstream *u, struct tr_instance *row)
 {
-	if (u->stage == TR_STAGE_LATE && !u->via_peer)
+	if (u->stage == TR_STAGE_LATE && !u->peer)
 		path_late(u->e, u->row, u->sent_at);
 	if (!row)
 		return;
--- a/entry/upstream.h
+++ b/entry/upstream.h
@@ -33,7 +33,7 @@
 	uint32_t hash;	  /* distinguishes later targets in the same row */
 	struct dial dial;
 	struct stream stream;
-	bool via_peer;		    /* the stream goes through another VM */
+	uint32_t peer; /* the VM that the stream goes through, or 0 */
 	struct frame_reader frames; /* of the other VM */
 	struct message response;
 	apr_time_t started_at;
--- a/lib/membership.c
+++ b/lib/membership.c
@@ -589,3 +589,14 @@
 	}
 	return false;
 }
+
+/* Returns whether the VM with that address has not been silent for much longer
+ * than usual. */
+bool tr_membership_hears(const struct tr_membership *m, uint32_t ip,
+			 apr_time_t now)
+{
+	uint32_t at;
+	uint32_t i = tr_index_first(&m->by_ip, ip, &at);
+
+	return i != TR_NO_ROW && tr_node_heard_recently(m, &m->nodes[i], now);
+}
--- a/lib/membership.h
+++ b/lib/membership.h
@@ -166,6 +166,8 @@
 bool tr_node_heard_recently(const struct tr_membership *m,
 			    const struct tr_node *node, apr_time_t now);
 bool tr_membership_has_heard(const struct tr_membership *m, uint32_t ip);
+bool tr_membership_hears(const struct tr_membership *m, uint32_t ip,
+			 apr_time_t now);
 bool tr_node_heard_from_start(const struct tr_node *node, apr_time_t now);
 bool tr_node_takes_callers(const struct tr_membership *m,
 			   const struct tr_node *node, apr_time_t now);
--- a/tests/cut_path_test.cc
+++ b/tests/cut_path_test.cc
@@ -494,6 +494,32 @@
 	EXPECT_EQ(greatest_load(1, "kind=unsafe"), 0u);
 }
 
+/* Guards against requests that count as crashing targets because the VM in
+ * between was lost. */
+TEST_F(CutPath, AVmThatIsLostIsNoFaultOfTheTargets)
+{
+	std::vector<std::thread> callers;
+	std::atomic<unsigned> unknown{ 0 };
+
+	set_path(3, Path::Refused);
+	wait_until_cut(0);
+	size_t before = arrivals_count();
+	for (unsigned i = 0; i < 2 * TARGETS; i++)
+		callers.emplace_back([&] {
+			unknown += status(0, "/order/slow", "order") == 502;
+		});
+	EXPECT_TRUE(eventually(
+		[&] { return arrivals_count() == before + 2 * TARGETS; }));
+	vms[3]->kill_now();
+	for (auto &each : callers)
+		each.join();
+	EXPECT_EQ(unknown, 2 * TARGETS);
+	vms[3]->start();
+	EXPECT_TRUE(eventually(
+		[&] { return status(0, "/order/slow", "order") == 200; }));
+	EXPECT_EQ(log_of(0).find("event=fatal-request"), std::string::npos);
+}
+
 /* Guards against strangers who reach targets through a VM. */
 TEST_F(CutPath, OnlyVmsOfTheFleetGetConnections)
 {
--- a/tests/frame_test.cc
+++ b/tests/frame_test.cc
@@ -60,4 +60,16 @@
 	EXPECT_TRUE(r.ended);
 }
 
+/* Guards against a target whose connection broke off and a VM that was lost
+ * looking alike. */
+TEST(Frame, TellsThatTheStreamBrokeOff)
+{
+	std::string a(300, 'a');
+	frame_reader r{};
+
+	EXPECT_EQ(read_all(r, frame(a) + a + "\xff\xff\xff\xff" + a, 7), a);
+	EXPECT_TRUE(r.broken);
+	EXPECT_FALSE(r.ended);
+}
+
 } // namespace
