tunnel: blame a target only where another one can be reached

Cause: a VM that is cut off itself, and does not know it yet, told the VM that asked it that the target was down. Three such replies made the target count as unreachable for a second, and as failed for all.

The change: before a VM says so it connects to another target of the service. If that fails too, it says that it has no path, and the next VM is asked. A failure that no VM could confirm keeps a target unused for 250 ms instead of a second, so that callers are served again soon after a cut.

--- a/entry/path_watch.c
+++ b/entry/path_watch.c
@@ -50,9 +50,9 @@
 	return n;
 }
 
-/* Returns a random target of the service that is listed and is not leaving, or
- * TR_NO_ROW. */
-static uint32_t choose_target(struct entry *e, uint32_t service)
+/* Returns a random target of the service that is listed and is not leaving,
+ * other than the one in the row except, or TR_NO_ROW. */
+uint32_t path_choose_target(struct entry *e, uint32_t service, uint32_t except)
 {
 	const struct tr_roster *roster = &e->roster;
 	uint32_t found = TR_NO_ROW;
@@ -61,9 +61,9 @@
 	for (uint32_t i = 0; i < roster->count; i++) {
 		const struct tr_instance *row = &roster->rows[i];
 
-		if (row->used && row->service == service && !row->gone &&
-		    !row->leaving && !row->says_leaving && !row->lapsed_at &&
-		    !tr_random_below(&e->random, ++seen))
+		if (i != except && row->used && row->service == service &&
+		    !row->gone && !row->leaving && !row->says_leaving &&
+		    !row->lapsed_at && !tr_random_below(&e->random, ++seen))
 			found = i;
 	}
 	return found;
@@ -76,7 +76,7 @@
 		return false;
 	for (uint32_t i = 0; i < e->roster.services_count; i++)
 		if (!e->roster.services[i].path.cut &&
-		    choose_target(e, i) != TR_NO_ROW)
+		    path_choose_target(e, i, TR_NO_ROW) != TR_NO_ROW)
 			return false;
 	return true;
 }
@@ -185,7 +185,7 @@
 {
 	struct tr_path *path = &e->roster.services[service].path;
 	struct path_check *c = free_check(e, service);
-	uint32_t row = choose_target(e, service);
+	uint32_t row = path_choose_target(e, service, TR_NO_ROW);
 
 	if (!c || row == TR_NO_ROW)
 		return;
--- a/entry/path_watch.h
+++ b/entry/path_watch.h
@@ -16,6 +16,7 @@
 bool path_is_cut(const struct entry *e, uint32_t row);
 bool path_is_doubtful(const struct entry *e, uint32_t row);
 unsigned path_count_cut(const struct entry *e);
+uint32_t path_choose_target(struct entry *e, uint32_t service, uint32_t except);
 void path_note_connected(struct entry *e, uint32_t row);
 void path_note_detour(struct entry *e, uint32_t row);
 void path_suspect(struct entry *e, uint32_t row);
--- a/entry/upstream.c
+++ b/entry/upstream.c
@@ -23,6 +23,8 @@
  * one whose address now belongs to another (status 421).
  */
 #define UNREACHABLE_FOR TR_MSEC(1000)
+/* The same where no other VM could tell whether the target is to blame. */
+#define UNCONFIRMED_FOR TR_MSEC(250)
 #define MISDIRECTED_FOR TR_SEC(3)
 /*
  * From this chance of being gray on, a target's latencies say nothing about the
@@ -158,7 +160,10 @@
 		report_refused(u, row);
 		break;
 	case UPSTREAM_UNREACHED:
-		row->unreachable_until = entry_now(u->e) + UNREACHABLE_FOR;
+		row->unreachable_until =
+			entry_now(u->e) + (dial_failure_is_confirmed(&u->dial)
+						   ? UNREACHABLE_FOR
+						   : UNCONFIRMED_FOR);
 		/* Nothing was sent: for the floor it was not used. */
 		if (row->used_at == u->started_at)
 			row->used_at = u->used_before;
