--- a/entry/dial.c
+++ b/entry/dial.c
@@ -137,16 +137,20 @@
 static void peer_connected(struct dial_peer *p)
 {
 	struct dial *d = p->d;
-	apr_time_t now = entry_now(d->e);
+	struct entry *e = d->e;
+	uint32_t row = d->row;
+	apr_time_t now = entry_now(e);
+	/* Just after the start an own connection may still come. */
+	bool detour = !d->own_pending || now - d->started_at >= PEER_DELAY;
 
 	for (unsigned i = 0; i < d->asked_count; i++)
 		if (d->asked[i] != p->ip)
-			tr_relay_declined(&d->e->relay_memory, d->asked[i],
+			tr_relay_declined(&e->relay_memory, d->asked[i],
 					  service_of(d), now);
-	/* Just after the start an own connection may still come. */
-	if (!d->own_pending || now - d->started_at >= PEER_DELAY)
-		path_note_detour(d->e, d->row);
 	finish(d, &p->stream, p->ip);
+	/* Last, since it may end other attempts, and this one too. */
+	if (detour)
+		path_note_detour(e, row);
 }
 
 static void peer_failed(struct dial_peer *p)
--- a/entry/endpoints.c
+++ b/entry/endpoints.c
@@ -22,10 +22,10 @@
  */
 #define MIN_OWN_CENTRE 2
 /*
- * And only if at least this share of those that take callers there have a path
- * to targets: the rest would not bear all callers of the data centre.
+ * VMs that are cut off from all targets are left out if at least this share of
+ * the VMs has a path: fewer would not bear all callers.
  */
-#define MIN_OWN_CENTRE_SHARE 0.5
+#define MIN_SHARE_WITH_PATH 0.5
 
 static void reply_text(struct caller *caller, int status, const char *type,
 		       const char *text)
@@ -116,22 +116,30 @@
 }
 
 /*
- * Lists VMs for callers of a data centre. VMs that are cut off serve callers
- * through others, so they are listed only if there is no other.
+ * Lists VMs for callers of a data centre: of that one or, if these are too few,
+ * of any, and with a path to targets if there are enough of them.
  */
 static unsigned list_vms_for(struct entry *e, const char *centre, char **out)
 {
-	struct selection own = { .centre = centre };
-	struct selection any = { 0 };
-	struct selection all = { .includes_cut_off = true };
-	unsigned n = list_vms(e, &own, out, MAX_ADDRESSES);
-
-	if (n >= MIN_OWN_CENTRE &&
-	    n >= MIN_OWN_CENTRE_SHARE * (n + own.cut_off_count))
-		return n;
-	free_addresses(out, n);
-	n = list_vms(e, &any, out, MAX_ADDRESSES);
-	return n ? n : list_vms(e, &all, out, MAX_ADDRESSES);
+	struct selection tries[] = {
+		{ .centre = centre },
+		{ .centre = NULL },
+		{ .centre = centre, .includes_cut_off = true },
+		{ .centre = NULL, .includes_cut_off = true },
+	};
+	unsigned n = 0;
+
+	for (size_t i = 0; i < G_N_ELEMENTS(tries); i++) {
+		struct selection *s = &tries[i];
+
+		free_addresses(out, n);
+		n = list_vms(e, s, out, MAX_ADDRESSES);
+		if ((!s->centre || n >= MIN_OWN_CENTRE) &&
+		    (s->includes_cut_off ||
+		     n >= MIN_SHARE_WITH_PATH * (n + s->cut_off_count)))
+			break;
+	}
+	return n;
 }
 
 static void lookup(void *ctx, struct caller *caller)
--- a/entry/tunnel.c
+++ b/entry/tunnel.c
@@ -126,18 +126,17 @@
 		path_choose_target(t->e, roster->rows[t->row].service, t->row);
 	struct sockaddr_in to;
 
+	set_timer(t, WITNESS_TIMEOUT);
 	t->has_witness = true;
 	t->witness_row = other;
 	t->path_is_whole = other == TR_NO_ROW;
-	if (t->path_is_whole ||
-	    stream_parse_address(roster->rows[other].address, &to) ||
-	    stream_connect(&t->witness, t->e->loop, &to, t->e->settings->ip,
-			   &witness_callbacks, t)) {
-		if (t->failed)
-			fail(t);
+	if (!t->path_is_whole &&
+	    !stream_parse_address(roster->rows[other].address, &to) &&
+	    !stream_connect(&t->witness, t->e->loop, &to, t->e->settings->ip,
+			    &witness_callbacks, t))
 		return;
-	}
-	set_timer(t, WITNESS_TIMEOUT);
+	if (t->failed)
+		fail(t);
 }
 
 /* The connection to the target failed. */
