dial: a VM that has heard nobody yet does not blame the targets

Cause, by the lines of one run: a VM that had started 50 ms before was cut off. It had heard of no other VM, so nobody was asked, and that counted as if others had confirmed that the targets were down: each was left unused for a second.

The change: a failure that nobody else could tell of counts as one of the target only at a VM that is alone, and that is known a second after a start.

--- a/entry/dial.c
+++ b/entry/dial.c
@@ -64,7 +64,12 @@
  * either, or there are none. */
 bool dial_failure_is_confirmed(const struct dial *d)
 {
-	return d->no_answers || !d->asked_count;
+	const struct entry *e = d->e;
+	apr_time_t now = entry_now(e);
+
+	if (d->no_answers || d->asked_count)
+		return d->no_answers;
+	return tr_relay_is_alone(&e->members, now - e->started_at, now);
 }
 
 static bool peer_pending(const struct dial *d)
--- a/lib/relay.c
+++ b/lib/relay.c
@@ -11,6 +11,20 @@
 
 /* How long a VM that did not connect is not asked again. */
 #define DECLINED_FOR TR_SEC(2)
+/* A VM that starts has heard of the others by then. */
+#define OTHERS_KNOWN_AFTER TR_SEC(1)
+
+/*
+ * Returns whether there is no other VM that could tell a fault of this VM's
+ * path from one of a target. Just after its start a VM does not know that.
+ */
+bool tr_relay_is_alone(const struct tr_membership *m, apr_time_t up_for,
+		       apr_time_t now)
+{
+	if (m->count == 1)
+		return true;
+	return up_for >= OTHERS_KNOWN_AFTER && tr_membership_alive(m, now) == 1;
+}
 
 /* Records that the VM has no path to the targets of the service. */
 void tr_relay_declined(struct tr_relay_memory *memory, uint32_t ip,
--- a/lib/relay.h
+++ b/lib/relay.h
@@ -33,6 +33,8 @@
 	unsigned asked_count;
 };
 
+bool tr_relay_is_alone(const struct tr_membership *m, apr_time_t up_for,
+		       apr_time_t now);
 void tr_relay_declined(struct tr_relay_memory *memory, uint32_t ip,
 		       uint32_t service, apr_time_t now);
 const struct tr_node *tr_relay_choose(const struct tr_membership *m,
--- a/tests/relay_test.cc
+++ b/tests/relay_test.cc
@@ -159,6 +159,21 @@
 	EXPECT_EQ(ask_next(), "dc-1");
 }
 
+/* Guards against a VM that blames the targets because it has just started and
+ * has heard of nobody, and against one that is alone and never does. */
+TEST_F(Relay, AVmThatHasHeardNobodyIsAloneOnlyAfterAWhile)
+{
+	tr_membership alone{};
+
+	tr_membership_init(&alone, 1, 11, "dc-1");
+	EXPECT_TRUE(tr_relay_is_alone(&alone, 0, now));
+	tr_membership_find_or_add(&alone, 2);
+	EXPECT_FALSE(tr_relay_is_alone(&alone, TR_MSEC(50), now));
+	EXPECT_TRUE(tr_relay_is_alone(&alone, TR_SEC(2), now));
+	EXPECT_FALSE(tr_relay_is_alone(&m, TR_SEC(2), now));
+	tr_membership_release(&alone);
+}
+
 /* Guards against loading one VM with all that the others can't send. */
 TEST_F(Relay, TheLoadIsSpread)
 {
