--- a/entry/exchange.c
+++ b/entry/exchange.c
@@ -262,8 +262,8 @@
 	if (now >= x->deadline) {
 		x->maybe_ran = may_have_run(x);
 		for (int i = 0; i < MAX_UPSTREAMS; i++) {
-			x->via_peer += x->upstreams[i].active &&
-				       x->upstreams[i].peer;
+			x->via_peer +=
+				x->upstreams[i].active && x->upstreams[i].peer;
 			upstream_stop(&x->upstreams[i], UPSTREAM_TIMED_OUT);
 		}
 		exchange_reply_local(x, x->maybe_ran ? 504 : 503, "timeout");
