tests: targets stay in use while half of the VMs are cut off

No test played the floor under a cut. This one cuts half of six VMs off from seven targets, refused and then hanging, sends orders to all VMs at a steady pace and counts the targets in use in each window of 200 arrivals.

--- a/tests/cut_path_test.cc
+++ b/tests/cut_path_test.cc
@@ -25,12 +25,16 @@
 constexpr int DEADLINE_MS = 2500;
 /* From this probability of being gray on, a target counts as a suspect. */
 constexpr double SUSPECT = 0.5;
+/* The share of sound targets that must be in use, and the length of a window in
+ * arrivals: enough that none is idle by chance. */
+constexpr double FLOOR_SHARE = 0.7;
+constexpr size_t WINDOW = 200;
 
 enum class Path { Open, Refused, Hangs };
 
 /* A request that reached a target. */
 struct Arrival {
-	std::string id, vm;
+	std::string id, vm, target;
 };
 
 class CutPath : public testing::Test
@@ -62,8 +66,8 @@
 		for (unsigned i = 0; i < TARGETS; i++) {
 			targets.push_back(std::make_unique<Listener>(
 				address(i, PORT),
-				[this](int fd, const std::string &vm) {
-					serve(fd, vm);
+				[this, i](int fd, const std::string &vm) {
+					serve(fd, vm, std::to_string(i));
 				}));
 			ASSERT_TRUE(targets[i]->open());
 			full.push_back(std::make_unique<FullListener>(
@@ -115,20 +119,22 @@
 		return { net + std::to_string(100 + target), port };
 	}
 
-	void serve(int fd, const std::string &vm)
+	void serve(int fd, const std::string &vm, const std::string &target)
 	{
 		std::string rest;
 
 		for (;;) {
 			std::string request = read_message(fd, rest);
 
-			if (request.empty() || !respond(fd, vm, request))
+			if (request.empty() ||
+			    !respond(fd, vm, target, request))
 				return;
 		}
 	}
 
 	/* Returns false when the connection has to be closed. */
-	bool respond(int fd, const std::string &vm, const std::string &request)
+	bool respond(int fd, const std::string &vm, const std::string &target,
+		     const std::string &request)
 	{
 		std::string id = header(request, "X-Request-Id");
 		std::string line = request.substr(0, request.find("\r\n"));
@@ -138,7 +144,7 @@
 		{
 			std::lock_guard<std::mutex> lock(mutex);
 
-			arrivals.push_back({ id, vm });
+			arrivals.push_back({ id, vm, target });
 		}
 		if (line.find("until-eof") != std::string::npos) {
 			send_all(fd, "HTTP/1.1 200 OK\r\n" + head + "\r\n" +
@@ -298,6 +304,41 @@
 		}));
 	}
 
+	/* Sends orders to all VMs, some callers each at a steady pace, until
+	 * as many have reached the targets. */
+	void send_until_arrived(size_t count)
+	{
+		std::vector<std::thread> callers;
+		size_t end = arrivals_count() + count;
+
+		for (unsigned i = 0; i < 2 * VMS; i++)
+			callers.emplace_back([&, vm = i % VMS] {
+				while (arrivals_count() < end) {
+					status(vm, "/order/a", "order");
+					usleep(50000);
+				}
+			});
+		for (auto &each : callers)
+			each.join();
+	}
+
+	/* The fewest targets that got the arrivals of a window, over all that
+	 * begin from the given one on. */
+	size_t fewest_in_use(size_t from)
+	{
+		std::lock_guard<std::mutex> lock(mutex);
+		size_t fewest = TARGETS;
+
+		for (; from + WINDOW <= arrivals.size(); from++) {
+			std::set<std::string> used;
+
+			for (size_t i = from; i < from + WINDOW; i++)
+				used.insert(arrivals[i].target);
+			fewest = std::min(fewest, used.size());
+		}
+		return fewest;
+	}
+
 	/* The greatest probability of being gray, over what a VM has logged of
 	 * targets when it chose them. */
 	double greatest_risk(unsigned vm)
@@ -397,6 +438,22 @@
 	EXPECT_LT(greatest_risk(1), SUSPECT);
 }
 
+/* Guards against sound targets that get nothing while some VMs are cut off and
+ * all requests have to be served by the few others. */
+TEST_F(CutPath, TargetsStayInUseWhileSomeVmsAreCutOff)
+{
+	for (Path path : { Path::Refused, Path::Hangs }) {
+		size_t before = arrivals_count();
+
+		set_path(VMS / 2, path);
+		send_until_arrived(4 * WINDOW);
+		EXPECT_GE((double)fewest_in_use(before + WINDOW / 2),
+			  FLOOR_SHARE * (TARGETS - FEW));
+		set_path(VMS / 2, Path::Open);
+		send_until_arrived(WINDOW);
+	}
+}
+
 /* Guards against lookups that send callers to VMs without a path to targets. */
 TEST_F(CutPath, LookupsLeaveOutAVmWhileItIsCutOff)
 {
