--- a/tests/cut_path_test.cc
+++ b/tests/cut_path_test.cc
@@ -3,13 +3,10 @@
  * VMs reach them, over loopback: real entry VMs, whose connections to targets
  * can be refused or hang, see cut_calls.c.
  */
-#include <gtest/gtest.h>
-#include <memory>
 #include <regex>
 #include <sstream>
 
-#include "soak/store.h"
-#include "soak/vm.h"
+#include "vm_fleet.h"
 
 using namespace soak;
 
@@ -22,7 +19,6 @@
 /* The VM that is not cut off where all others are. */
 constexpr unsigned LAST = VMS - 1;
 constexpr uint16_t PORT = 9000, FULL_PORT = 9002;
-constexpr int DEADLINE_MS = 2500;
 /* From this probability of being gray on, a target counts as a suspect. */
 constexpr double SUSPECT = 0.5;
 /* The share of sound targets that must be in use, and the length of a window in
@@ -37,31 +33,19 @@
 	std::string id, vm, target;
 };
 
-class CutPath : public testing::Test
+class CutPath : public VmFleet
 {
       protected:
-	std::string net, dir;
-	std::unique_ptr<Store> store;
-	std::vector<std::unique_ptr<Vm>> vms;
 	std::vector<std::unique_ptr<Listener>> targets;
 	std::vector<std::unique_ptr<FullListener>> full;
 	std::mutex mutex;
 	std::vector<Arrival> arrivals;
-	std::atomic<unsigned> asked{ 0 };
 	std::atomic<unsigned> abandoned{ 0 };
 
 	void SetUp() override
 	{
-		char made[] = "/tmp/cut-path-XXXXXX";
-
-		signal(SIGPIPE, SIG_IGN);
-		ASSERT_NE(mkdtemp(made), nullptr);
-		dir = made;
-		net = "127." + std::to_string(192 + getpid() % 60) + "." +
-		      std::to_string(getpid() / 64 % 250) + ".";
-		ASSERT_EQ(setenv("CUT_PATH_DIR", made, 1), 0);
-		store = std::make_unique<Store>(Address{ net + "250", 8500 });
-		ASSERT_TRUE(store->open());
+		ASSERT_NO_FATAL_FAILURE(open_store("cut-path"));
+		ASSERT_EQ(setenv("CUT_PATH_DIR", dir.c_str(), 1), 0);
 		write_store();
 		for (unsigned i = 0; i < TARGETS; i++) {
 			targets.push_back(std::make_unique<Listener>(
@@ -73,19 +57,15 @@
 			full.push_back(std::make_unique<FullListener>(
 				address(i, FULL_PORT)));
 		}
-		start_vms();
+		start_vms(VMS);
+		ASSERT_NO_FATAL_FAILURE(warm_up());
 	}
 
 	void TearDown() override
 	{
-		for (unsigned i = 0; HasFailure() && i < vms.size(); i++)
-			printf("%s", log_of(i).c_str());
-		vms.clear();
+		close_all();
 		targets.clear();
 		full.clear();
-		store.reset();
-		std::string command = "rm -rf " + dir;
-		EXPECT_EQ(system(command.c_str()), 0);
 	}
 
 	void write_store()
@@ -178,19 +158,9 @@
 		}
 	}
 
-	/* Starts the VMs and waits until they serve. VMs with even numbers are
-	 * in one data centre. */
-	void start_vms()
+	/* Waits until all VMs serve and name each other. */
+	void warm_up()
 	{
-		for (unsigned i = 0; i < VMS; i++) {
-			vms.push_back(std::make_unique<Vm>(
-				ENTRY_PROGRAM, dir, net + std::to_string(1 + i),
-				"z" + std::to_string(i % 2),
-				store->address().text()));
-			vms[i]->write_settings(
-				{ net + "1", net + std::to_string(VMS) });
-			vms[i]->start();
-		}
 		for (unsigned i = 0; i < VMS; i++)
 			ASSERT_TRUE(eventually([&] {
 				return status(i, "/read/warm") == 200 &&
@@ -201,63 +171,6 @@
 			status(n % VMS, "/read/warm");
 	}
 
-	bool eventually(const std::function<bool()> &what)
-	{
-		for (int i = 0; i < 1000; i++) {
-			if (what())
-				return true;
-			std::this_thread::sleep_for(
-				std::chrono::milliseconds(20));
-		}
-		return false;
-	}
-
-	std::string log_of(unsigned vm)
-	{
-		std::ifstream in(dir + "/" + vms[vm]->ip + ".log");
-
-		return { std::istreambuf_iterator<char>(in), {} };
-	}
-
-	std::string ask(const Address &at, const std::string &text)
-	{
-		int fd = dial(at, 2 * DEADLINE_MS);
-		std::string rest, answer;
-
-		if (fd < 0)
-			return "";
-		if (send_all(fd, text))
-			answer = read_message(fd, rest);
-		close(fd);
-		return answer;
-	}
-
-	std::string request_text(const std::string &path,
-				 const std::string &body)
-	{
-		return (body.empty() ? "GET " : "POST ") + path +
-		       " HTTP/1.1\r\nHost: h.x\r\nX-Request-Id: id-" +
-		       std::to_string(++asked) +
-		       "\r\nX-Deadline-Ms: " + std::to_string(DEADLINE_MS) +
-		       "\r\nContent-Length: " + std::to_string(body.size()) +
-		       "\r\n\r\n" + body;
-	}
-
-	std::string send_request(unsigned vm, const std::string &path,
-				 const std::string &body = "")
-	{
-		return ask({ vms[vm]->ip, FRONT_PORT },
-			   request_text(path, body));
-	}
-
-	int status(unsigned vm, const std::string &path,
-		   const std::string &body = "")
-	{
-		std::string answer = send_request(vm, path, body);
-
-		return answer.empty() ? 0 : std::stoi(answer.substr(9, 3));
-	}
-
 	/* The addresses that a VM names to callers of the first data centre. */
 	std::set<std::string> lookup(unsigned vm)
 	{
--- a/tests/soak/store.cc
+++ b/tests/soak/store.cc
@@ -83,6 +83,58 @@
 	changed.notify_all();
 }
 
+void Store::take_copy()
+{
+	std::lock_guard<std::mutex> lock(mutex);
+
+	copy = items;
+	copy_rev = rev;
+}
+
+void Store::return_from_copy(std::chrono::milliseconds answer_late)
+{
+	std::lock_guard<std::mutex> lock(mutex);
+
+	before_return = items;
+	items = copy;
+	rev = compacted_rev = copy_rev;
+	history.clear();
+	late = answer_late;
+	era++;
+	changed.notify_all();
+}
+
+void Store::write_again(const std::string &key)
+{
+	std::unique_lock<std::mutex> lock(mutex);
+	auto found = before_return.find(key);
+
+	if (found == before_return.end())
+		return;
+	std::string value = found->second.value;
+
+	lock.unlock();
+	write(key, value);
+}
+
+void Store::set_era_text(std::optional<std::string> text)
+{
+	std::lock_guard<std::mutex> lock(mutex);
+
+	era_text = std::move(text);
+}
+
+/* An answer with the era in its head. */
+std::string Store::answer(int status, const std::string &body)
+{
+	std::string text = era_text.value_or(std::to_string(era));
+
+	return http(status,
+		    "Content-Type: application/json\r\n" +
+			    (text.empty() ? "" : "Store-Era: " + text + "\r\n"),
+		    body);
+}
+
 void Store::set_mode(StoreMode m, std::set<std::string> vms)
 {
 	std::lock_guard<std::mutex> lock(mutex);
@@ -117,23 +169,15 @@
 		}
 		rows += (n++ ? "," : "") + item_json(key, item.value, item.rev);
 	}
-	return http(200, "Content-Type: application/json\r\n",
-		    R"({"items":[)" + rows + R"(],"hasMore":)" +
-			    (more ? "true" : "false") + R"(,"asOf":)" +
-			    std::to_string(rev) + "}");
+	return answer(200, R"({"items":[)" + rows + R"(],"hasMore":)" +
+				   (more ? "true" : "false") + R"(,"asOf":)" +
+				   std::to_string(rev) + "}");
 }
 
-std::string Store::watch(const std::string &request)
+std::string Store::changes_since(uint64_t after, const std::string &prefix)
 {
-	std::string prefix = query(request, "prefix");
-	uint64_t after = number(query(request, "after"));
-	std::chrono::milliseconds wait(number(query(request, "waitMs")));
-	std::unique_lock<std::mutex> lock(mutex);
 	std::string rows;
 
-	changed.wait_for(lock, wait, [&] { return stopping || rev > after; });
-	if (after < compacted_rev)
-		return http(410, "", "");
 	for (const Event &e : history) {
 		if (e.item.rev <= after ||
 		    e.key.compare(0, prefix.size(), prefix))
@@ -147,9 +191,33 @@
 		else
 			rows += item_json(e.key, e.item.value, e.item.rev);
 	}
-	return http(200, "Content-Type: application/json\r\n",
-		    R"({"events":[)" + rows + R"(],"asOf":)" +
-			    std::to_string(rev) + "}");
+	return answer(200, R"({"events":[)" + rows + R"(],"asOf":)" +
+				   std::to_string(rev) + "}");
+}
+
+/* Returns "" if the watch is cut. */
+std::string Store::watch(const std::string &request)
+{
+	std::string prefix = query(request, "prefix");
+	uint64_t after = number(query(request, "after"));
+	std::chrono::milliseconds wait(number(query(request, "waitMs")));
+	std::unique_lock<std::mutex> lock(mutex);
+	std::string unchanged = changes_since(after, prefix);
+	uint64_t era_before = era;
+
+	if (after < compacted_rev || after > rev)
+		return answer(410, "");
+	changed.wait_for(lock, wait, [&] {
+		return stopping || rev > after || era != era_before;
+	});
+	if (era == era_before)
+		return after < compacted_rev ? answer(410, "")
+					     : changes_since(after, prefix);
+	std::chrono::milliseconds by = late;
+
+	lock.unlock();
+	std::this_thread::sleep_for(by);
+	return by.count() ? unchanged : "";
 }
 
 std::string Store::respond(const std::string &request)
@@ -183,6 +251,8 @@
 			usleep(SLOW_MS * 1000);
 		text = now == StoreMode::Busy ? http(503, "", "")
 					      : respond(request);
+		if (text.empty())
+			return;
 		/* A lost response also blocks all later ones on its
 		 * connection. */
 		if (now == StoreMode::Lost)
--- a/tests/soak/store.h
+++ b/tests/soak/store.h
@@ -1,9 +1,11 @@
 #ifndef SOAK_STORE_H
 #define SOAK_STORE_H
 
+#include <chrono>
 #include <condition_variable>
 #include <deque>
 #include <map>
+#include <optional>
 #include <set>
 
 #include "net.h"
@@ -16,7 +18,9 @@
 /*
  * Simulates the platform's key-value store for entry VMs: paged range reads,
  * watches by revision, and a history that can be compacted. A write made
- * through the methods is committed when the method returns.
+ * through the methods is committed when the method returns. The store can
+ * return from a copy: what was written since is lost, and its revisions are
+ * given out again in a new era.
  */
 class Store
 {
@@ -52,6 +56,15 @@
 	uint64_t write(const std::string &key, const std::string &value);
 	uint64_t remove(const std::string &key);
 	void compact_history();
+	/* Takes the copy that the store returns from later. */
+	void take_copy();
+	/* Returns from the copy. Watches that wait are cut or, if late isn't 0,
+	 * answered that much later as the former era would have. */
+	void return_from_copy(std::chrono::milliseconds late = {});
+	/* Writes an item again as it was before the return. */
+	void write_again(const std::string &key);
+	/* Sets the text of the era in all answers from now on; empty: none. */
+	void set_era_text(std::optional<std::string> text);
 	/* Applies from now on to the VMs with these addresses; to all if
 	 * empty. */
 	void set_mode(StoreMode mode, std::set<std::string> vms = {});
@@ -73,6 +86,8 @@
 	std::string respond(const std::string &request);
 	std::string range(const std::string &request);
 	std::string watch(const std::string &request);
+	std::string changes_since(uint64_t after, const std::string &prefix);
+	std::string answer(int status, const std::string &body);
 	StoreMode mode_for(const std::string &ip);
 
 	std::mutex mutex;
@@ -81,6 +96,11 @@
 	std::deque<Event> history;
 	uint64_t rev = 1;
 	uint64_t compacted_rev = 0;
+	uint64_t era = 1;
+	std::optional<std::string> era_text;
+	std::map<std::string, Item> copy, before_return;
+	uint64_t copy_rev = 0;
+	std::chrono::milliseconds late{};
 	StoreMode mode = StoreMode::Up;
 	std::set<std::string> affected_vms;
 	bool stopping = false;
--- /dev/null
+++ b/tests/store_return_test.cc
@@ -0,0 +1,419 @@
+/*
+ * The platform's store returns from a copy: what it accepted since the copy is
+ * lost and its revisions are given out again. Real entry VMs over loopback.
+ */
+#include <array>
+
+#include "vm_fleet.h"
+
+using namespace soak;
+
+namespace
+{
+
+constexpr unsigned VMS = 4, TARGETS = 6;
+/* The targets from this one on are those of the second service. */
+constexpr unsigned SECOND = 4;
+constexpr uint16_t PORT = 9000;
+constexpr auto AWAY = std::chrono::milliseconds(300);
+/* Revisions that the store gives out after the copy, more than the tests
+ * write after the return. */
+constexpr unsigned REVISIONS = 100;
+/* How long a test watches that something does not happen. */
+constexpr auto WATCHED = std::chrono::milliseconds(1200);
+/* Within this time a change has to be in force. */
+constexpr auto IN_FORCE = std::chrono::seconds(6);
+
+class StoreReturn : public VmFleet
+{
+      protected:
+	std::vector<std::unique_ptr<Listener>> targets;
+	std::array<std::atomic<unsigned>, TARGETS> arrivals{};
+
+	void SetUp() override
+	{
+		ASSERT_NO_FATAL_FAILURE(open_store("store-return"));
+		write_config(1, "s1");
+		for (unsigned i = 0; i < TARGETS; i++) {
+			targets.push_back(std::make_unique<Listener>(
+				Address{ net + std::to_string(100 + i), PORT },
+				[this, i](int fd, const std::string &) {
+					serve(fd, i);
+				}));
+			ASSERT_TRUE(targets[i]->open());
+			write_target(i, "ready");
+		}
+		start_vms(VMS);
+		ASSERT_TRUE(eventually([&] { return all_serve("s1"); }));
+	}
+
+	void TearDown() override
+	{
+		close_all();
+		targets.clear();
+	}
+
+	void serve(int fd, unsigned target)
+	{
+		std::string rest;
+
+		for (;;) {
+			std::string request = read_message(fd, rest);
+
+			if (request.empty())
+				return;
+			arrivals[target]++;
+			std::string head = "X-Request-Id: " +
+					   header(request, "X-Request-Id") +
+					   "\r\nX-Server-Stamp: s\r\n";
+
+			if (!send_all(fd, http(200, head, service_of(target))))
+				return;
+		}
+	}
+
+	static std::string service_of(unsigned target)
+	{
+		return target < SECOND ? "s1" : "s2";
+	}
+
+	/* Writes a configuration in which the route /moved/ goes to the
+	 * service. */
+	void write_config(unsigned version, const std::string &moved_to)
+	{
+		store->write(
+			"op/config",
+			R"({"version":)" + std::to_string(version) +
+				R"(,"routes":{"columns":["name","host","prefix",)"
+				R"("kind","timeout","targetLatency","priority",)"
+				R"("maxAttempts","service"],"rows":[["r1","h.x",)"
+				R"("/read/","safe","3s","1s",1,2,"s1"],["r2","h.x",)"
+				R"("/moved/","safe","3s","1s",1,2,")" +
+				moved_to +
+				R"("]]},"services":{"columns":["name","healthPath",)"
+				R"("maxConns"],"rows":[["s1","/health",90],["s2",)"
+				R"("/health",90]]},"limits":{"maxHeaderBytes":4096,)"
+				R"("maxBodyBytes":900000,"headerTimeout":"3s",)"
+				R"("idleTimeout":"9s"}})");
+	}
+
+	static std::string key_of(unsigned target)
+	{
+		return "servers/i-" + std::to_string(target);
+	}
+
+	void write_target(unsigned target, const std::string &state,
+			  unsigned sequence = 1)
+	{
+		store->write(
+			key_of(target),
+			R"({"address":")" + targets[target]->address.text() +
+				R"(","info":{"service":")" +
+				service_of(target) +
+				R"(","version":"v","zone":"z0","slots":3},)"
+				R"("status":{"state":")" +
+				state + R"(","coldLeft":"0ms","sequence":)" +
+				std::to_string(sequence) + "}}");
+	}
+
+	/* Writes what changes nothing, so that revisions rise. */
+	void raise_revisions()
+	{
+		for (unsigned i = 0; i < REVISIONS; i++)
+			write_target(TARGETS - 1, "ready", i + 2);
+	}
+
+	void away_and_back(std::chrono::milliseconds late = {})
+	{
+		store->set_mode(StoreMode::Reset);
+		std::this_thread::sleep_for(AWAY);
+		store->return_from_copy(late);
+		store->set_mode(StoreMode::Up);
+	}
+
+	/* The operator and the targets write again what they had written. */
+	void write_all_again()
+	{
+		store->write_again("op/config");
+		for (unsigned i = 0; i < TARGETS; i++)
+			store->write_again(key_of(i));
+	}
+
+	/* The service that handles the moved route at the VM, or "". */
+	std::string moved_to(unsigned vm)
+	{
+		std::string answer = send_request(vm, "/moved/a");
+
+		return answer.substr(0, 12) == "HTTP/1.1 200" ? body_of(answer)
+							      : "";
+	}
+
+	bool all_serve(const std::string &service)
+	{
+		for (unsigned i = 0; i < vms.size(); i++)
+			if (moved_to(i) != service)
+				return false;
+		return true;
+	}
+
+	bool in_force(const std::string &service)
+	{
+		return eventually([&] { return all_serve(service); }, IN_FORCE);
+	}
+
+	void send_reads(unsigned count)
+	{
+		for (unsigned i = 0; i < count; i++)
+			for (unsigned vm = 0; vm < vms.size(); vm++)
+				status(vm, "/read/a");
+	}
+
+	/* Whether the target gets none of the VMs' requests. */
+	bool unused(unsigned target)
+	{
+		unsigned before = arrivals[target];
+
+		send_reads(10);
+		return arrivals[target] == before;
+	}
+
+	bool gets_no_more(unsigned target)
+	{
+		return eventually([&] { return unused(target); }, IN_FORCE);
+	}
+
+	void restart(unsigned vm)
+	{
+		vms[vm]->kill_now();
+		vms[vm]->start();
+	}
+
+	bool all_log(const std::string &text)
+	{
+		for (unsigned i = 0; i < vms.size(); i++)
+			if (log_of(i).find(text) == std::string::npos)
+				return false;
+		return true;
+	}
+};
+
+/* Guards against configurations that are ignored because their revisions were
+ * given out before. */
+TEST_F(StoreReturn, ANewConfigurationIsInForceAtAllVms)
+{
+	store->take_copy();
+	raise_revisions();
+	write_config(2, "s2");
+	ASSERT_TRUE(in_force("s2"));
+	away_and_back();
+	write_all_again();
+	write_config(3, "s1");
+	EXPECT_TRUE(in_force("s1"));
+}
+
+/* Guards against targets that leave and whose word is ignored in the same way.
+ */
+TEST_F(StoreReturn, ATargetThatLeavesGetsNoWork)
+{
+	store->take_copy();
+	for (unsigned i = 0; i < REVISIONS; i++)
+		write_target(0, "ready", i + 2);
+	away_and_back();
+	write_all_again();
+	write_target(0, "draining");
+	EXPECT_TRUE(gets_no_more(0));
+	write_target(1, "draining");
+	EXPECT_TRUE(gets_no_more(1));
+}
+
+/* Guards against VMs that take an older configuration from the copy, also those
+ * that start meanwhile, and against those that the store turns away. */
+TEST_F(StoreReturn, NoOlderConfigurationIsInForceWhileTheCopyStands)
+{
+	store->take_copy();
+	write_config(2, "s2");
+	ASSERT_TRUE(in_force("s2"));
+	away_and_back();
+	store->set_mode(StoreMode::Busy, { vms[2]->ip });
+	restart(0);
+	restart(1);
+	auto end = std::chrono::steady_clock::now() + WATCHED;
+
+	while (std::chrono::steady_clock::now() < end)
+		for (unsigned i = 0; i < VMS; i++)
+			EXPECT_NE(moved_to(i), "s1") << i;
+	EXPECT_TRUE(in_force("s2"));
+	write_all_again();
+	write_config(3, "s1");
+	EXPECT_TRUE(in_force("s1"));
+}
+
+/* Guards against targets that have left, or ended, and get requests again since
+ * the copy has them as they were before. */
+TEST_F(StoreReturn, ATargetThatHasLeftGetsNoWorkWhileTheCopyStands)
+{
+	store->take_copy();
+	write_target(0, "draining");
+	store->remove(key_of(1));
+	ASSERT_TRUE(gets_no_more(0) && gets_no_more(1));
+	away_and_back();
+	restart(0);
+	ASSERT_TRUE(eventually([&] { return all_serve("s1"); }));
+	unsigned before[] = { arrivals[0], arrivals[1] };
+	auto end = std::chrono::steady_clock::now() + WATCHED;
+
+	while (std::chrono::steady_clock::now() < end)
+		send_reads(1);
+	EXPECT_EQ(arrivals[0], before[0]);
+	EXPECT_EQ(arrivals[1], before[1]);
+}
+
+/* Guards against targets that are dropped at once because the copy lacks them,
+ * and against such that are never dropped. */
+TEST_F(StoreReturn, ATargetThatTheCopyLacksIsKeptForAWhile)
+{
+	store->remove(key_of(0));
+	store->remove(key_of(1));
+	ASSERT_TRUE(gets_no_more(0) && gets_no_more(1));
+	store->take_copy();
+	write_target(0, "ready");
+	write_target(1, "ready");
+	ASSERT_TRUE(eventually([&] { return !unused(0) && !unused(1); }));
+	away_and_back();
+	auto end = std::chrono::steady_clock::now() +
+		   std::chrono::milliseconds(1000);
+
+	while (std::chrono::steady_clock::now() < end) {
+		EXPECT_FALSE(unused(0));
+		EXPECT_FALSE(unused(1));
+	}
+	store->write_again(key_of(0));
+	EXPECT_TRUE(gets_no_more(1));
+	EXPECT_FALSE(unused(0));
+}
+
+/* Guards against an answer of the former era that comes after the return. */
+TEST_F(StoreReturn, ALateAnswerOfTheFormerEraChangesNothing)
+{
+	store->take_copy();
+	raise_revisions();
+	write_config(2, "s2");
+	ASSERT_TRUE(in_force("s2"));
+	away_and_back(std::chrono::milliseconds(700));
+	write_all_again();
+	write_config(3, "s1");
+	write_target(0, "draining");
+	EXPECT_TRUE(in_force("s1"));
+	EXPECT_TRUE(gets_no_more(0));
+	std::this_thread::sleep_for(WATCHED);
+	EXPECT_TRUE(all_serve("s1"));
+	EXPECT_TRUE(unused(0));
+}
+
+/* Guards against a VM that was suspended over the return, and then tells the
+ * others of the former era or stays in it. */
+TEST_F(StoreReturn, AVmThatWasSuspendedFollowsTheOthers)
+{
+	store->take_copy();
+	raise_revisions();
+	write_config(2, "s2");
+	ASSERT_TRUE(in_force("s2"));
+	vms[0]->send(SIGSTOP);
+	away_and_back();
+	write_all_again();
+	write_config(3, "s1");
+	write_target(0, "draining");
+	std::this_thread::sleep_for(WATCHED);
+	vms[0]->send(SIGCONT);
+	EXPECT_TRUE(in_force("s1"));
+	EXPECT_TRUE(gets_no_more(0));
+	std::this_thread::sleep_for(WATCHED);
+	EXPECT_TRUE(all_serve("s1"));
+	EXPECT_TRUE(unused(0));
+}
+
+/* Guards against VMs that the store turns away and that stay in the former era.
+ */
+TEST_F(StoreReturn, VmsThatTheStoreTurnsAwayFollowTheOthers)
+{
+	store->take_copy();
+	raise_revisions();
+	write_config(2, "s2");
+	ASSERT_TRUE(in_force("s2"));
+	away_and_back();
+	store->set_mode(StoreMode::Busy,
+			{ vms[0]->ip, vms[2]->ip, vms[3]->ip });
+	write_all_again();
+	write_config(3, "s1");
+	write_target(0, "draining");
+	EXPECT_TRUE(in_force("s1"));
+	EXPECT_TRUE(gets_no_more(0));
+}
+
+/* Guards against a second return that finds VMs still amid the first. */
+TEST_F(StoreReturn, TwoReturnsSoonAfterEachOther)
+{
+	store->take_copy();
+	raise_revisions();
+	write_config(2, "s2");
+	write_target(0, "draining");
+	ASSERT_TRUE(in_force("s2") && gets_no_more(0));
+	away_and_back();
+	write_config(3, "s2");
+	away_and_back();
+	unsigned before = arrivals[0];
+	auto end = std::chrono::steady_clock::now() + WATCHED;
+
+	while (std::chrono::steady_clock::now() < end)
+		for (unsigned i = 0; i < VMS; i++) {
+			EXPECT_NE(moved_to(i), "s1") << i;
+			status(i, "/read/a");
+		}
+	EXPECT_EQ(arrivals[0], before);
+	write_config(4, "s1");
+	EXPECT_TRUE(in_force("s1"));
+}
+
+/* Guards against a platform that names no era any more. */
+TEST_F(StoreReturn, WithoutAnEraChangesAreInForceAsBefore)
+{
+	store->set_era_text("");
+	write_config(2, "s2");
+	write_target(0, "draining");
+	EXPECT_TRUE(in_force("s2"));
+	EXPECT_TRUE(gets_no_more(0));
+}
+
+/* Guards against answers that are lost since their era is not a number. */
+TEST_F(StoreReturn, AnEraThatIsNoNumberIsLoggedAndNothingIsLost)
+{
+	store->set_era_text("soon");
+	write_config(2, "s2");
+	write_target(0, "draining");
+	EXPECT_TRUE(in_force("s2"));
+	EXPECT_TRUE(gets_no_more(0));
+	EXPECT_TRUE(eventually([&] {
+		for (unsigned i = 0; i < VMS; i++)
+			if (log_of(i).find("event=store-era-invalid "
+					   "value=\"soon\"") !=
+			    std::string::npos)
+				return true;
+		return false;
+	}));
+}
+
+/* Guards against a return that operators can't see. */
+TEST_F(StoreReturn, AllVmsLogTheReturnWithErasAndRevisions)
+{
+	store->take_copy();
+	raise_revisions();
+	away_and_back();
+	write_all_again();
+	EXPECT_TRUE(eventually([&] {
+		return all_log("event=store-restored era_before=1 "
+			       "as_of_before=") &&
+		       all_log(" era=2 as_of=");
+	}));
+}
+
+} // namespace
