revision, roster, reader, mesh: order what is read by the store's era first

Cause: revisions were held to rise for ever. What the store accepts after it returned has numbers that VMs have seen, and was ignored by readers and VMs that hear from others alike until the numbers passed the largest one held. Both readers watched from a revision that the store no longer had, and listed all keys three times a second meanwhile.

The change: a revision is the pair of the store's era and number in one integer, made in lib/revision.c, so that every comparison there is goes by the era first. Readers take the era from the answer's header; an answer of a former era is dropped, changes of a later one are not taken for the continuation of an older list. Between VMs the era stands in spare bits of the flags, beside the numbers that builds without eras read; such a build's numbers mean the present era until the store has returned. VMs order configurations among each other by their version, which no copy changes: an older one is never put in force, and proofs of keys are not renewed while the store lacks the one in force. A target that left or ended stays out though the copy has it as before, until it starts anew, or writes again after it ended; this is told to VMs that don't know. One that the copy lacks has the usual time to write again. Without the header all is as before; one that is no number is logged, and its answer counts as of the era that is known.

--- a/entry/dialect.h
+++ b/entry/dialect.h
@@ -11,7 +11,8 @@
 struct message;
 struct tr_error;
 
-/* A value in the platform's store, or a tombstone. */
+/* A value in the platform's store, or a tombstone. The dialect gives the
+ * store's numbers of revisions; store_page_set_era() makes them comparable. */
 struct store_item {
 	char *key;
 	char *value;
@@ -59,6 +60,8 @@
 	char *(*list_path)(const char *prefix, const char *after_key);
 	char *(*watch_path)(const char *prefix, uint64_t after_revision,
 			    apr_time_t wait);
+	int (*parse_era)(const struct message *answer, uint32_t *era,
+			 struct tr_error *err);
 	int (*parse_page)(const char *body, size_t len, struct store_page *page,
 			  struct tr_error *err);
 	int history_lost_status;
@@ -72,6 +75,7 @@
 };
 
 void store_page_init(struct store_page *page);
+void store_page_set_era(struct store_page *page, uint32_t era);
 void store_page_clear(struct store_page *page);
 
 #endif
--- a/entry/endpoints.c
+++ b/entry/endpoints.c
@@ -205,7 +205,7 @@
 		{ "routes_late",
 		  tr_spread_newest_revision(&e->members, TR_RESOURCE_ROUTES,
 					    entry_now(e)) >
-			  (e->routes ? e->routes->revision : 0) },
+			  entry_routes_order(e) },
 		{ "store_targets_refused_total", c->targets_refused },
 		{ "fleet_vms", tr_membership_size(&e->members) },
 		{ "groups", e->members.groups_count },
--- a/entry/entry.c
+++ b/entry/entry.c
@@ -8,6 +8,7 @@
 #include "entry_settings.h"
 #include "error.h"
 #include "eventlog.h"
+#include "mesh.h"
 #include "organisation.h"
 
 /*
@@ -90,6 +91,40 @@
 	}
 }
 
+/*
+ * Returns the place of the configuration in force among those that VMs announce
+ * to each other, 0 for none. Versions order configurations whatever the store
+ * has lost. Places are even; the odd ones are for mesh_routes_order().
+ */
+uint64_t entry_routes_order(const struct entry *e)
+{
+	return e->routes ? 2 * (e->routes->version + 1) : 0;
+}
+
+/* Returns whether the last configuration that the store gave is not in force:
+ * it is invalid, or the store has lost the one that is. */
+bool entry_store_lacks_routes(const struct entry *e)
+{
+	return e->refused_revision > e->routes->revision ||
+	       e->outdated_revision > e->routes->revision;
+}
+
+/* Notes the era of a revision at which the store was read. */
+void entry_enter_era(struct entry *e, uint64_t as_of, const char *from)
+{
+	uint64_t before = e->roster.as_of;
+
+	if (tr_roster_enter_era(&e->roster, tr_revision_era(as_of),
+				tr_revision_number(as_of), entry_now(e)))
+		eventlog(EVENT_STATE, "store-restored",
+			 "era_before=%ld as_of_before=%" G_GUINT64_FORMAT
+			 " era=%ld as_of=%" G_GUINT64_FORMAT " from=%s",
+			 entry_era_number(before),
+			 (guint64)tr_revision_number(before),
+			 entry_era_number(as_of),
+			 (guint64)tr_revision_number(as_of), from);
+}
+
 static void activate_routes(struct entry *e, struct tr_routes *routes,
 			    const char *from)
 {
@@ -98,31 +133,65 @@
 			tr_roster_service(&e->roster, routes->services[i].name);
 	eventlog(EVENT_STATE, "routes",
 		 "version=%" G_GUINT64_FORMAT " revision=%" G_GUINT64_FORMAT
-		 " routes=%u from=%s",
-		 (guint64)routes->version, (guint64)routes->revision,
-		 routes->routes_count, from);
+		 " era=%ld routes=%u from=%s",
+		 (guint64)routes->version,
+		 (guint64)tr_revision_number(routes->revision),
+		 entry_era_number(routes->revision), routes->routes_count,
+		 from);
 	set_limits(e, routes->organisations);
 	tr_routes_unref(e->routes);
 	e->routes = routes;
-	e->members.nodes[0].held[TR_RESOURCE_ROUTES] = routes->revision;
+	e->members.nodes[0].held[TR_RESOURCE_ROUTES] = entry_routes_order(e);
 	e->front.limits = routes->limits;
 }
 
 /*
- * Applies a configuration from the store or a peer, if its revision and version
- * are larger than those in force: an outdated reader must not bring back an
- * older one.
+ * Returns whether the configuration, once parsed, replaces the one in force: an
+ * outdated reader, or a store that returns from a copy, must not bring back an
+ * older version. One that is published again counts by its revision.
  */
+static bool replaces_routes(struct entry *e, const struct tr_routes *routes,
+			    const char *from)
+{
+	if (!e->routes || routes->version > e->routes->version)
+		return true;
+	if (routes->version == e->routes->version)
+		return routes->revision > e->routes->revision;
+	if (routes->revision > e->outdated_revision)
+		e->outdated_revision = routes->revision;
+	eventlog(EVENT_STATE, "routes-outdated",
+		 "version=%" G_GUINT64_FORMAT " revision=%" G_GUINT64_FORMAT
+		 " era=%ld in_force=%" G_GUINT64_FORMAT " from=%s",
+		 (guint64)routes->version,
+		 (guint64)tr_revision_number(routes->revision),
+		 entry_era_number(routes->revision),
+		 (guint64)e->routes->version, from);
+	return false;
+}
+
+/* Returns whether the item was looked at before, or is older than what was. */
+static bool is_known_revision(const struct entry *e,
+			      const struct store_item *item, bool from_store)
+{
+	if (item->revision <= e->refused_revision)
+		return true;
+	if (!e->routes)
+		return false;
+	/* A VM that has no revision of this era may hold a later version. */
+	return from_store ? item->revision <= e->routes->revision ||
+				    item->revision <= e->outdated_revision
+			  : item->revision == e->routes->revision;
+}
+
+/* Applies a configuration from the store or a peer. */
 void entry_apply_routes(struct entry *e, const struct store_item *item,
 			const char *from)
 {
 	struct tr_error err = { 0 };
 	struct tr_routes *routes;
 
-	if ((e->routes && item->revision <= e->routes->revision) ||
-	    item->revision <= e->refused_revision)
-		return;
-	if (item->removed)
+	if (item->removed ||
+	    is_known_revision(e, item, strcmp(from, "store") == 0))
 		return;
 	routes = e->dialect->parse_routes(item, &err);
 	if (!routes) {
@@ -130,36 +199,53 @@
 		eventlog(EVENT_FAILURE, "routes-refused",
 			 "key=%s revision=%" G_GUINT64_FORMAT
 			 " field=%s value=\"%s\" expected=\"%s\" from=%s",
-			 item->key, (guint64)item->revision, err.field,
-			 err.value, err.expected, from);
+			 item->key, (guint64)tr_revision_number(item->revision),
+			 err.field, err.value, err.expected, from);
 		return;
 	}
-	activate_routes(e, routes, from);
+	if (replaces_routes(e, routes, from))
+		activate_routes(e, routes, from);
+	else
+		tr_routes_unref(routes);
+}
+
+/* Logs an event about something refused. The lines are limited in rate, so that
+ * a writer of malformed entries does not displace the lines about requests. */
+void entry_log_refusal(struct entry *e, const char *event, const char *format,
+		       ...)
+{
+	apr_time_t now = entry_now(e);
+	g_autofree char *text = NULL;
+	va_list args;
+
+	if (!tr_pacer_allows(&e->refusal_log_limiter, REFUSAL_LINES_PER_S, now))
+		return;
+	tr_pacer_consume(&e->refusal_log_limiter, 1);
+	va_start(args, format);
+	text = g_strdup_vprintf(format, args);
+	va_end(args);
+	eventlog(EVENT_FAILURE, event, "%s", text);
 }
 
 /*
- * Ignores an entry that cannot be read; those of other targets hold. Log lines
- * are limited in rate, since a writer that floods the store with malformed
- * entries must not displace the lines about requests.
+ * Ignores an entry that cannot be read; those of other targets hold.
  */
 static void reject_target(struct entry *e, const struct store_item *item,
 			  const struct tr_target_record *record,
 			  const struct tr_error *err, const char *from)
 {
-	apr_time_t now = entry_now(e);
-
 	e->counts.targets_refused++;
 	if (*record->id)
 		tr_roster_reject_entry(&e->roster, record->id, item->revision,
-				       now);
-	if (!tr_pacer_allows(&e->refusal_log_limiter, REFUSAL_LINES_PER_S, now))
-		return;
-	tr_pacer_consume(&e->refusal_log_limiter, 1);
-	eventlog(EVENT_FAILURE, "target-refused",
-		 "key=%s revision=%" G_GUINT64_FORMAT
-		 " field=%s expected=\"%s\" from=%s refused=%" G_GUINT64_FORMAT,
-		 item->key, (guint64)item->revision, err->field, err->expected,
-		 from, (guint64)e->counts.targets_refused);
+				       entry_now(e));
+	entry_log_refusal(e, "target-refused",
+			  "key=%s revision=%" G_GUINT64_FORMAT
+			  " field=%s expected=\"%s\" from=%s"
+			  " refused=%" G_GUINT64_FORMAT,
+			  item->key,
+			  (guint64)tr_revision_number(item->revision),
+			  err->field, err->expected, from,
+			  (guint64)e->counts.targets_refused);
 }
 
 static const char *state_name(const struct tr_target_record *record)
@@ -173,14 +259,26 @@
 void entry_apply_target(struct entry *e, const struct tr_target_record *record,
 			const char *from)
 {
-	if (!tr_roster_apply(&e->roster, record, entry_now(e)))
+	bool changed = tr_roster_apply(&e->roster, record, entry_now(e));
+
+	if (e->roster.departures_due) {
+		e->roster.departures_due = false;
+		mesh_report_departures(e->mesh);
+		eventlog(EVENT_STATE, "target-kept-out",
+			 "id=%s revision=%" G_GUINT64_FORMAT " era=%ld from=%s",
+			 record->id,
+			 (guint64)tr_revision_number(record->revision),
+			 entry_era_number(record->revision), from);
+	}
+	if (!changed)
 		return;
 	eventlog(EVENT_STATE, "target",
 		 "id=%s born=%" G_GUINT64_FORMAT " service=%s address=%s "
-		 "state=%s revision=%" G_GUINT64_FORMAT " from=%s",
+		 "state=%s revision=%" G_GUINT64_FORMAT " era=%ld from=%s",
 		 record->id, (guint64)record->born, record->service,
-		 record->address, state_name(record), (guint64)record->revision,
-		 from);
+		 record->address, state_name(record),
+		 (guint64)tr_revision_number(record->revision),
+		 entry_era_number(record->revision), from);
 }
 
 /*
--- a/entry/entry.h
+++ b/entry/entry.h
@@ -19,6 +19,7 @@
 #include "membership.h"
 #include "pacer.h"
 #include "proof.h"
+#include "revision.h"
 #include "roster.h"
 #include "route.h"
 
@@ -91,10 +92,15 @@
 	struct tunnel *tunnels; /* connections to targets for other VMs */
 	unsigned tunnels_count;
 	uint64_t refused_revision; /* of the last invalid configuration */
-	double split_position;	   /* quasi-random draw of the traffic split */
-	bool leaving;		   /* since the stop signal */
-	bool ready;		   /* since the routes and the list are here */
-	apr_time_t stepped_at;	   /* last step of the event loop */
+	/* Place of the last one that was fetched from a peer in vain. */
+	uint64_t refused_order;
+	/* Of the last configuration of the store that is older than the one in
+	 * force. */
+	uint64_t outdated_revision;
+	double split_position; /* quasi-random draw of the traffic split */
+	bool leaving;	       /* since the stop signal */
+	bool ready;	       /* since the routes and the list are here */
+	apr_time_t stepped_at; /* last step of the event loop */
 	apr_time_t idle_checked_at;
 	apr_time_t floors_logged_at;
 	apr_time_t repeats_logged_at;
@@ -124,12 +130,24 @@
 	return tr_clock_now(loop_clock(e->loop));
 }
 
+/* Returns the era of the revision as the store numbers it, or -1 if it is not
+ * known. */
+static inline long entry_era_number(uint64_t revision)
+{
+	return (long)tr_revision_era(revision) - 1;
+}
+
 bool entry_apply_item(struct entry *e, const struct store_item *item,
 		      const char *from, struct tr_target_record *record);
 void entry_apply_target(struct entry *e, const struct tr_target_record *record,
 			const char *from);
 void entry_apply_routes(struct entry *e, const struct store_item *item,
 			const char *from);
+void entry_enter_era(struct entry *e, uint64_t as_of, const char *from);
+void entry_log_refusal(struct entry *e, const char *event, const char *format,
+		       ...) G_GNUC_PRINTF(3, 4);
+uint64_t entry_routes_order(const struct entry *e);
+bool entry_store_lacks_routes(const struct entry *e);
 bool entry_check_pause(struct entry *e, apr_time_t now);
 void entry_apply_bounds(struct entry *e);
 apr_time_t entry_view_age(const struct entry *e);
--- a/entry/exchange_arrive.c
+++ b/entry/exchange_arrive.c
@@ -213,7 +213,7 @@
 	uint64_t newest = tr_spread_newest_revision(
 		&e->members, TR_RESOURCE_ROUTES, entry_now(e));
 
-	return newest > e->routes->revision && newest > e->refused_revision;
+	return newest > entry_routes_order(e) && newest > e->refused_order;
 }
 
 /* Checks the request, and refuses it or starts its exchange. */
--- a/entry/mesh.c
+++ b/entry/mesh.c
@@ -123,14 +123,15 @@
 	struct mesh *mesh = ctx;
 	struct mesh_message msg;
 	rpcproc_t procedure;
-	char buf[2048];
+	char buf[2048 + MESH_TAIL_BYTES];
 
 	(void)events;
 	for (int i = 0; i < DATAGRAMS_PER_WAKEUP; i++) {
 		struct sockaddr_in from = { 0 };
 		socklen_t from_len = sizeof(from);
-		ssize_t n = recvfrom(fd, buf, sizeof(buf), MSG_DONTWAIT,
-				     (struct sockaddr *)&from, &from_len);
+		ssize_t n = recvfrom(fd, buf, sizeof(buf) - MESH_TAIL_BYTES,
+				     MSG_DONTWAIT, (struct sockaddr *)&from,
+				     &from_len);
 
 		if (n < 0)
 			return;
@@ -159,6 +160,14 @@
 	broadcast(mesh);
 }
 
+/* Schedules a broadcast of recent changes of the list, which this VM knows
+ * though it did not read them from the store. */
+void mesh_report_departures(struct mesh *mesh)
+{
+	mesh->list_update = true;
+	mesh_schedule_report(mesh);
+}
+
 /* Broadcasts without regard to the minimum gap, and reports to other groups. */
 void mesh_broadcast_now(struct mesh *mesh)
 {
--- a/entry/mesh.h
+++ b/entry/mesh.h
@@ -8,6 +8,7 @@
 void mesh_step(struct mesh *mesh);
 void mesh_schedule_report(struct mesh *mesh);
 void mesh_broadcast_list(struct mesh *mesh);
+void mesh_report_departures(struct mesh *mesh);
 void mesh_broadcast_now(struct mesh *mesh);
 void mesh_broadcast_limit(struct mesh *mesh, uint32_t limit_index);
 void mesh_broadcast_leaving(struct mesh *mesh, uint32_t target);
--- a/entry/mesh.x
+++ b/entry/mesh.x
@@ -34,7 +34,8 @@
 	unsigned int totals;
 };
 
-/* A target as the platform lists it. */
+/* A target as the platform lists it. The flags of this and of a departure also
+ * hold the era of the revision, see RECORD_ERA_SHIFT. */
 struct mesh_record {
 	string id<MESH_MAX_ID>;
 	string service<MESH_MAX_ID>;
@@ -122,7 +123,8 @@
 };
 
 /* Every message describes its sender in the fields up to fleet_size; the lists
- * carry what is new or due to be sent again. proof_age_ms: upper bound for the
+ * carry what is new or due to be sent again. Revisions are the store's numbers;
+ * the flags also hold the era of as_of, see MESH_ERA_SHIFT. proof_age_ms: upper bound for the
  * age of the configuration, or UINT32_MAX without a proof. question: identifies
  * a request for such a proof, or 0. answers: the question that this message
  * replies to, or 0. */
@@ -155,6 +157,11 @@
 	mesh_limit limits<MESH_MAX_LIMITS>;
 	/* Targets that have announced that they are leaving. */
 	unsigned int leaving<MESH_MAX_LEAVING>;
+	/* Builds without eras end here. The place of the sender's configuration
+	 * among all, 0 without one; and the least revision at which a VM has
+	 * read the store in the era of as_of, 0 if it is not known. */
+	unsigned hyper config_order;
+	unsigned hyper era_start;
 };
 
 program MESH_PEER {
--- a/entry/mesh_changes.c
+++ b/entry/mesh_changes.c
@@ -7,6 +7,14 @@
 #define DEPARTURE_BYTES	   16
 #define RECORD_BYTES	   150
 
+static uint32_t record_flags(bool leaving, bool gone,
+			     const struct tr_instance *row)
+{
+	return (leaving ? RECORD_LEAVING : 0) | (gone ? RECORD_GONE : 0) |
+	       (row->stale_copy ? RECORD_STALE_COPY : 0) |
+	       tr_revision_era(row->revision) << RECORD_ERA_SHIFT;
+}
+
 static void add_record(const struct mesh *mesh, struct mesh_message *msg,
 		       struct mesh_changes *storage,
 		       const struct tr_instance *row, apr_time_t now)
@@ -21,10 +29,9 @@
 		.address = t->address,
 		.data_centre = t->data_centre,
 		.slots = t->slots,
-		.flags = (t->leaving ? RECORD_LEAVING : 0) |
-			 (t->gone ? RECORD_GONE : 0),
+		.flags = record_flags(t->leaving, t->gone, row),
 		.cold_ms = (uint32_t)(t->cold_for / 1000),
-		.revision = t->revision,
+		.revision = tr_revision_number(t->revision),
 		.born = t->born,
 	};
 }
@@ -38,9 +45,8 @@
 	storage->departures[msg->departures.departures_len++] =
 		(struct mesh_departure){
 			.target = row->hash,
-			.flags = (row->leaving ? RECORD_LEAVING : 0) |
-				 (gone ? RECORD_GONE : 0),
-			.revision = row->revision,
+			.flags = record_flags(row->leaving, gone, row),
+			.revision = tr_revision_number(row->revision),
 		};
 }
 
@@ -93,8 +99,11 @@
 		.slots = in->slots,
 		.leaving = in->flags & RECORD_LEAVING,
 		.gone = in->flags & RECORD_GONE,
+		.stale_copy = in->flags & RECORD_STALE_COPY,
 		.cold_for = TR_MSEC(in->cold_ms),
-		.revision = in->revision,
+		.revision = tr_roster_peer_revision(
+			&mesh->e->roster, in->flags >> RECORD_ERA_SHIFT,
+			in->revision),
 		.born = in->born,
 	};
 
@@ -117,7 +126,9 @@
 	tr_roster_export_record(&e->roster, row, &r, entry_now(e));
 	r.leaving = in->flags & RECORD_LEAVING;
 	r.gone = in->flags & RECORD_GONE;
-	r.revision = in->revision;
+	r.stale_copy = in->flags & RECORD_STALE_COPY;
+	r.revision = tr_roster_peer_revision(
+		&e->roster, in->flags >> RECORD_ERA_SHIFT, in->revision);
 	entry_apply_target(e, &r, "peer");
 }
 
--- a/entry/mesh_codec.c
+++ b/entry/mesh_codec.c
@@ -35,7 +35,10 @@
 	return len;
 }
 
-/* Decodes a message. The caller frees it with xdr_free(), also when this fails.
+/*
+ * Decodes a message. The caller frees it with xdr_free(), also when this fails.
+ * buf must have room for MESH_TAIL_BYTES more than len: the last fields, which
+ * the messages of builds without eras lack, are read as zeros there.
  */
 bool mesh_decode(char *buf, size_t len, struct mesh_message *msg,
 		 rpcproc_t *procedure)
@@ -49,10 +52,13 @@
 	memset(msg, 0, sizeof(*msg));
 	call.rm_call.cb_cred.oa_base = cred[0];
 	call.rm_call.cb_verf.oa_base = cred[1];
-	xdrmem_create(&xdr, buf, (u_int)len, XDR_DECODE);
+	memset(buf + len, 0, MESH_TAIL_BYTES);
+	xdrmem_create(&xdr, buf, (u_int)(len + MESH_TAIL_BYTES), XDR_DECODE);
 	ok = xdr_callmsg(&xdr, &call) && call.rm_call.cb_prog == MESH_PEER &&
 	     call.rm_call.cb_vers == MESH_VERSION &&
-	     xdr_mesh_message(&xdr, msg);
+	     xdr_mesh_message(&xdr, msg) &&
+	     (xdr_getpos(&xdr) <= len ||
+	      xdr_getpos(&xdr) == len + MESH_TAIL_BYTES);
 	*procedure = call.rm_call.cb_proc;
 	xdr_destroy(&xdr);
 	return ok;
--- a/entry/mesh_internal.h
+++ b/entry/mesh_internal.h
@@ -14,16 +14,22 @@
 #define MESH_LIST_UPDATE 8U
 #define MESH_REPLY	 16U /* to the first message of a VM */
 #define MESH_CUT_OFF	 32U
+/* The bits above the flags hold an era. */
+#define MESH_ERA_SHIFT	 8
+#define RECORD_ERA_SHIFT 8
 /* Fits into one datagram without fragmentation on an ordinary link. */
 #define DATAGRAM_MAX	  1400
-#define HEADER_BYTES	  268
+#define HEADER_BYTES	  284
 #define DATA_CENTRE_BYTES 80
 #define NODE_BYTES	  4
+/* Size of the fields of a message that builds without eras lack. */
+#define MESH_TAIL_BYTES 16
 #define NOTICES_BYTES                                  \
 	(MESH_MAX_LIMITS * sizeof(struct mesh_limit) + \
 	 MESH_MAX_LEAVING * sizeof(uint32_t))
-#define RECORD_LEAVING 1U
-#define RECORD_GONE    2U
+#define RECORD_LEAVING	  1U
+#define RECORD_GONE	  2U
+#define RECORD_STALE_COPY 4U /* the store's copy says otherwise */
 
 /* Storage for the target changes of a message; its strings point into
  * target_records. */
@@ -80,6 +86,8 @@
 		 rpcproc_t *procedure);
 void mesh_fill_row(struct mesh_row *out, const struct tr_instance *row);
 void mesh_read_row(const struct mesh_row *in, struct tr_symptom_totals *t);
+uint64_t mesh_routes_order(const struct entry *e,
+			   const struct mesh_message *msg);
 uint32_t mesh_service_hash(const struct entry *e, unsigned service);
 void mesh_add_nodes(struct mesh *mesh, struct mesh_message *msg,
 		    struct mesh_nodes *storage, const char *dc, unsigned max,
--- a/entry/mesh_proof.c
+++ b/entry/mesh_proof.c
@@ -45,7 +45,7 @@
 	if (msg->question)
 		send_answer(mesh, msg->question, node->ip);
 	if (!msg->answers || msg->proof_age_ms == UINT32_MAX || !e->routes ||
-	    msg->config_revision > e->routes->revision)
+	    mesh_routes_order(e, msg) > entry_routes_order(e))
 		return;
 	tr_proof_reply(&e->proof, msg->answers, TR_MSEC(msg->proof_age_ms));
 }
--- a/entry/mesh_receive.c
+++ b/entry/mesh_receive.c
@@ -5,7 +5,9 @@
 		       const struct mesh_message *msg, apr_time_t now)
 {
 	const struct tr_list_report reported = {
-		.as_of = msg->as_of,
+		.as_of = tr_roster_peer_revision(&mesh->e->roster,
+						 msg->flags >> MESH_ERA_SHIFT,
+						 msg->as_of),
 		.digest = msg->digest,
 		.age = TR_MSEC(msg->age_ms),
 	};
@@ -15,6 +17,23 @@
 		pull_targets(&mesh->pull, node->ip);
 }
 
+/*
+ * Returns the place of the sender's configuration among those that VMs
+ * announce, 0 for none. A VM of a build that doesn't tell it may hold a later
+ * version if its revision is larger, unless the store has returned from a copy.
+ */
+uint64_t mesh_routes_order(const struct entry *e,
+			   const struct mesh_message *msg)
+{
+	if (msg->config_order || !msg->config_revision ||
+	    e->roster.store_returned)
+		return msg->config_order;
+	if (e->routes &&
+	    msg->config_revision <= tr_revision_number(e->routes->revision))
+		return 0;
+	return entry_routes_order(e) + 1;
+}
+
 /* Handlers of the parts of a message, in the order in which they are called.
  * mesh_handle_nodes may move the sender's row, so the handlers after it must
  * not use node. */
@@ -38,7 +57,7 @@
 		.leaving = msg->flags & MESH_LEAVING,
 		.cannot_read = msg->flags & MESH_CANNOT_READ,
 		.cut_off = msg->flags & MESH_CUT_OFF,
-		.held = { msg->config_revision, msg->as_of > 0 },
+		.held = { mesh_routes_order(e, msg), msg->as_of > 0 },
 		.fleet_size = msg->fleet_size,
 		.proof_age = msg->proof_age_ms == UINT32_MAX
 				     ? -1
@@ -52,6 +71,11 @@
 	node = tr_membership_receive(&e->members, &status, now, &restarted);
 	if (!node)
 		return;
+	if (msg->era_start)
+		entry_enter_era(e,
+				tr_revision_make(msg->flags >> MESH_ERA_SHIFT,
+						 msg->era_start),
+				"peer");
 	if (restarted) {
 		mesh_forget_node(mesh, node, now);
 		if (!(msg->flags & MESH_REPLY))
--- a/entry/mesh_send.c
+++ b/entry/mesh_send.c
@@ -37,6 +37,7 @@
 void mesh_fill_header(struct mesh *mesh, struct mesh_message *msg)
 {
 	struct entry *e = mesh->e;
+	uint32_t era = tr_revision_era(e->roster.as_of);
 
 	memset(msg, 0, sizeof(*msg));
 	msg->fleet = mesh->fleet;
@@ -44,9 +45,12 @@
 	msg->boot = e->members.nodes[0].boot;
 	msg->sequence = ++mesh->sequence;
 	msg->data_centre = e->members.nodes[0].data_centre;
-	msg->flags = own_flags(e, mesh);
-	msg->config_revision = e->routes ? e->routes->revision : 0;
-	msg->as_of = e->roster.as_of;
+	msg->flags = own_flags(e, mesh) | era << MESH_ERA_SHIFT;
+	msg->config_revision =
+		e->routes ? tr_revision_number(e->routes->revision) : 0;
+	msg->config_order = entry_routes_order(e);
+	msg->as_of = tr_revision_number(e->roster.as_of);
+	msg->era_start = era == e->roster.era ? e->roster.era_start : 0;
 	msg->age_ms = (uint32_t)(entry_view_age(e) / 1000);
 	msg->digest = tr_roster_digest(&e->roster);
 	msg->fleet_size = tr_membership_size(&e->members);
--- a/entry/mesh_xdr.h
+++ b/entry/mesh_xdr.h
@@ -193,6 +193,8 @@
 		u_int leaving_len;
 		u_int *leaving_val;
 	} leaving;
+	u_quad_t config_order;
+	u_quad_t era_start;
 };
 typedef struct mesh_message mesh_message;
 
--- a/entry/pull.c
+++ b/entry/pull.c
@@ -19,9 +19,10 @@
 
 #define ROUTES_PATH  "/peer/routes"
 #define TARGETS_PATH "/peer/targets"
-/* Headers of a response: the revision of the routes, and the length and digest
- * of the uncompressed text. */
+/* Headers of a response: the revision of the routes and its era, and the length
+ * and digest of the uncompressed text. */
 #define HEADER_REVISION "Toucanreel-Revision"
+#define HEADER_ERA	"Toucanreel-Era"
 #define HEADER_LENGTH	"Toucanreel-Length"
 #define HEADER_DIGEST	"Toucanreel-Digest"
 /* Header of a list: time since it was compressed, in us. */
@@ -46,6 +47,15 @@
 	return text ? strtoull(text, NULL, 10) : 0;
 }
 
+/* Returns the revision that a peer named, or 0 if it is nonsense. */
+static uint64_t peer_revision(const struct entry *e, uint64_t era,
+			      uint64_t number)
+{
+	if (era > TR_ERA_MAX || number > TR_REVISION_NUMBER_MAX)
+		return 0;
+	return tr_roster_peer_revision(&e->roster, (uint32_t)era, number);
+}
+
 /* Returns the decompressed text, to be freed with free(), or NULL unless length
  * and digest match the headers. */
 static char *decompress_answer(const struct message *answer, size_t *len)
@@ -72,27 +82,33 @@
 	struct entry *e = pull->e;
 	struct store_item item = { .key = "peer" };
 	auto_free char *text = NULL;
-	uint64_t before = e->routes ? e->routes->revision : 0;
+	uint64_t before = entry_routes_order(e);
 
 	if (answer && answer->parser.status_code == 200)
 		text = decompress_answer(answer, &item.value_len);
 	if (text) {
 		item.value = text;
-		item.revision = header_number(answer, HEADER_REVISION);
+		item.revision =
+			peer_revision(e, header_number(answer, HEADER_ERA),
+				      header_number(answer, HEADER_REVISION));
 		entry_apply_routes(e, &item, "peer");
 	}
-	if (e->routes && e->routes->revision > before) {
+	if (entry_routes_order(e) > before) {
 		/* Others of the group can now fetch it here. */
 		pull->on_new_data(e);
 		return;
 	}
+	if (text && pull->routes_wanted > e->refused_order)
+		e->refused_order = pull->routes_wanted;
 	e->counts.pulls_failed++;
 	tr_spread_failed(&pull->routes_spread, pull->routes.to.sin_addr.s_addr,
 			 &e->random, entry_now(e));
 }
 
-/* Parses a target of a list, an array as targets_json() writes it. */
-static int parse_record(json_t *row, struct tr_target_record *r)
+/* Parses a target of a list, an array as targets_json() writes it. Lists of
+ * builds without eras lack the last two elements. */
+static int parse_record(const struct entry *e, json_t *row,
+			struct tr_target_record *r)
 {
 	const char *id, *service, *address, *centre;
 	json_int_t slots, cold, revision, born;
@@ -112,7 +128,10 @@
 	r->leaving = leaving;
 	r->gone = gone;
 	r->cold_for = cold;
-	r->revision = (uint64_t)revision;
+	r->revision = peer_revision(
+		e, (uint64_t)json_integer_value(json_array_get(row, 10)),
+		(uint64_t)revision);
+	r->stale_copy = json_is_true(json_array_get(row, 11));
 	r->born = (uint64_t)born;
 	return 0;
 }
@@ -122,8 +141,9 @@
 static void apply_list(struct entry *e, json_t *root, apr_time_t since)
 {
 	json_t *rows = json_object_get(root, "targets");
-	uint64_t as_of =
-		(uint64_t)json_integer_value(json_object_get(root, "as_of"));
+	uint64_t as_of = peer_revision(
+		e, (uint64_t)json_integer_value(json_object_get(root, "era")),
+		(uint64_t)json_integer_value(json_object_get(root, "as_of")));
 	apr_time_t age =
 		json_integer_value(json_object_get(root, "age")) + since;
 	size_t n = json_array_size(rows);
@@ -131,17 +151,21 @@
 		calloc(n + 1, sizeof(*records));
 	apr_time_t now = entry_now(e);
 
-	if (!records || as_of < e->roster.as_of)
+	if (!records)
+		return;
+	entry_enter_era(e, as_of, "peer");
+	if (as_of < e->roster.as_of)
 		return;
 	for (size_t i = 0; i < n; i++) {
-		if (parse_record(json_array_get(rows, i), &records[i]))
+		if (parse_record(e, json_array_get(rows, i), &records[i]))
 			return;
 		tr_roster_apply(&e->roster, &records[i], now);
 	}
 	tr_roster_drop_unlisted(&e->roster, records, (unsigned)n, as_of, now);
 	tr_roster_confirm_from_peer(&e->roster, as_of, age, now);
 	eventlog(EVENT_STATE, "list",
-		 "targets=%zu as_of=%" PRIu64 " age_ms=%ld from=peer", n, as_of,
+		 "targets=%zu as_of=%" PRIu64 " era=%ld age_ms=%ld from=peer",
+		 n, tr_revision_number(as_of), entry_era_number(as_of),
 		 (long)(age / 1000));
 }
 
@@ -205,14 +229,14 @@
 static void fetch_routes(struct pull *pull)
 {
 	struct entry *e = pull->e;
-	uint64_t held = e->routes ? e->routes->revision : 0;
 	const struct tr_node *holder;
 
 	if (pull->routes.busy)
 		return;
-	holder = tr_spread_choose_source(&pull->routes_spread, &e->members,
-					 held, e->refused_revision, &e->random,
-					 entry_now(e));
+	holder = tr_spread_choose_source(
+		&pull->routes_spread, &e->members, entry_routes_order(e),
+		e->refused_order, &e->random, entry_now(e));
+	pull->routes_wanted = holder ? holder->held[TR_RESOURCE_ROUTES] : 0;
 	if (holder && start_get(pull, &pull->routes, holder->ip, ROUTES_PATH,
 				handle_routes_answer))
 		tr_spread_failed(&pull->routes_spread, holder->ip, &e->random,
@@ -250,19 +274,29 @@
 		const struct tr_instance *row = &e->roster.rows[i];
 		struct tr_target_record r;
 
-		if (!row->used || row->gone || row->lapsed_at)
+		/* Of those that are gone only such are listed that a copy of
+		 * the store still has. */
+		if (!row->used || row->superseded || row->lapsed_at ||
+		    (row->gone && !row->stale_copy))
 			continue;
 		tr_roster_export_record(&e->roster, row, &r, now);
 		json_array_append_new(
 			rows,
-			json_pack("[s,s,s,s,I,b,b,I,I,I]", r.id, r.service,
+			json_pack("[s,s,s,s,I,b,b,I,I,I,I,b]", r.id, r.service,
 				  r.address, r.data_centre, (json_int_t)r.slots,
 				  r.leaving, r.gone, (json_int_t)r.cold_for,
-				  (json_int_t)r.revision, (json_int_t)r.born));
+				  (json_int_t)tr_revision_number(r.revision),
+				  (json_int_t)r.born,
+				  (json_int_t)tr_revision_era(r.revision),
+				  r.stale_copy));
 	}
 	json_object_set_new(root, "targets", rows);
-	json_object_set_new(root, "as_of",
-			    json_integer((json_int_t)e->roster.as_of));
+	json_object_set_new(
+		root, "as_of",
+		json_integer((json_int_t)tr_revision_number(e->roster.as_of)));
+	json_object_set_new(
+		root, "era",
+		json_integer((json_int_t)tr_revision_era(e->roster.as_of)));
 	json_object_set_new(root, "age", json_integer(entry_view_age(e)));
 	return json_dumps(root, JSON_COMPACT);
 }
@@ -304,9 +338,12 @@
 	const struct tr_routes *routes = pull->e->routes;
 	GBytes *bytes = compress_routes(pull, routes);
 	g_autofree char *headers = g_strdup_printf(
-		HEADER_REVISION ": %" PRIu64 "\r\n" HEADER_LENGTH
+		HEADER_REVISION ": %" PRIu64 "\r\n" HEADER_ERA
+				": %u\r\n" HEADER_LENGTH
 				": %zu\r\n" HEADER_DIGEST ": %" PRIu64 "\r\n",
-		routes->revision, routes->text_len, pull->routes_digest);
+		tr_revision_number(routes->revision),
+		tr_revision_era(routes->revision), routes->text_len,
+		pull->routes_digest);
 
 	send_compressed(pull, caller, bytes, headers);
 }
--- a/entry/pull.h
+++ b/entry/pull.h
@@ -16,6 +16,7 @@
 		routes_spread;	      /* which VM to ask for routes, and when */
 	struct tr_spread list_spread; /* the same for the first target list */
 	struct tr_spread_link link;   /* bandwidth for serving other VMs */
+	uint64_t routes_wanted;	      /* place of those being fetched */
 	apr_time_t targets_asked_at;
 	GBytes *compressed_routes;
 	uint64_t compressed_revision;
--- a/entry/reader.c
+++ b/entry/reader.c
@@ -14,6 +14,7 @@
 #include "error.h"
 #include "eventlog.h"
 #include "mesh.h"
+#include "revision.h"
 #include "spread.h"
 
 /* Timeout of a watch that sees no change. Changes are returned at once; the
@@ -93,13 +94,13 @@
  * Records that the configuration in force here was current at sent_at. A watch
  * without changes proves nothing, since a store that is cut off from its own
  * updates answers the same way; nor does an answer whose configuration is
- * invalid.
+ * invalid, or older than the one in force: the store has lost some.
  */
 static void renew_proof(struct reader *r, apr_time_t sent_at, bool changed)
 {
 	struct entry *e = r->e;
 
-	if (changed && e->routes && e->refused_revision <= e->routes->revision)
+	if (changed && e->routes && !entry_store_lacks_routes(e))
 		tr_proof_renew(&e->proof, sent_at);
 }
 
@@ -110,7 +111,9 @@
 
 	if (self(r)->cannot_read)
 		eventlog(EVENT_STATE, "store-regained",
-			 "as_of=%" PRIu64 " failures=%u", as_of, r->failures);
+			 "as_of=%" PRIu64 " era=%ld failures=%u",
+			 tr_revision_number(as_of), entry_era_number(as_of),
+			 r->failures);
 	self(r)->cannot_read = false;
 	r->failures = 0;
 	r->retry = 0;
@@ -142,8 +145,10 @@
 
 	/* Pages are read one after the other, so the list as a whole is valid
 	 * as of the first page; the watch continues from there. */
-	if (!r->list_as_of)
+	if (!r->list_as_of) {
 		r->list_as_of = page->as_of;
+		entry_enter_era(e, page->as_of, "store");
+	}
 	apply_items(r, page);
 	if (page->has_more && n) {
 		g_free(r->list_cursor);
@@ -159,11 +164,54 @@
 	r->listing = false;
 	r->needs_listing = false;
 	renew_proof(r, r->listing_started_at, true);
-	eventlog(EVENT_STATE, "list", "targets=%u as_of=%" PRIu64 " from=store",
-		 r->records->len, r->list_as_of);
+	eventlog(EVENT_STATE, "list",
+		 "targets=%u as_of=%" PRIu64 " era=%ld from=store",
+		 r->records->len, tr_revision_number(r->list_as_of),
+		 entry_era_number(r->list_as_of));
 	handle_success(r, r->list_as_of);
 }
 
+/* Returns the era of an answer. One that names none, or nonsense, counts as of
+ * the era that is known. */
+static uint32_t era_of(struct reader *r, const struct message *answer)
+{
+	struct entry *e = r->e;
+	struct tr_error err = { 0 };
+	uint32_t era;
+
+	if (e->dialect->parse_era(answer, &era, &err))
+		entry_log_refusal(e, "store-era-invalid",
+				  "value=\"%s\" expected=\"%s\"", err.value,
+				  err.expected);
+	return era ? era : e->roster.era;
+}
+
+/* Reads the whole list next, and drops what was read of one. */
+static void list_next(struct reader *r)
+{
+	r->listing = false;
+	r->needs_listing = true;
+	r->next_at = entry_now(r->e);
+}
+
+static void handle_page(struct reader *r, struct store_page *page, uint32_t era)
+{
+	uint64_t known = r->listing ? r->list_as_of : r->e->roster.as_of;
+
+	store_page_set_era(page, era);
+	/* Changes, or a further page of a list, of another era than what they
+	 * continue: the store has returned from a copy in between. */
+	if (known && era != tr_revision_era(known)) {
+		list_next(r);
+	} else if (r->listing) {
+		handle_list_page(r, page);
+	} else {
+		apply_items(r, page);
+		renew_proof(r, r->sent_at, page->items->len > 0);
+		handle_success(r, page->as_of);
+	}
+}
+
 static void handle_answer(void *ctx, const struct message *answer)
 {
 	struct reader *r = ctx;
@@ -171,12 +219,18 @@
 	struct tr_error err = { 0 };
 	struct store_page page;
 	int status = answer ? answer->parser.status_code : 0;
+	uint32_t era = answer ? era_of(r, answer) : e->roster.era;
 
+	if (era < e->roster.era) {
+		handle_failure(r, "former-era", status);
+		return;
+	}
 	if (answer && status == e->dialect->history_lost_status) {
-		eventlog(EVENT_STATE, "history-lost", "as_of=%" PRIu64,
-			 e->roster.as_of);
-		r->needs_listing = true;
-		r->next_at = entry_now(e);
+		eventlog(EVENT_STATE, "history-lost",
+			 "as_of=%" PRIu64 " era=%ld",
+			 tr_revision_number(e->roster.as_of),
+			 entry_era_number(e->roster.as_of));
+		list_next(r);
 		return;
 	}
 	if (status != 200) {
@@ -190,12 +244,8 @@
 			 "field=%s value=\"%s\" expected=\"%s\"", err.field,
 			 err.value, err.expected);
 		handle_failure(r, "nonsense", status);
-	} else if (r->listing) {
-		handle_list_page(r, &page);
 	} else {
-		apply_items(r, &page);
-		renew_proof(r, r->sent_at, page.items->len > 0);
-		handle_success(r, page.as_of);
+		handle_page(r, &page, era);
 	}
 	store_page_clear(&page);
 }
@@ -207,7 +257,8 @@
 	const struct dialect *d = e->dialect;
 	g_autofree char *path =
 		r->listing ? d->list_path(d->root_prefix, r->list_cursor)
-			   : d->watch_path(d->root_prefix, e->roster.as_of,
+			   : d->watch_path(d->root_prefix,
+					   tr_revision_number(e->roster.as_of),
 					   WATCH_WAIT);
 
 	e->counts.store_calls++;
--- a/lib/list_check.c
+++ b/lib/list_check.c
@@ -10,6 +10,7 @@
 #include "list_check.h"
 
 #include "clock.h"
+#include "revision.h"
 
 /*
  * How long lists may differ before a whole one is fetched, with up to as much
@@ -40,7 +41,8 @@
 			   const struct tr_list_report *reported,
 			   struct tr_random *random, apr_time_t now)
 {
-	if (!reported->as_of)
+	/* A list of a former era says nothing of what the store has now. */
+	if (!reported->as_of || tr_revision_era(reported->as_of) < roster->era)
 		return false;
 	if (reported->digest == tr_roster_digest(roster)) {
 		tr_roster_confirm_from_peer(roster, reported->as_of,
--- a/lib/membership.h
+++ b/lib/membership.h
@@ -79,7 +79,8 @@
 	bool leaving;
 	bool cannot_read; /* its last read of the store failed */
 	bool cut_off;	  /* it can't connect to targets */
-	/* Revision of the routes in force; 1 if it has a list of targets. */
+	/* The place of the routes in force among all, which rises with their
+	 * version; 1 if it has a list of targets. */
 	uint64_t held[TR_RESOURCES];
 	apr_time_t proven_at; /* its configuration was current then */
 	bool reports_work;    /* it may have requests in flight */
--- a/lib/revision.c
+++ b/lib/revision.c
@@ -1,5 +1,24 @@
 #include "revision.h"
 
+#define ERA_SHIFT 44
+
+/* Returns the revision with that number in the era. */
+uint64_t tr_revision_make(uint32_t era, uint64_t number)
+{
+	return (uint64_t)era << ERA_SHIFT | number;
+}
+
+uint32_t tr_revision_era(uint64_t revision)
+{
+	return (uint32_t)(revision >> ERA_SHIFT);
+}
+
+/* Returns the number that the store gave the revision. */
+uint64_t tr_revision_number(uint64_t revision)
+{
+	return revision & TR_REVISION_NUMBER_MAX;
+}
+
 /*
  * Compares an offered revision with the one in force. Revisions only rise: a
  * platform that serves an old copy, or a peer that was cut off, must not
--- a/lib/roster.c
+++ b/lib/roster.c
@@ -9,6 +9,7 @@
 
 #include "clock.h"
 #include "hash.h"
+#include "revision.h"
 
 /* The list counts as interrupted if it was not confirmed for this long. Readers
  * ask the store about three times a second, so that three reads have failed by
@@ -136,6 +137,42 @@
 	return roster->resumed_at && now - roster->resumed_at < LAPSE_GRACE;
 }
 
+/*
+ * Notes the store's era and a revision, a number, at which the store was read
+ * in it. Returns whether the store has returned from a copy: what it accepted
+ * since is lost, targets that are missing get the time to write their entries
+ * again, and older eras count no more.
+ */
+bool tr_roster_enter_era(struct tr_roster *roster, uint32_t era, uint64_t start,
+			 apr_time_t now)
+{
+	bool returned = roster->era && era > roster->era;
+
+	if (era > roster->era ||
+	    (era == roster->era && start < roster->era_start))
+		roster->era_start = start;
+	if (era > roster->era)
+		roster->era = era;
+	if (!returned)
+		return false;
+	roster->store_returned = true;
+	roster->resumed_at = now;
+	return true;
+}
+
+/*
+ * Returns the revision that another VM named. A VM of a build without eras
+ * means the present one; once the store has returned from a copy it may as well
+ * mean a former one, and the revision counts as older than any other.
+ */
+uint64_t tr_roster_peer_revision(const struct tr_roster *roster, uint32_t era,
+				 uint64_t number)
+{
+	if (!era && !roster->store_returned)
+		era = roster->era;
+	return tr_revision_make(era, number);
+}
+
 /* Removes a target that is no longer listed: at once, or after a grace period
  * if the list was interrupted recently and the target may only have lapsed. */
 static void mark_gone_or_lapsed(struct tr_roster *roster,
@@ -170,6 +207,7 @@
 	if (record->leaving && !row->leaving)
 		row->leaving_since = now;
 	row->leaving = record->leaving;
+	row->stale_copy = record->stale_copy;
 	row->cold_until = record->cold_for ? now + record->cold_for : 0;
 }
 
@@ -204,6 +242,7 @@
 	tr_index_add(&roster->by_hash, row->hash, row_index(roster, row));
 	row->revision = record->revision;
 	if (record->gone) {
+		row->stale_copy = record->stale_copy;
 		row->gone = true;
 		row->gone_at = now;
 		return false;
@@ -257,13 +296,61 @@
 	set_gone(row, now);
 }
 
+/* Tells whether the revision may be that of an entry in the copy from which the
+ * store has returned. */
+static bool may_be_from_copy(const struct tr_roster *roster, uint64_t revision)
+{
+	return tr_revision_era(revision) == roster->era &&
+	       tr_revision_number(revision) <= roster->era_start;
+}
+
+/* Tells whether the record is what a copy of the store says of a target that
+ * has left or ended since. A target that leaves does so until it starts anew;
+ * one that has ended is back when it writes its entry again. */
+static bool is_undone_by_copy(const struct tr_roster *roster,
+			      const struct tr_instance *row,
+			      const struct tr_target_record *record)
+{
+	uint32_t era = tr_revision_era(row->revision);
+	bool later_era = era && tr_revision_era(record->revision) > era;
+
+	if (record->gone || record->leaving)
+		return false;
+	return (row->gone && later_era &&
+		may_be_from_copy(roster, record->revision)) ||
+	       (row->leaving && (later_era || row->stale_copy));
+}
+
+/* Keeps what is known of a target against what the copy says, and reports it to
+ * VMs that may not know. */
+static void keep_departure(struct tr_roster *roster, struct tr_instance *row,
+			   apr_time_t now)
+{
+	row->stale_copy = true;
+	row->changed_at = now;
+	roster->departures_due = true;
+}
+
 static bool update_row(struct tr_roster *roster, struct tr_instance *row,
 		       const struct tr_target_record *record, apr_time_t now)
 {
+	bool undone = is_undone_by_copy(roster, row, record);
 	bool changed;
 
 	row->revision = record->revision;
+	if (undone) {
+		keep_departure(roster, row, now);
+		return false;
+	}
+	if (record->gone && record->stale_copy) {
+		changed = !row->gone;
+		roster->digest_known &= !changed;
+		set_gone(row, now);
+		row->stale_copy = true;
+		return changed;
+	}
 	if (record->gone) {
+		row->stale_copy = false;
 		changed = !row->gone && !row->lapsed_at;
 		roster->digest_known &= !changed;
 		mark_gone_or_lapsed(roster, row, now);
@@ -280,6 +367,18 @@
 	return changed;
 }
 
+/* Tells whether another VM knows of a departure that this VM's entry of the
+ * same revision lacks. */
+static bool is_departure_to_keep(const struct tr_roster *roster,
+				 const struct tr_instance *row,
+				 const struct tr_target_record *record)
+{
+	if (!record->stale_copy || record->born != row->born || row->gone)
+		return false;
+	return record->gone ? may_be_from_copy(roster, record->revision)
+			    : record->leaving && !row->leaving;
+}
+
 /*
  * Applies a record of one target. Of two records the one with the larger
  * revision wins, whoever sends it and in whatever order. Of two starts the
@@ -293,9 +392,15 @@
 {
 	struct tr_instance *row = find_latest(roster, record->id);
 
+	/* Of a former era only departures still count. */
+	if (tr_revision_era(record->revision) < roster->era && !record->gone &&
+	    (!row || row->gone))
+		return false;
 	if (!row)
 		return add_row(roster, record, now);
-	if (record->revision <= row->revision)
+	if (record->revision < row->revision ||
+	    (record->revision == row->revision &&
+	     !is_departure_to_keep(roster, row, record)))
 		return false;
 	if (record->gone || record->born == row->born)
 		return update_row(roster, row, record, now);
@@ -524,6 +629,7 @@
 	record->slots = row->slots;
 	record->leaving = row->leaving;
 	record->gone = row->gone || row->lapsed_at;
+	record->stale_copy = row->stale_copy;
 	record->cold_for = row->cold_until > now ? row->cold_until - now : 0;
 	record->revision = row->revision;
 	record->born = row->born;
--- a/lib/roster.h
+++ b/lib/roster.h
@@ -25,6 +25,9 @@
 	uint32_t slots;
 	bool leaving;
 	bool gone;
+	/* It left or ended in a former era of the store, whose copy lists it as
+	 * it was before. */
+	bool stale_copy;
 	/* Time until it has warmed up, in us. */
 	apr_time_t cold_for;
 	uint64_t revision;
@@ -47,6 +50,10 @@
 	uint32_t list_mark;
 	bool gone;
 	bool leaving;
+	/* It left or ended in a former era, and the store's copy says
+	 * otherwise.
+	 */
+	bool stale_copy;
 	/* The target has started again under the same id, in another row. */
 	bool superseded;
 	apr_time_t gone_at;
@@ -123,6 +130,15 @@
 	unsigned services_count;
 	/* The revision of the list. */
 	uint64_t as_of;
+	/* The store's era, the latest one that this VM has heard of, and the
+	 * least revision at which a VM has read the store in it, a number: what
+	 * is newer is not from the copy. */
+	uint32_t era;
+	uint64_t era_start;
+	/* The store has returned from a copy while this VM ran. */
+	bool store_returned;
+	/* A departure that the others may not know is to be reported. */
+	bool departures_due;
 	/* When the list was last known to be complete and current, by the
 	 * steady clock. */
 	apr_time_t confirmed_at;
@@ -139,6 +155,10 @@
 		     const struct tr_target_record *record, apr_time_t now);
 void tr_roster_reject_entry(struct tr_roster *roster, const char *id,
 			    uint64_t revision, apr_time_t now);
+bool tr_roster_enter_era(struct tr_roster *roster, uint32_t era, uint64_t start,
+			 apr_time_t now);
+uint64_t tr_roster_peer_revision(const struct tr_roster *roster, uint32_t era,
+				 uint64_t number);
 void tr_roster_drop_unlisted(struct tr_roster *roster,
 			     const struct tr_target_record *records,
 			     unsigned count, uint64_t as_of, apr_time_t now);
