entry, pull: a VM that starts waits for what the others hold

What callers saw, in tests: a VM that started just after the store returned from a copy handled requests by the older configuration and sent them to targets that had left, for some milliseconds up to a second.

Cause: such a VM served as soon as it had read the store, and never fetched a list from another VM once it had one from there.

The change: after a start, other than the first of the whole fleet, requests are held (not refused) until another VM is heard and what it holds is here, for 400 ms at most; a list from a VM that is still in the former era does not count. VMs that hear of a later era while their list differs fetch it within 60 to 120 ms instead of 0.7 to 1.4 s, and reply with the departures that the copy lacks.

ATargetThatHasLeftGetsNoWorkWhileTheCopyStands now counts from before the VM is restarted, which is stricter.

--- a/entry/entry.c
+++ b/entry/entry.c
@@ -10,6 +10,7 @@
 #include "eventlog.h"
 #include "mesh.h"
 #include "organisation.h"
+#include "spread.h"
 
 /*
  * The event loop steps every 25 ms. A step that is this late means that the
@@ -21,6 +22,12 @@
  * reader or a message from another VM takes a tenth of that.
  */
 #define MAX_HOLD TR_MSEC(300)
+/*
+ * How long a VM that has started waits for what other VMs hold. If the store
+ * has just returned from a copy they learn it from this VM, fetch its list and
+ * reply with the departures that it lacks.
+ */
+#define MAX_PEERS_WAIT TR_MSEC(400)
 /* Mean rate at which entries that cannot be read are logged. */
 #define REFUSAL_LINES_PER_S 2
 
@@ -74,6 +81,35 @@
 	return tr_proof_holds(&e->proof, s->key_proof_us, entry_now(e));
 }
 
+/* Returns whether another VM is known to hold what this one has not got. */
+static bool lacks_what_peers_hold(const struct entry *e, apr_time_t now)
+{
+	uint64_t newest =
+		tr_spread_newest_revision(&e->members, TR_RESOURCE_ROUTES, now);
+
+	if (newest > entry_routes_order(e) && newest > e->refused_order)
+		return true;
+	return !e->list_fetched &&
+	       tr_spread_newest_revision(&e->members, TR_RESOURCE_LIST, now);
+}
+
+/*
+ * Returns whether this VM, since it started, has what other VMs hold, or has
+ * waited long enough for it. The store alone may have returned from a copy, and
+ * lack a configuration that is in force or that a target has left.
+ */
+bool entry_is_settled(struct entry *e)
+{
+	apr_time_t now = entry_now(e);
+
+	if (!e->start_settled)
+		e->start_settled = e->settings->first_start ||
+				   now - e->started_at >= MAX_PEERS_WAIT ||
+				   (e->members.heard_any &&
+				    !lacks_what_peers_hold(e, now));
+	return e->start_settled;
+}
+
 /* Returns whether this VM is ready to serve callers. */
 bool entry_takes_callers(const struct entry *e)
 {
--- a/entry/entry.h
+++ b/entry/entry.h
@@ -100,6 +100,8 @@
 	double split_position; /* quasi-random draw of the traffic split */
 	bool leaving;	       /* since the stop signal */
 	bool ready;	       /* since the routes and the list are here */
+	bool start_settled;    /* see entry_is_settled() */
+	bool list_fetched;     /* from a peer, since the start */
 	apr_time_t stepped_at; /* last step of the event loop */
 	apr_time_t idle_checked_at;
 	apr_time_t floors_logged_at;
@@ -152,6 +154,7 @@
 void entry_apply_bounds(struct entry *e);
 apr_time_t entry_view_age(const struct entry *e);
 bool entry_may_use_keys(const struct entry *e);
+bool entry_is_settled(struct entry *e);
 bool entry_takes_callers(const struct entry *e);
 struct tr_allowance *entry_allowance(struct entry *e, uint32_t service);
 
--- a/entry/exchange_arrive.c
+++ b/entry/exchange_arrive.c
@@ -266,7 +266,8 @@
 	entry_check_pause(e, now);
 	if (e->routes && e->routes->organisations && now < e->limits_settle_at)
 		return true;
-	if (!e->routes || !e->roster.confirmed_at || !entry_may_use_keys(e))
+	if (!e->routes || !e->roster.confirmed_at || !entry_is_settled(e) ||
+	    !entry_may_use_keys(e))
 		return now - e->started_at < MAX_HOLD_AT_START ||
 		       now < e->hold_until;
 	return now < e->hold_until && entry_view_age(e) > MAX_LIST_AGE;
--- a/entry/pull.c
+++ b/entry/pull.c
@@ -36,6 +36,8 @@
 /* Minimum time between two pulls of the list: most differences are resolved by
  * messages that are already in transit. */
 #define LIST_PULL_INTERVAL TR_MSEC(250)
+/* The same after the start, while callers wait. */
+#define FIRST_LIST_INTERVAL TR_MSEC(50)
 /* Upper bound for the decompressed size; values of the platform have at most a
  * megabyte. */
 #define TEXT_SIZE_MAX (4 * 1024 * 1024)
@@ -154,6 +156,9 @@
 	if (!records)
 		return;
 	entry_enter_era(e, as_of, "peer");
+	/* A list of a former era lacks what the others will keep out. */
+	if (tr_revision_era(as_of) == e->roster.era)
+		e->list_fetched = true;
 	if (as_of < e->roster.as_of)
 		return;
 	for (size_t i = 0; i < n; i++) {
@@ -208,16 +213,20 @@
 	return fetcher_get(f, &to, path, PULL_TIMEOUT, done, pull);
 }
 
-/* Fetches the first list after a start from another VM, if one has it. */
+/* Fetches a list after a start from another VM, if one has it. */
 static void fetch_first_list(struct pull *pull)
 {
 	struct entry *e = pull->e;
 	const struct tr_node *holder;
 
-	if (e->roster.as_of || pull->targets.busy)
+	if (pull->targets.busy || e->list_fetched ||
+	    (e->roster.as_of && entry_is_settled(e)) ||
+	    entry_now(e) - pull->targets_asked_at < FIRST_LIST_INTERVAL)
 		return;
 	holder = tr_spread_choose_source(&pull->list_spread, &e->members, 0, 0,
 					 &e->random, entry_now(e));
+	if (holder)
+		pull->targets_asked_at = entry_now(e);
 	if (holder && start_get(pull, &pull->targets, holder->ip, TARGETS_PATH,
 				handle_targets_answer))
 		tr_spread_failed(&pull->list_spread, holder->ip, &e->random,
--- a/entry/toucanreel_entry.c
+++ b/entry/toucanreel_entry.c
@@ -198,7 +198,8 @@
 	reader_step(e->reader);
 	mesh_step(e->mesh);
 	update_readiness(e);
-	if (!e->ready && e->routes && e->roster.confirmed_at) {
+	if (!e->ready && e->routes && e->roster.confirmed_at &&
+	    entry_is_settled(e)) {
 		e->ready = true;
 		eventlog(EVENT_LIFECYCLE, "ready", "version=%" PRIu64,
 			 e->routes->version);
--- a/lib/list_check.c
+++ b/lib/list_check.c
@@ -18,12 +18,26 @@
  * resolve most differences.
  */
 #define FETCH_DELAY TR_MSEC(700)
+/* The same after the store has returned from a copy: what was lost with it is
+ * not sent as a change. */
+#define FETCH_DELAY_ERA TR_MSEC(60)
+
+/* Returns how long the lists may differ. */
+static apr_time_t fetch_delay(const struct tr_roster *roster,
+			      const struct tr_list_report *reported)
+{
+	uint32_t era = tr_revision_era(roster->as_of);
+
+	return era && tr_revision_era(reported->as_of) > era ? FETCH_DELAY_ERA
+							     : FETCH_DELAY;
+}
 
 static void note_difference(struct tr_list_check *c, uint64_t as_of,
-			    struct tr_random *random, apr_time_t now)
+			    apr_time_t delay, struct tr_random *random,
+			    apr_time_t now)
 {
-	if (!c->since)
-		c->since = now + tr_random_below(random, FETCH_DELAY);
+	if (!c->since || c->since > now + delay)
+		c->since = now + tr_random_below(random, (uint32_t)delay);
 	if (as_of > c->as_of)
 		c->as_of = as_of;
 }
@@ -41,6 +55,8 @@
 			   const struct tr_list_report *reported,
 			   struct tr_random *random, apr_time_t now)
 {
+	apr_time_t delay;
+
 	/* A list of a former era says nothing of what the store has now. */
 	if (!reported->as_of || tr_revision_era(reported->as_of) < roster->era)
 		return false;
@@ -55,6 +71,7 @@
 	    (reported->as_of == roster->as_of &&
 	     now - reported->age <= roster->confirmed_at))
 		return false;
-	note_difference(c, reported->as_of, random, now);
-	return now - c->since > FETCH_DELAY;
+	delay = fetch_delay(roster, reported);
+	note_difference(c, reported->as_of, delay, random, now);
+	return now - c->since > delay;
 }
--- a/tests/store_return_test.cc
+++ b/tests/store_return_test.cc
@@ -256,10 +256,11 @@
 	write_target(0, "draining");
 	store->remove(key_of(1));
 	ASSERT_TRUE(gets_no_more(0) && gets_no_more(1));
+	unsigned before[] = { arrivals[0], arrivals[1] };
+
 	away_and_back();
 	restart(0);
 	ASSERT_TRUE(eventually([&] { return all_serve("s1"); }));
-	unsigned before[] = { arrivals[0], arrivals[1] };
 	auto end = std::chrono::steady_clock::now() + WATCHED;
 
 	while (std::chrono::steady_clock::now() < end)
