soak: the store returns from a copy

The soak's store faults now include one in seven in which the store is away for 0.1 to 1 s and returns from a copy that is 0.2 to 2.7 s older, with waiting watches cut or answered 0.3 s late as the former era would have. The operator writes again 0.1 to 0.7 s later, targets with their heartbeats, and what the copy has of targets that have ended expires after 1.5 s. It overlaps with all other faults; the checks are unchanged.

--- a/tests/soak/world.cc
+++ b/tests/soak/world.cc
@@ -15,6 +15,8 @@
  * a busy machine. */
 constexpr double DRAIN_S = 3;
 constexpr int GRACE_S = 3;
+/* Age at which the entry of a target that has ended is removed. */
+constexpr unsigned EXPIRY_MS = 1500;
 /* As in cut_calls.c. */
 constexpr uint16_t FULL_PORT = 9002;
 constexpr double MIN_SERVED_SHARE = 0.95;
@@ -308,14 +310,46 @@
 	}
 }
 
+/*
+ * Takes a copy of the store, which is away for a moment some time later and
+ * then returns from it. The operator and the targets write again what they had
+ * written; what the copy has of targets that have ended expires.
+ */
+void Cluster::return_store_from_copy()
+{
+	unsigned lost = 200 + random_below(2500),
+		 away = 100 + random_below(900);
+	std::chrono::milliseconds late(random_below(2) ? 300 : 0);
+
+	log_event("store returns in " + std::to_string(lost + away) +
+		  " ms from a copy taken now");
+	store->take_copy();
+	schedule_revert(lost, [this] { store->set_mode(StoreMode::Reset); });
+	schedule_revert(lost + away, [this, late] {
+		store->return_from_copy(late);
+		store->set_mode(StoreMode::Up);
+	});
+	schedule_revert(lost + away + 100 + random_below(600),
+			[this] { write_config(); });
+	schedule_revert(lost + away + EXPIRY_MS, [this] {
+		for (auto &t : retired_targets)
+			t->unregister();
+	});
+}
+
 void Cluster::inject_store_fault()
 {
 	static const StoreMode modes[] = { StoreMode::Busy, StoreMode::Reset,
 					   StoreMode::Silent, StoreMode::Slow,
 					   StoreMode::Lost };
-	unsigned which = random_below(6);
+	unsigned which = random_below(7);
 	std::set<std::string> some;
 
+	if (which == 6) {
+		return_store_from_copy();
+		return;
+	}
+
 	if (which == 5) {
 		log_event("store compacts its history");
 		store->compact_history();
--- a/tests/soak/world.h
+++ b/tests/soak/world.h
@@ -77,6 +77,7 @@
 	void inject_vm_fault();
 	void cut_paths(unsigned ms);
 	void inject_store_fault();
+	void return_store_from_copy();
 	void inject_target_fault();
 	void shed_service(const std::string &service, unsigned ms);
 	void inject_link_fault();
