tests: eras of revisions, of answers and of messages

Units below the tests over loopback: records and lists of two eras in the roster, eras of answers in the platform's headers, messages without and with later fields, and the list check after a return. The buffer of MeshChanges has room for the fields that mesh_decode() adds since; its checks are as before.

--- a/tests/mesh_test.cc
+++ b/tests/mesh_test.cc
@@ -61,13 +61,13 @@
 			mesh_message msg{};
 			mesh_message in{};
 			char name[] = "dc-0";
-			char buf[DATAGRAM_MAX];
+			char buf[DATAGRAM_MAX + MESH_TAIL_BYTES];
 			rpcproc_t procedure;
 
 			msg.data_centre = name;
 			mesh_add_changes(&m, &msg, &storage, &next, now);
 			size_t len = mesh_encode(&msg, MESH_REPORT, buf,
-						 sizeof(buf));
+						 DATAGRAM_MAX);
 			EXPECT_GT(len, 0u);
 			EXPECT_TRUE(mesh_decode(buf, len, &in, &procedure));
 			output.datagrams++;
@@ -494,4 +494,63 @@
 	EXPECT_EQ(tr_limit_used(limit), used + 2);
 }
 
+struct MeshTail : testing::Test {
+	char buf[DATAGRAM_MAX + MESH_TAIL_BYTES];
+	mesh_message in{};
+	size_t len = 0;
+
+	void SetUp() override
+	{
+		mesh_message msg{};
+		char name[] = "dc-0";
+
+		msg.data_centre = name;
+		msg.as_of = 7;
+		msg.config_order = 12;
+		msg.era_start = 5;
+		len = mesh_encode(&msg, MESH_REPORT, buf, DATAGRAM_MAX);
+	}
+
+	bool decode(size_t size)
+	{
+		rpcproc_t procedure;
+
+		return mesh_decode(buf, size, &in, &procedure);
+	}
+
+	void TearDown() override
+	{
+		xdr_free((xdrproc_t)xdr_mesh_message, (char *)&in);
+	}
+};
+
+TEST_F(MeshTail, IsReadBack)
+{
+	ASSERT_TRUE(decode(len));
+	EXPECT_EQ(in.config_order, 12u);
+	EXPECT_EQ(in.era_start, 5u);
+}
+
+/* Guards against fleets that fall apart while VMs are upgraded. */
+TEST_F(MeshTail, MessagesOfBuildsWithoutErasAreRead)
+{
+	ASSERT_TRUE(decode(len - MESH_TAIL_BYTES));
+	EXPECT_EQ(in.as_of, 7u);
+	EXPECT_EQ(in.config_order, 0u);
+	EXPECT_EQ(in.era_start, 0u);
+}
+
+/* Guards against the same with builds that have further fields. */
+TEST_F(MeshTail, MessagesOfLaterBuildsAreRead)
+{
+	memset(buf + len, 1, 8);
+	ASSERT_TRUE(decode(len + 8));
+	EXPECT_EQ(in.era_start, 5u);
+}
+
+TEST_F(MeshTail, ATruncatedMessageIsRejected)
+{
+	EXPECT_FALSE(decode(len - MESH_TAIL_BYTES / 2));
+}
+
 } // namespace
--- a/tests/platform_test.cc
+++ b/tests/platform_test.cc
@@ -10,6 +10,7 @@
 #include "notice.h"
 #include "organisation.h"
 #include "platform.h"
+#include "revision.h"
 }
 
 namespace
@@ -104,6 +105,65 @@
  * Guards against losing all targets when the store answers 200 with half a page
  * or with something else, and what can't be parsed is taken for an empty list.
  */
+/* An answer with that text as its era, or without one. */
+int parse_era(const char *text, uint32_t *era, tr_error *err)
+{
+	std::string head = "HTTP/1.1 200 OK\r\n";
+	message answer{};
+	int result;
+
+	if (text)
+		head += std::string("Store-Era: ") + text + "\r\n";
+	head += "Content-Length: 0\r\n\r\n";
+	message_init(&answer, HTTP_RESPONSE, 1000, 1000);
+	message_feed(&answer, head.data(), head.size());
+	result = platform_dialect.parse_era(&answer, era, err);
+	message_free(&answer);
+	return result;
+}
+
+TEST(Platform, ReadsTheErasOfAnswers)
+{
+	uint32_t era = 0;
+	tr_error err{};
+
+	EXPECT_EQ(parse_era("0", &era, &err), 0);
+	EXPECT_EQ(era, 1u);
+	EXPECT_EQ(parse_era("41", &era, &err), 0);
+	EXPECT_EQ(era, 42u);
+	EXPECT_EQ(parse_era(nullptr, &era, &err), 0);
+	EXPECT_EQ(era, TR_ERA_UNKNOWN);
+}
+
+TEST(Platform, ErasThatAreNoNumbersAreRejectedWithAReason)
+{
+	for (const char *text : { "", "x", "-1", "1.5", "2 3", "1048575",
+				  "99999999999999999999" }) {
+		uint32_t era = 7;
+		tr_error err{};
+
+		EXPECT_EQ(parse_era(text, &era, &err), -1) << text;
+		EXPECT_EQ(era, TR_ERA_UNKNOWN) << text;
+		EXPECT_STREQ(err.field, "Store-Era") << text;
+		EXPECT_NE(std::string(err.expected).find("whole number"),
+			  std::string::npos)
+			<< text;
+	}
+}
+
+/* Guards against numbers that would pass for those of another era. */
+TEST(Platform, RevisionsThatAreTooLargeAreRejected)
+{
+	for (const char *as_of : { "17592186044416", "-1" }) {
+		Page p;
+
+		EXPECT_EQ(p.read(std::string(R"({"items":[],"asOf":)") + as_of +
+				 "}"),
+			  -1)
+			<< as_of;
+	}
+}
+
 TEST(Platform, InvalidPagesAreRejectedWithAReason)
 {
 	const char *const wrong[] = {
--- a/tests/roster_test.cc
+++ b/tests/roster_test.cc
@@ -5,6 +5,7 @@
 #include "clock.h"
 #include "hash.h"
 #include "list_check.h"
+#include "revision.h"
 #include "roster.h"
 }
 
@@ -547,4 +548,197 @@
 	}
 }
 
+/* Guards against a difference that is waited for as if a change were on its
+ * way, when the store has lost it. */
+TEST_F(ListCheck, AfterAReturnADifferentListIsFetchedSoon)
+{
+	tr_roster_enter_era(&roster, 1, 10, now);
+	tr_roster_confirm(&roster, tr_revision_make(1, 10), 0, now);
+	EXPECT_FALSE(reported(tr_revision_make(2, 8), false));
+	now += TR_MSEC(150);
+	EXPECT_TRUE(reported(tr_revision_make(2, 8), false));
+}
+
+/* Guards against a VM that was suspended over a return and confirms the list of
+ * the former era. */
+TEST_F(ListCheck, AListOfAFormerEraConfirmsNothing)
+{
+	apr_time_t before;
+
+	tr_roster_enter_era(&roster, 2, 8, now);
+	tr_roster_confirm(&roster, tr_revision_make(2, 8), 0, now);
+	before = roster.confirmed_at;
+	now += TR_SEC(1);
+	EXPECT_FALSE(reported(tr_revision_make(1, 90), true));
+	EXPECT_EQ(roster.confirmed_at, before);
+	EXPECT_EQ(roster.as_of, tr_revision_make(2, 8));
+}
+
+/* A store that returned from a copy: entries up to COPY of its second era may
+ * be from the copy. */
+struct Returned : Roster {
+	static constexpr uint64_t COPY = 20;
+
+	tr_target_record of_era(uint32_t era, uint64_t number)
+	{
+		return record("a", tr_revision_make(era, number));
+	}
+
+	bool apply_record(const tr_target_record &r)
+	{
+		return tr_roster_apply(&roster, &r, now);
+	}
+
+	void SetUp() override
+	{
+		EXPECT_FALSE(tr_roster_enter_era(&roster, 1, 1, now));
+		apply_record(of_era(1, 90));
+	}
+
+	void leave(bool gone)
+	{
+		tr_target_record r = of_era(1, 95);
+
+		r.leaving = !gone;
+		r.gone = gone;
+		apply_record(r);
+	}
+
+	void return_from_copy()
+	{
+		EXPECT_TRUE(tr_roster_enter_era(&roster, 2, COPY, now));
+	}
+
+	bool usable()
+	{
+		return tr_instance_usable(row("a"), now);
+	}
+};
+
+TEST_F(Returned, ARevisionOfALaterEraIsNewer)
+{
+	tr_target_record r = of_era(2, COPY + 1);
+
+	return_from_copy();
+	r.leaving = true;
+	EXPECT_TRUE(apply_record(r));
+	EXPECT_FALSE(usable());
+	EXPECT_FALSE(apply_record(of_era(1, 99)));
+	EXPECT_FALSE(usable());
+}
+
+/* Guards against a target that leaves and is used again since the copy says
+ * that it is ready. */
+TEST_F(Returned, ATargetThatLeavesDoesSoUntilItStartsAnew)
+{
+	leave(false);
+	return_from_copy();
+	for (uint64_t number : { COPY - 2, COPY + 5 }) {
+		apply_record(of_era(2, number));
+		EXPECT_FALSE(usable()) << number;
+		EXPECT_TRUE(roster.departures_due) << number;
+	}
+	tr_target_record r = of_era(2, COPY + 6);
+
+	r.born = 7;
+	apply_record(r);
+	EXPECT_TRUE(tr_instance_usable(&roster.rows[1], now));
+}
+
+/* Guards against a target that has ended and is used again, and against one
+ * that had only expired and is never used again. */
+TEST_F(Returned, ATargetThatEndedIsBackWhenItWritesAgain)
+{
+	leave(true);
+	return_from_copy();
+	apply_record(of_era(2, COPY));
+	EXPECT_TRUE(row("a")->gone);
+	EXPECT_TRUE(roster.departures_due);
+	EXPECT_TRUE(apply_record(of_era(2, COPY + 1)));
+	EXPECT_TRUE(usable());
+}
+
+/* Guards against the same after a second return. */
+TEST_F(Returned, WhatLeftStaysOutOverASecondReturn)
+{
+	leave(true);
+	return_from_copy();
+	apply_record(of_era(2, COPY));
+	EXPECT_TRUE(tr_roster_enter_era(&roster, 3, COPY, now));
+	apply_record(of_era(3, COPY - 1));
+	EXPECT_TRUE(row("a")->gone);
+}
+
+/* Guards against a VM that started after the return, knows only the copy and is
+ * not believed to lack anything. */
+TEST_F(Returned, ADepartureThatAnotherVmKnowsCountsAtTheSameRevision)
+{
+	for (bool gone : { false, true }) {
+		tr_target_record r = of_era(2, COPY);
+
+		tr_roster_release(&roster);
+		tr_roster_enter_era(&roster, 2, COPY, now);
+		apply_record(r);
+		ASSERT_TRUE(usable());
+		r.gone = gone;
+		r.leaving = !gone;
+		EXPECT_FALSE(apply_record(r));
+		r.stale_copy = true;
+		EXPECT_TRUE(apply_record(r));
+		EXPECT_FALSE(usable());
+	}
+}
+
+/* Guards against a target that wrote its entry again and is taken out by a VM
+ * that remembers its end. */
+TEST_F(Returned, ATargetThatWroteAgainIsNotTakenOut)
+{
+	tr_target_record r = of_era(2, COPY + 1);
+
+	return_from_copy();
+	apply_record(r);
+	r.gone = r.stale_copy = true;
+	EXPECT_FALSE(apply_record(r));
+	EXPECT_TRUE(usable());
+}
+
+/* Guards against targets that are known again from a VM that missed the return.
+ */
+TEST_F(Returned, ATargetOfAFormerEraIsNotAdded)
+{
+	tr_target_record r = record("b", tr_revision_make(1, 99));
+
+	return_from_copy();
+	EXPECT_FALSE(apply_record(r));
+	EXPECT_EQ(row("b"), nullptr);
+}
+
+/* Guards against targets that are dropped before they can write again. */
+TEST_F(Returned, ATargetThatTheCopyLacksHasTimeToWriteAgain)
+{
+	return_from_copy();
+	tr_roster_drop_unlisted(&roster, nullptr, 0, tr_revision_make(2, COPY),
+				now);
+	now += TR_MSEC(1500);
+	tr_roster_step(&roster, now);
+	EXPECT_TRUE(usable());
+	now += TR_MSEC(500);
+	tr_roster_step(&roster, now);
+	EXPECT_FALSE(usable());
+	EXPECT_TRUE(apply_record(of_era(2, COPY + 1)));
+	EXPECT_TRUE(usable());
+}
+
+/* Guards against builds without eras that are not understood, or believed once
+ * the store has returned. */
+TEST_F(Returned, PeersWithoutErasMeanThePresentOneUntilTheReturn)
+{
+	EXPECT_EQ(tr_roster_peer_revision(&roster, 0, 96),
+		  tr_revision_make(1, 96));
+	return_from_copy();
+	EXPECT_EQ(tr_roster_peer_revision(&roster, 0, 96), 96u);
+	EXPECT_EQ(tr_roster_peer_revision(&roster, 2, 21),
+		  tr_revision_make(2, 21));
+}
+
 } // namespace
