tests: keys and their proof while the store's copy stands

What callers saw, in this test on: with a store that had lost the configuration in force VMs went on proving keys by it, though it might have lost a later one that took a key away. The mend is in; this test plays it over a fleet with keys: a key that was taken away is refused throughout, also by a VM that starts meanwhile, the other one once the last proof is too old, and both as before once the operator has written again.

--- a/tests/soak/vm.h
+++ b/tests/soak/vm.h
@@ -54,6 +54,9 @@
 		    << "\n"
 		    << "  floor_share: 0.7\n  repeat_window: 10s\n"
 		    << "  keep_most: 2s\n  grace: 3s\n  drain: 2s\n";
+		if (!key_proof.empty())
+			out << "  fail_closed: true\n  key_proof: " << key_proof
+			    << "\n";
 	}
 
 	/* Sets the state of the path from the VM to all targets: "open",
@@ -126,6 +129,8 @@
 	const std::string centre;
 	int wait_status = 0;
 	unsigned starts = 0;
+	/* How old the proof of keys may be; empty: none is needed. */
+	std::string key_proof;
 	/* Whether the settings allow repeats at all. */
 	bool repeats = true;
 	bool paused = false;
--- a/tests/store_return_test.cc
+++ b/tests/store_return_test.cc
@@ -29,6 +29,8 @@
       protected:
 	std::vector<std::unique_ptr<Listener>> targets;
 	std::array<std::atomic<unsigned>, TARGETS> arrivals{};
+	/* Organisations of the configuration, as rows; none if empty. */
+	std::string organisations;
 
 	void SetUp() override
 	{
@@ -89,8 +91,13 @@
 				R"("maxAttempts","service"],"rows":[["r1","h.x",)"
 				R"("/read/","safe","3s","1s",1,2,"s1"],["r2","h.x",)"
 				R"("/moved/","safe","3s","1s",1,2,")" +
-				moved_to +
-				R"("]]},"services":{"columns":["name","healthPath",)"
+				moved_to + R"("]]},)" +
+				(organisations.empty()
+					 ? ""
+					 : R"("tenants":{"columns":["name",)"
+					   R"("apiKeys"],"rows":[)" +
+						   organisations + "]},") +
+				R"("services":{"columns":["name","healthPath",)"
 				R"("maxConns"],"rows":[["s1","/health",90],["s2",)"
 				R"("/health",90]]},"limits":{"maxHeaderBytes":4096,)"
 				R"("maxBodyBytes":900000,"headerTimeout":"3s",)"
@@ -403,6 +410,59 @@
 	}));
 }
 
+class StoreReturnKeys : public StoreReturn
+{
+      protected:
+	void SetUp() override
+	{
+		organisations = R"(["org",["key-1","key-2"]])";
+		api_key = "key-1";
+		key_proof = "1500ms";
+		StoreReturn::SetUp();
+	}
+
+	int status_with(unsigned vm, const std::string &key)
+	{
+		api_key = key;
+		int found = status(vm, "/read/a");
+
+		api_key = "key-1";
+		return found;
+	}
+
+	bool all_answer(const std::string &key, int expected)
+	{
+		for (unsigned i = 0; i < VMS; i++)
+			if (status_with(i, key) != expected)
+				return false;
+		return true;
+	}
+};
+
+/* Guards against a key that was taken away and is used again since the copy has
+ * it, and against proofs by a store that has lost the configuration. */
+TEST_F(StoreReturnKeys, AKeyThatWasTakenAwayIsNotUsedWhileTheCopyStands)
+{
+	store->take_copy();
+	organisations = R"(["org",["key-1"]])";
+	write_config(2, "s1");
+	ASSERT_TRUE(
+		eventually([&] { return all_answer("key-2", 401); }, IN_FORCE));
+	away_and_back();
+	restart(0);
+	auto end = std::chrono::steady_clock::now() + WATCHED;
+
+	while (std::chrono::steady_clock::now() < end)
+		for (unsigned i = 0; i < VMS; i++)
+			EXPECT_NE(status_with(i, "key-2"), 200) << i;
+	EXPECT_TRUE(
+		eventually([&] { return all_answer("key-1", 503); }, IN_FORCE));
+	write_all_again();
+	EXPECT_TRUE(
+		eventually([&] { return all_answer("key-1", 200); }, IN_FORCE));
+	EXPECT_TRUE(all_answer("key-2", 401));
+}
+
 /* Guards against a return that operators can't see. */
 TEST_F(StoreReturn, AllVmsLogTheReturnWithErasAndRevisions)
 {
--- a/tests/vm_fleet.h
+++ b/tests/vm_fleet.h
@@ -18,6 +18,8 @@
 	std::unique_ptr<soak::Store> store;
 	std::vector<std::unique_ptr<soak::Vm>> vms;
 	std::atomic<unsigned> asked{ 0 };
+	/* The key in callers' requests, and how old its proof may be. */
+	std::string api_key, key_proof;
 
 	void open_store(const std::string &name)
 	{
@@ -53,6 +55,7 @@
 				ENTRY_PROGRAM, dir, net + std::to_string(1 + i),
 				"z" + std::to_string(i % 2),
 				store->address().text()));
+			vms[i]->key_proof = key_proof;
 			vms[i]->write_settings(
 				{ net + "1", net + std::to_string(count) });
 			vms[i]->start();
@@ -100,6 +103,7 @@
 		return (body.empty() ? "GET " : "POST ") + path +
 		       " HTTP/1.1\r\nHost: h.x\r\nX-Request-Id: id-" +
 		       std::to_string(++asked) +
+		       (api_key.empty() ? "" : "\r\nApi-Key: " + api_key) +
 		       "\r\nX-Deadline-Ms: " + std::to_string(DEADLINE_MS) +
 		       "\r\nContent-Length: " + std::to_string(body.size()) +
 		       "\r\n\r\n" + body;
