tests: an entry that expired during an outage after which the list is read anew

Found while looking for the cause of the incident elsewhere, a fault of its own: a reader whose first answer after an outage is a whole list, since the store has lost its history, drops what is missing at once, though it has about two seconds to be written again. The time begins with the answer that confirms the list, and that is noted after the list was applied. VMs that hear from others drop the target as soon as a reader says so, whatever the list.

No code is changed.

--- a/tests/store_return_test.cc
+++ b/tests/store_return_test.cc
@@ -16,6 +16,8 @@
 constexpr unsigned SECOND = 4;
 constexpr uint16_t PORT = 9000;
 constexpr auto AWAY = std::chrono::milliseconds(300);
+/* Longer than what VMs take for an interruption. */
+constexpr auto OUTAGE = std::chrono::milliseconds(2500);
 /* Revisions that the store gives out after the copy, more than the tests
  * write after the return. */
 constexpr unsigned REVISIONS = 100;
@@ -29,6 +31,9 @@
       protected:
 	std::vector<std::unique_ptr<Listener>> targets;
 	std::array<std::atomic<unsigned>, TARGETS> arrivals{};
+	std::mutex mutex;
+	/* VMs that sent requests to the first target. */
+	std::set<std::string> users;
 	/* Organisations of the configuration, as rows; none if empty. */
 	std::string organisations;
 
@@ -39,8 +44,8 @@
 		for (unsigned i = 0; i < TARGETS; i++) {
 			targets.push_back(std::make_unique<Listener>(
 				Address{ net + std::to_string(100 + i), PORT },
-				[this, i](int fd, const std::string &) {
-					serve(fd, i);
+				[this, i](int fd, const std::string &vm) {
+					serve(fd, i, vm);
 				}));
 			ASSERT_TRUE(targets[i]->open());
 			write_target(i, "ready");
@@ -55,7 +60,7 @@
 		targets.clear();
 	}
 
-	void serve(int fd, unsigned target)
+	void serve(int fd, unsigned target, const std::string &vm)
 	{
 		std::string rest;
 
@@ -65,6 +70,11 @@
 			if (request.empty())
 				return;
 			arrivals[target]++;
+			if (!target) {
+				std::lock_guard<std::mutex> lock(mutex);
+
+				users.insert(vm);
+			}
 			std::string head = "X-Request-Id: " +
 					   header(request, "X-Request-Id") +
 					   "\r\nX-Server-Stamp: s\r\n";
@@ -195,6 +205,14 @@
 		vms[vm]->start();
 	}
 
+	bool any_logs(const std::string &text)
+	{
+		for (unsigned i = 0; i < vms.size(); i++)
+			if (log_of(i).find(text) != std::string::npos)
+				return true;
+		return false;
+	}
+
 	bool all_log(const std::string &text)
 	{
 		for (unsigned i = 0; i < vms.size(); i++)
@@ -401,15 +419,31 @@
 	EXPECT_TRUE(in_force("s2"));
 	EXPECT_TRUE(gets_no_more(0));
 	EXPECT_TRUE(eventually([&] {
-		for (unsigned i = 0; i < VMS; i++)
-			if (log_of(i).find("event=store-era-invalid "
-					   "value=\"soon\"") !=
-			    std::string::npos)
-				return true;
-		return false;
+		return any_logs("event=store-era-invalid value=\"soon\"");
 	}));
 }
 
+/* Guards against targets whose entries expired while the store was away and
+ * that are dropped at once, since the store has lost its history as well. */
+TEST_F(StoreReturn, ATargetThatExpiredIsKeptForAWhileWhenTheListIsReadAnew)
+{
+	store->set_mode(StoreMode::Reset);
+	std::this_thread::sleep_for(OUTAGE);
+	store->remove(key_of(0));
+	store->compact_history();
+	store->set_mode(StoreMode::Up);
+	ASSERT_TRUE(
+		eventually([&] { return any_logs("event=store-regained"); }));
+	{
+		std::lock_guard<std::mutex> lock(mutex);
+
+		users.clear();
+	}
+	send_reads(20);
+	EXPECT_EQ(users.size(), VMS);
+	EXPECT_TRUE(gets_no_more(0));
+}
+
 class StoreReturnKeys : public StoreReturn
 {
       protected:
