revision, roster, entry: check the range of eras that peers name

It is checked in one place now, tr_roster_peer_revision(), for messages and lists alike; what is out of range counts as older than any. Returned.ErasAndNumbersOutOfRangeAreOlderThanAny does not compile against the code before; that it would have failed is read.

Eras have 16 bits and numbers 48 instead of 20 and 44: 65,000 returns and 190 years of writes at the planned size.

--- a/entry/entry.c
+++ b/entry/entry.c
@@ -205,18 +205,13 @@
 	return false;
 }
 
-/* Returns whether the item was looked at before, or is older than what was. */
-static bool is_known_revision(const struct entry *e,
-			      const struct store_item *item, bool from_store)
+/* Returns whether the item was looked at before. One of an older revision may
+ * still be a later version, which the store has lost and another VM holds. */
+static bool was_looked_at(const struct entry *e, const struct store_item *item)
 {
-	if (item->revision <= e->refused_revision)
-		return true;
-	if (!e->routes)
-		return false;
-	/* A VM that has no revision of this era may hold a later version. */
-	return from_store ? item->revision <= e->routes->revision ||
-				    item->revision <= e->outdated_revision
-			  : item->revision == e->routes->revision;
+	return item->revision == e->refused_revision ||
+	       item->revision == e->outdated_revision ||
+	       (e->routes && item->revision == e->routes->revision);
 }
 
 /* Applies a configuration from the store or a peer. */
@@ -226,8 +221,7 @@
 	struct tr_error err = { 0 };
 	struct tr_routes *routes;
 
-	if (item->removed ||
-	    is_known_revision(e, item, strcmp(from, "store") == 0))
+	if (item->removed || was_looked_at(e, item))
 		return;
 	routes = e->dialect->parse_routes(item, &err);
 	if (!routes) {
--- a/entry/mesh.x
+++ b/entry/mesh.x
@@ -124,10 +124,10 @@
 
 /* Every message describes its sender in the fields up to fleet_size; the lists
  * carry what is new or due to be sent again. Revisions are the store's numbers;
- * the flags also hold the era of as_of, see MESH_ERA_SHIFT. proof_age_ms: upper bound for the
- * age of the configuration, or UINT32_MAX without a proof. question: identifies
- * a request for such a proof, or 0. answers: the question that this message
- * replies to, or 0. */
+ * the flags also hold the era of as_of, see MESH_ERA_SHIFT. proof_age_ms: upper
+ * bound for the age of the configuration, or UINT32_MAX without a proof.
+ * question: identifies a request for such a proof, or 0. answers: the question
+ * that this message replies to, or 0. */
 struct mesh_message {
 	unsigned int fleet;
 	unsigned int sender;
--- a/entry/mesh_receive.c
+++ b/entry/mesh_receive.c
@@ -72,10 +72,12 @@
 	if (!node)
 		return;
 	if (msg->era_start)
-		entry_enter_era(e,
-				tr_revision_make(msg->flags >> MESH_ERA_SHIFT,
-						 msg->era_start),
-				"peer");
+		entry_enter_era(
+			e,
+			tr_roster_peer_revision(&e->roster,
+						msg->flags >> MESH_ERA_SHIFT,
+						msg->era_start),
+			"peer");
 	if (restarted) {
 		mesh_forget_node(mesh, node, now);
 		if (!(msg->flags & MESH_REPLY))
--- a/entry/mesh_xdr.c
+++ b/entry/mesh_xdr.c
@@ -5,28 +5,30 @@
 
 #include "mesh_xdr.h"
 
-bool_t xdr_mesh_row(XDR *xdrs, mesh_row *objp)
+bool_t
+xdr_mesh_row (XDR *xdrs, mesh_row *objp)
 {
 	register int32_t *buf;
 
 	int i;
 
 	if (xdrs->x_op == XDR_ENCODE) {
-		buf = XDR_INLINE(xdrs, (2 + 4) * BYTES_PER_XDR_UNIT);
+		buf = XDR_INLINE (xdrs, (2 +  4 )* BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
-			if (!xdr_u_int(xdrs, &objp->target))
-				return FALSE;
-			if (!xdr_vector(xdrs, (char *)objp->totals, 4,
-					sizeof(u_int), (xdrproc_t)xdr_u_int))
-				return FALSE;
-			if (!xdr_u_int(xdrs, &objp->in_flight))
-				return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->target))
+				 return FALSE;
+			 if (!xdr_vector (xdrs, (char *)objp->totals, 4,
+				sizeof (u_int), (xdrproc_t) xdr_u_int))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->in_flight))
+				 return FALSE;
 		} else {
 			IXDR_PUT_U_LONG(buf, objp->target);
 			{
 				register u_int *genp;
 
-				for (i = 0, genp = objp->totals; i < 4; ++i) {
+				for (i = 0, genp = objp->totals;
+					i < 4; ++i) {
 					IXDR_PUT_U_LONG(buf, *genp++);
 				}
 			}
@@ -34,312 +36,323 @@
 		}
 		return TRUE;
 	} else if (xdrs->x_op == XDR_DECODE) {
-		buf = XDR_INLINE(xdrs, (2 + 4) * BYTES_PER_XDR_UNIT);
+		buf = XDR_INLINE (xdrs, (2 +  4 )* BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
-			if (!xdr_u_int(xdrs, &objp->target))
-				return FALSE;
-			if (!xdr_vector(xdrs, (char *)objp->totals, 4,
-					sizeof(u_int), (xdrproc_t)xdr_u_int))
-				return FALSE;
-			if (!xdr_u_int(xdrs, &objp->in_flight))
-				return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->target))
+				 return FALSE;
+			 if (!xdr_vector (xdrs, (char *)objp->totals, 4,
+				sizeof (u_int), (xdrproc_t) xdr_u_int))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->in_flight))
+				 return FALSE;
 		} else {
 			objp->target = IXDR_GET_U_LONG(buf);
 			{
 				register u_int *genp;
 
-				for (i = 0, genp = objp->totals; i < 4; ++i) {
+				for (i = 0, genp = objp->totals;
+					i < 4; ++i) {
 					*genp++ = IXDR_GET_U_LONG(buf);
 				}
 			}
 			objp->in_flight = IXDR_GET_U_LONG(buf);
 		}
-		return TRUE;
+	 return TRUE;
 	}
 
-	if (!xdr_u_int(xdrs, &objp->target))
-		return FALSE;
-	if (!xdr_vector(xdrs, (char *)objp->totals, 4, sizeof(u_int),
-			(xdrproc_t)xdr_u_int))
-		return FALSE;
-	if (!xdr_u_int(xdrs, &objp->in_flight))
-		return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->target))
+		 return FALSE;
+	 if (!xdr_vector (xdrs, (char *)objp->totals, 4,
+		sizeof (u_int), (xdrproc_t) xdr_u_int))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->in_flight))
+		 return FALSE;
 	return TRUE;
 }
 
-bool_t xdr_mesh_work(XDR *xdrs, mesh_work *objp)
+bool_t
+xdr_mesh_work (XDR *xdrs, mesh_work *objp)
 {
 	register int32_t *buf;
 
-	if (!xdr_u_int(xdrs, &objp->service))
-		return FALSE;
-	if (!xdr_u_int(xdrs, &objp->totals))
-		return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->service))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->totals))
+		 return FALSE;
 	return TRUE;
 }
 
-bool_t xdr_mesh_record(XDR *xdrs, mesh_record *objp)
+bool_t
+xdr_mesh_record (XDR *xdrs, mesh_record *objp)
 {
 	register int32_t *buf;
 
+
 	if (xdrs->x_op == XDR_ENCODE) {
-		if (!xdr_string(xdrs, &objp->id, MESH_MAX_ID))
-			return FALSE;
-		if (!xdr_string(xdrs, &objp->service, MESH_MAX_ID))
-			return FALSE;
-		if (!xdr_string(xdrs, &objp->address, MESH_MAX_ADDRESS))
-			return FALSE;
-		if (!xdr_string(xdrs, &objp->data_centre, MESH_MAX_ID))
-			return FALSE;
-		buf = XDR_INLINE(xdrs, 3 * BYTES_PER_XDR_UNIT);
+		 if (!xdr_string (xdrs, &objp->id, MESH_MAX_ID))
+			 return FALSE;
+		 if (!xdr_string (xdrs, &objp->service, MESH_MAX_ID))
+			 return FALSE;
+		 if (!xdr_string (xdrs, &objp->address, MESH_MAX_ADDRESS))
+			 return FALSE;
+		 if (!xdr_string (xdrs, &objp->data_centre, MESH_MAX_ID))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
-			if (!xdr_u_int(xdrs, &objp->slots))
-				return FALSE;
-			if (!xdr_u_int(xdrs, &objp->flags))
-				return FALSE;
-			if (!xdr_u_int(xdrs, &objp->cold_ms))
-				return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->slots))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->flags))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->cold_ms))
+				 return FALSE;
 
 		} else {
-			IXDR_PUT_U_LONG(buf, objp->slots);
-			IXDR_PUT_U_LONG(buf, objp->flags);
-			IXDR_PUT_U_LONG(buf, objp->cold_ms);
+		IXDR_PUT_U_LONG(buf, objp->slots);
+		IXDR_PUT_U_LONG(buf, objp->flags);
+		IXDR_PUT_U_LONG(buf, objp->cold_ms);
 		}
-		if (!xdr_u_quad_t(xdrs, &objp->revision))
-			return FALSE;
-		if (!xdr_u_quad_t(xdrs, &objp->born))
-			return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->revision))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->born))
+			 return FALSE;
 		return TRUE;
 	} else if (xdrs->x_op == XDR_DECODE) {
-		if (!xdr_string(xdrs, &objp->id, MESH_MAX_ID))
-			return FALSE;
-		if (!xdr_string(xdrs, &objp->service, MESH_MAX_ID))
-			return FALSE;
-		if (!xdr_string(xdrs, &objp->address, MESH_MAX_ADDRESS))
-			return FALSE;
-		if (!xdr_string(xdrs, &objp->data_centre, MESH_MAX_ID))
-			return FALSE;
-		buf = XDR_INLINE(xdrs, 3 * BYTES_PER_XDR_UNIT);
+		 if (!xdr_string (xdrs, &objp->id, MESH_MAX_ID))
+			 return FALSE;
+		 if (!xdr_string (xdrs, &objp->service, MESH_MAX_ID))
+			 return FALSE;
+		 if (!xdr_string (xdrs, &objp->address, MESH_MAX_ADDRESS))
+			 return FALSE;
+		 if (!xdr_string (xdrs, &objp->data_centre, MESH_MAX_ID))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
-			if (!xdr_u_int(xdrs, &objp->slots))
-				return FALSE;
-			if (!xdr_u_int(xdrs, &objp->flags))
-				return FALSE;
-			if (!xdr_u_int(xdrs, &objp->cold_ms))
-				return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->slots))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->flags))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->cold_ms))
+				 return FALSE;
 
 		} else {
-			objp->slots = IXDR_GET_U_LONG(buf);
-			objp->flags = IXDR_GET_U_LONG(buf);
-			objp->cold_ms = IXDR_GET_U_LONG(buf);
+		objp->slots = IXDR_GET_U_LONG(buf);
+		objp->flags = IXDR_GET_U_LONG(buf);
+		objp->cold_ms = IXDR_GET_U_LONG(buf);
 		}
-		if (!xdr_u_quad_t(xdrs, &objp->revision))
-			return FALSE;
-		if (!xdr_u_quad_t(xdrs, &objp->born))
-			return FALSE;
-		return TRUE;
+		 if (!xdr_u_quad_t (xdrs, &objp->revision))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->born))
+			 return FALSE;
+	 return TRUE;
 	}
 
-	if (!xdr_string(xdrs, &objp->id, MESH_MAX_ID))
-		return FALSE;
-	if (!xdr_string(xdrs, &objp->service, MESH_MAX_ID))
-		return FALSE;
-	if (!xdr_string(xdrs, &objp->address, MESH_MAX_ADDRESS))
-		return FALSE;
-	if (!xdr_string(xdrs, &objp->data_centre, MESH_MAX_ID))
-		return FALSE;
-	if (!xdr_u_int(xdrs, &objp->slots))
-		return FALSE;
-	if (!xdr_u_int(xdrs, &objp->flags))
-		return FALSE;
-	if (!xdr_u_int(xdrs, &objp->cold_ms))
-		return FALSE;
-	if (!xdr_u_quad_t(xdrs, &objp->revision))
-		return FALSE;
-	if (!xdr_u_quad_t(xdrs, &objp->born))
-		return FALSE;
+	 if (!xdr_string (xdrs, &objp->id, MESH_MAX_ID))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->service, MESH_MAX_ID))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->address, MESH_MAX_ADDRESS))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->data_centre, MESH_MAX_ID))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->slots))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->flags))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->cold_ms))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->revision))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->born))
+		 return FALSE;
 	return TRUE;
 }
 
-bool_t xdr_mesh_departure(XDR *xdrs, mesh_departure *objp)
+bool_t
+xdr_mesh_departure (XDR *xdrs, mesh_departure *objp)
 {
 	register int32_t *buf;
 
-	if (!xdr_u_int(xdrs, &objp->target))
-		return FALSE;
-	if (!xdr_u_int(xdrs, &objp->flags))
-		return FALSE;
-	if (!xdr_u_quad_t(xdrs, &objp->revision))
-		return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->target))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->flags))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->revision))
+		 return FALSE;
 	return TRUE;
 }
 
-bool_t xdr_mesh_data_centre(XDR *xdrs, mesh_data_centre *objp)
+bool_t
+xdr_mesh_data_centre (XDR *xdrs, mesh_data_centre *objp)
 {
 	register int32_t *buf;
 
-	if (!xdr_string(xdrs, &objp->name, MESH_MAX_ID))
-		return FALSE;
-	if (!xdr_array(xdrs, (char **)&objp->nodes.nodes_val,
-		       (u_int *)&objp->nodes.nodes_len, MESH_MAX_NODES,
-		       sizeof(u_int), (xdrproc_t)xdr_u_int))
-		return FALSE;
+	 if (!xdr_string (xdrs, &objp->name, MESH_MAX_ID))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->nodes.nodes_val, (u_int *) &objp->nodes.nodes_len, MESH_MAX_NODES,
+		sizeof (u_int), (xdrproc_t) xdr_u_int))
+		 return FALSE;
 	return TRUE;
 }
 
-bool_t xdr_mesh_member(XDR *xdrs, mesh_member *objp)
+bool_t
+xdr_mesh_member (XDR *xdrs, mesh_member *objp)
 {
 	register int32_t *buf;
 
-	if (!xdr_u_int(xdrs, &objp->ip))
-		return FALSE;
-	if (!xdr_u_int(xdrs, &objp->flags))
-		return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->ip))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->flags))
+		 return FALSE;
 	return TRUE;
 }
 
-bool_t xdr_mesh_state(XDR *xdrs, mesh_state *objp)
+bool_t
+xdr_mesh_state (XDR *xdrs, mesh_state *objp)
 {
 	register int32_t *buf;
 
-	if (!xdr_u_int(xdrs, &objp->target))
-		return FALSE;
-	if (!xdr_u_int(xdrs, &objp->risk_and_in_flight))
-		return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->target))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->risk_and_in_flight))
+		 return FALSE;
 	return TRUE;
 }
 
-bool_t xdr_mesh_usage(XDR *xdrs, mesh_usage *objp)
+bool_t
+xdr_mesh_usage (XDR *xdrs, mesh_usage *objp)
 {
 	register int32_t *buf;
 
-	if (!xdr_u_int(xdrs, &objp->organisation))
-		return FALSE;
-	if (!xdr_u_int(xdrs, &objp->totals))
-		return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->organisation))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->totals))
+		 return FALSE;
 	return TRUE;
 }
 
-bool_t xdr_mesh_demand(XDR *xdrs, mesh_demand *objp)
+bool_t
+xdr_mesh_demand (XDR *xdrs, mesh_demand *objp)
 {
 	register int32_t *buf;
 
-	if (!xdr_u_int(xdrs, &objp->organisation))
-		return FALSE;
-	if (!xdr_u_int(xdrs, &objp->rate))
-		return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->organisation))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->rate))
+		 return FALSE;
 	return TRUE;
 }
 
-bool_t xdr_mesh_end(XDR *xdrs, mesh_end *objp)
+bool_t
+xdr_mesh_end (XDR *xdrs, mesh_end *objp)
 {
 	register int32_t *buf;
 
-	if (!xdr_u_int(xdrs, &objp->target))
-		return FALSE;
-	if (!xdr_u_int(xdrs, &objp->known))
-		return FALSE;
-	if (!xdr_u_int(xdrs, &objp->ended_ms))
-		return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->target))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->known))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->ended_ms))
+		 return FALSE;
 	return TRUE;
 }
 
-bool_t xdr_mesh_fatal(XDR *xdrs, mesh_fatal *objp)
+bool_t
+xdr_mesh_fatal (XDR *xdrs, mesh_fatal *objp)
 {
 	register int32_t *buf;
 
+
 	if (xdrs->x_op == XDR_ENCODE) {
-		if (!xdr_u_quad_t(xdrs, &objp->identity))
-			return FALSE;
-		buf = XDR_INLINE(xdrs, 5 * BYTES_PER_XDR_UNIT);
+		 if (!xdr_u_quad_t (xdrs, &objp->identity))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 5 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
-			if (!xdr_u_int(xdrs, &objp->answered_ms))
-				return FALSE;
-			if (!xdr_u_int(xdrs, &objp->refused_ms))
-				return FALSE;
-			if (!xdr_u_int(xdrs, &objp->tried_ms))
-				return FALSE;
-			if (!xdr_u_int(xdrs, &objp->trial_ms))
-				return FALSE;
-			if (!xdr_u_int(xdrs, &objp->tries))
-				return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->answered_ms))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->refused_ms))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->tried_ms))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->trial_ms))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->tries))
+				 return FALSE;
 
 		} else {
-			IXDR_PUT_U_LONG(buf, objp->answered_ms);
-			IXDR_PUT_U_LONG(buf, objp->refused_ms);
-			IXDR_PUT_U_LONG(buf, objp->tried_ms);
-			IXDR_PUT_U_LONG(buf, objp->trial_ms);
-			IXDR_PUT_U_LONG(buf, objp->tries);
+		IXDR_PUT_U_LONG(buf, objp->answered_ms);
+		IXDR_PUT_U_LONG(buf, objp->refused_ms);
+		IXDR_PUT_U_LONG(buf, objp->tried_ms);
+		IXDR_PUT_U_LONG(buf, objp->trial_ms);
+		IXDR_PUT_U_LONG(buf, objp->tries);
 		}
-		if (!xdr_array(xdrs, (char **)&objp->ends.ends_val,
-			       (u_int *)&objp->ends.ends_len, MESH_MAX_ENDS,
-			       sizeof(mesh_end), (xdrproc_t)xdr_mesh_end))
-			return FALSE;
+		 if (!xdr_array (xdrs, (char **)&objp->ends.ends_val, (u_int *) &objp->ends.ends_len, MESH_MAX_ENDS,
+			sizeof (mesh_end), (xdrproc_t) xdr_mesh_end))
+			 return FALSE;
 		return TRUE;
 	} else if (xdrs->x_op == XDR_DECODE) {
-		if (!xdr_u_quad_t(xdrs, &objp->identity))
-			return FALSE;
-		buf = XDR_INLINE(xdrs, 5 * BYTES_PER_XDR_UNIT);
+		 if (!xdr_u_quad_t (xdrs, &objp->identity))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 5 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
-			if (!xdr_u_int(xdrs, &objp->answered_ms))
-				return FALSE;
-			if (!xdr_u_int(xdrs, &objp->refused_ms))
-				return FALSE;
-			if (!xdr_u_int(xdrs, &objp->tried_ms))
-				return FALSE;
-			if (!xdr_u_int(xdrs, &objp->trial_ms))
-				return FALSE;
-			if (!xdr_u_int(xdrs, &objp->tries))
-				return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->answered_ms))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->refused_ms))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->tried_ms))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->trial_ms))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->tries))
+				 return FALSE;
 
 		} else {
-			objp->answered_ms = IXDR_GET_U_LONG(buf);
-			objp->refused_ms = IXDR_GET_U_LONG(buf);
-			objp->tried_ms = IXDR_GET_U_LONG(buf);
-			objp->trial_ms = IXDR_GET_U_LONG(buf);
-			objp->tries = IXDR_GET_U_LONG(buf);
+		objp->answered_ms = IXDR_GET_U_LONG(buf);
+		objp->refused_ms = IXDR_GET_U_LONG(buf);
+		objp->tried_ms = IXDR_GET_U_LONG(buf);
+		objp->trial_ms = IXDR_GET_U_LONG(buf);
+		objp->tries = IXDR_GET_U_LONG(buf);
 		}
-		if (!xdr_array(xdrs, (char **)&objp->ends.ends_val,
-			       (u_int *)&objp->ends.ends_len, MESH_MAX_ENDS,
-			       sizeof(mesh_end), (xdrproc_t)xdr_mesh_end))
-			return FALSE;
-		return TRUE;
+		 if (!xdr_array (xdrs, (char **)&objp->ends.ends_val, (u_int *) &objp->ends.ends_len, MESH_MAX_ENDS,
+			sizeof (mesh_end), (xdrproc_t) xdr_mesh_end))
+			 return FALSE;
+	 return TRUE;
 	}
 
-	if (!xdr_u_quad_t(xdrs, &objp->identity))
-		return FALSE;
-	if (!xdr_u_int(xdrs, &objp->answered_ms))
-		return FALSE;
-	if (!xdr_u_int(xdrs, &objp->refused_ms))
-		return FALSE;
-	if (!xdr_u_int(xdrs, &objp->tried_ms))
-		return FALSE;
-	if (!xdr_u_int(xdrs, &objp->trial_ms))
-		return FALSE;
-	if (!xdr_u_int(xdrs, &objp->tries))
-		return FALSE;
-	if (!xdr_array(xdrs, (char **)&objp->ends.ends_val,
-		       (u_int *)&objp->ends.ends_len, MESH_MAX_ENDS,
-		       sizeof(mesh_end), (xdrproc_t)xdr_mesh_end))
-		return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->identity))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->answered_ms))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->refused_ms))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->tried_ms))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->trial_ms))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->tries))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->ends.ends_val, (u_int *) &objp->ends.ends_len, MESH_MAX_ENDS,
+		sizeof (mesh_end), (xdrproc_t) xdr_mesh_end))
+		 return FALSE;
 	return TRUE;
 }
 
-bool_t xdr_mesh_limit(XDR *xdrs, mesh_limit *objp)
+bool_t
+xdr_mesh_limit (XDR *xdrs, mesh_limit *objp)
 {
 	register int32_t *buf;
 
+
 	if (xdrs->x_op == XDR_ENCODE) {
-		buf = XDR_INLINE(xdrs, 4 * BYTES_PER_XDR_UNIT);
+		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
-			if (!xdr_u_int(xdrs, &objp->target))
-				return FALSE;
-			if (!xdr_u_int(xdrs, &objp->rate))
-				return FALSE;
-			if (!xdr_u_int(xdrs, &objp->age_ms))
-				return FALSE;
-			if (!xdr_u_int(xdrs, &objp->sent))
-				return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->target))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->rate))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->age_ms))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->sent))
+				 return FALSE;
 		} else {
 			IXDR_PUT_U_LONG(buf, objp->target);
 			IXDR_PUT_U_LONG(buf, objp->rate);
@@ -348,126 +361,111 @@
 		}
 		return TRUE;
 	} else if (xdrs->x_op == XDR_DECODE) {
-		buf = XDR_INLINE(xdrs, 4 * BYTES_PER_XDR_UNIT);
+		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
-			if (!xdr_u_int(xdrs, &objp->target))
-				return FALSE;
-			if (!xdr_u_int(xdrs, &objp->rate))
-				return FALSE;
-			if (!xdr_u_int(xdrs, &objp->age_ms))
-				return FALSE;
-			if (!xdr_u_int(xdrs, &objp->sent))
-				return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->target))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->rate))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->age_ms))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->sent))
+				 return FALSE;
 		} else {
 			objp->target = IXDR_GET_U_LONG(buf);
 			objp->rate = IXDR_GET_U_LONG(buf);
 			objp->age_ms = IXDR_GET_U_LONG(buf);
 			objp->sent = IXDR_GET_U_LONG(buf);
 		}
-		return TRUE;
+	 return TRUE;
 	}
 
-	if (!xdr_u_int(xdrs, &objp->target))
-		return FALSE;
-	if (!xdr_u_int(xdrs, &objp->rate))
-		return FALSE;
-	if (!xdr_u_int(xdrs, &objp->age_ms))
-		return FALSE;
-	if (!xdr_u_int(xdrs, &objp->sent))
-		return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->target))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->rate))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->age_ms))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->sent))
+		 return FALSE;
 	return TRUE;
 }
 
-bool_t xdr_mesh_message(XDR *xdrs, mesh_message *objp)
+bool_t
+xdr_mesh_message (XDR *xdrs, mesh_message *objp)
 {
 	register int32_t *buf;
 
-	if (!xdr_u_int(xdrs, &objp->fleet))
-		return FALSE;
-	if (!xdr_u_int(xdrs, &objp->sender))
-		return FALSE;
-	if (!xdr_u_quad_t(xdrs, &objp->boot))
-		return FALSE;
-	if (!xdr_u_quad_t(xdrs, &objp->sequence))
-		return FALSE;
-	if (!xdr_string(xdrs, &objp->data_centre, MESH_MAX_ID))
-		return FALSE;
-	if (!xdr_u_int(xdrs, &objp->flags))
-		return FALSE;
-	if (!xdr_u_quad_t(xdrs, &objp->config_revision))
-		return FALSE;
-	if (!xdr_u_quad_t(xdrs, &objp->as_of))
-		return FALSE;
-	if (!xdr_u_int(xdrs, &objp->age_ms))
-		return FALSE;
-	if (!xdr_u_quad_t(xdrs, &objp->digest))
-		return FALSE;
-	if (!xdr_u_int(xdrs, &objp->proof_age_ms))
-		return FALSE;
-	if (!xdr_u_quad_t(xdrs, &objp->question))
-		return FALSE;
-	if (!xdr_u_quad_t(xdrs, &objp->answers))
-		return FALSE;
-	if (!xdr_u_int(xdrs, &objp->fleet_size))
-		return FALSE;
-	if (!xdr_array(xdrs, (char **)&objp->data_centres.data_centres_val,
-		       (u_int *)&objp->data_centres.data_centres_len,
-		       MESH_MAX_DATA_CENTRES, sizeof(mesh_data_centre),
-		       (xdrproc_t)xdr_mesh_data_centre))
-		return FALSE;
-	if (!xdr_array(xdrs, (char **)&objp->members.members_val,
-		       (u_int *)&objp->members.members_len, MESH_MAX_MEMBERS,
-		       sizeof(u_int), (xdrproc_t)xdr_u_int))
-		return FALSE;
-	if (!xdr_array(xdrs, (char **)&objp->not_ready.not_ready_val,
-		       (u_int *)&objp->not_ready.not_ready_len,
-		       MESH_MAX_MEMBERS, sizeof(mesh_member),
-		       (xdrproc_t)xdr_mesh_member))
-		return FALSE;
-	if (!xdr_array(xdrs, (char **)&objp->states.states_val,
-		       (u_int *)&objp->states.states_len, MESH_MAX_STATES,
-		       sizeof(mesh_state), (xdrproc_t)xdr_mesh_state))
-		return FALSE;
-	if (!xdr_array(xdrs, (char **)&objp->work.work_val,
-		       (u_int *)&objp->work.work_len, MESH_MAX_WORK,
-		       sizeof(mesh_work), (xdrproc_t)xdr_mesh_work))
-		return FALSE;
-	if (!xdr_array(xdrs, (char **)&objp->usage.usage_val,
-		       (u_int *)&objp->usage.usage_len, MESH_MAX_USAGE,
-		       sizeof(mesh_usage), (xdrproc_t)xdr_mesh_usage))
-		return FALSE;
-	if (!xdr_array(xdrs, (char **)&objp->demands.demands_val,
-		       (u_int *)&objp->demands.demands_len, MESH_MAX_DEMANDS,
-		       sizeof(mesh_demand), (xdrproc_t)xdr_mesh_demand))
-		return FALSE;
-	if (!xdr_array(xdrs, (char **)&objp->rows.rows_val,
-		       (u_int *)&objp->rows.rows_len, MESH_MAX_ROWS,
-		       sizeof(mesh_row), (xdrproc_t)xdr_mesh_row))
-		return FALSE;
-	if (!xdr_array(xdrs, (char **)&objp->records.records_val,
-		       (u_int *)&objp->records.records_len, MESH_MAX_RECORDS,
-		       sizeof(mesh_record), (xdrproc_t)xdr_mesh_record))
-		return FALSE;
-	if (!xdr_array(xdrs, (char **)&objp->departures.departures_val,
-		       (u_int *)&objp->departures.departures_len,
-		       MESH_MAX_DEPARTURES, sizeof(mesh_departure),
-		       (xdrproc_t)xdr_mesh_departure))
-		return FALSE;
-	if (!xdr_array(xdrs, (char **)&objp->fatals.fatals_val,
-		       (u_int *)&objp->fatals.fatals_len, MESH_MAX_FATALS,
-		       sizeof(mesh_fatal), (xdrproc_t)xdr_mesh_fatal))
-		return FALSE;
-	if (!xdr_array(xdrs, (char **)&objp->limits.limits_val,
-		       (u_int *)&objp->limits.limits_len, MESH_MAX_LIMITS,
-		       sizeof(mesh_limit), (xdrproc_t)xdr_mesh_limit))
-		return FALSE;
-	if (!xdr_array(xdrs, (char **)&objp->leaving.leaving_val,
-		       (u_int *)&objp->leaving.leaving_len, MESH_MAX_LEAVING,
-		       sizeof(u_int), (xdrproc_t)xdr_u_int))
-		return FALSE;
-	if (!xdr_u_quad_t(xdrs, &objp->config_order))
-		return FALSE;
-	if (!xdr_u_quad_t(xdrs, &objp->era_start))
-		return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->fleet))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->sender))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->boot))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->sequence))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->data_centre, MESH_MAX_ID))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->flags))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->config_revision))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->as_of))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->age_ms))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->digest))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->proof_age_ms))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->question))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->answers))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->fleet_size))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->data_centres.data_centres_val, (u_int *) &objp->data_centres.data_centres_len, MESH_MAX_DATA_CENTRES,
+		sizeof (mesh_data_centre), (xdrproc_t) xdr_mesh_data_centre))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->members.members_val, (u_int *) &objp->members.members_len, MESH_MAX_MEMBERS,
+		sizeof (u_int), (xdrproc_t) xdr_u_int))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->not_ready.not_ready_val, (u_int *) &objp->not_ready.not_ready_len, MESH_MAX_MEMBERS,
+		sizeof (mesh_member), (xdrproc_t) xdr_mesh_member))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->states.states_val, (u_int *) &objp->states.states_len, MESH_MAX_STATES,
+		sizeof (mesh_state), (xdrproc_t) xdr_mesh_state))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->work.work_val, (u_int *) &objp->work.work_len, MESH_MAX_WORK,
+		sizeof (mesh_work), (xdrproc_t) xdr_mesh_work))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->usage.usage_val, (u_int *) &objp->usage.usage_len, MESH_MAX_USAGE,
+		sizeof (mesh_usage), (xdrproc_t) xdr_mesh_usage))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->demands.demands_val, (u_int *) &objp->demands.demands_len, MESH_MAX_DEMANDS,
+		sizeof (mesh_demand), (xdrproc_t) xdr_mesh_demand))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->rows.rows_val, (u_int *) &objp->rows.rows_len, MESH_MAX_ROWS,
+		sizeof (mesh_row), (xdrproc_t) xdr_mesh_row))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->records.records_val, (u_int *) &objp->records.records_len, MESH_MAX_RECORDS,
+		sizeof (mesh_record), (xdrproc_t) xdr_mesh_record))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->departures.departures_val, (u_int *) &objp->departures.departures_len, MESH_MAX_DEPARTURES,
+		sizeof (mesh_departure), (xdrproc_t) xdr_mesh_departure))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->fatals.fatals_val, (u_int *) &objp->fatals.fatals_len, MESH_MAX_FATALS,
+		sizeof (mesh_fatal), (xdrproc_t) xdr_mesh_fatal))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->limits.limits_val, (u_int *) &objp->limits.limits_len, MESH_MAX_LIMITS,
+		sizeof (mesh_limit), (xdrproc_t) xdr_mesh_limit))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->leaving.leaving_val, (u_int *) &objp->leaving.leaving_len, MESH_MAX_LEAVING,
+		sizeof (u_int), (xdrproc_t) xdr_u_int))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->config_order))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->era_start))
+		 return FALSE;
 	return TRUE;
 }
--- a/entry/pull.c
+++ b/entry/pull.c
@@ -49,15 +49,6 @@
 	return text ? strtoull(text, NULL, 10) : 0;
 }
 
-/* Returns the revision that a peer named, or 0 if it is nonsense. */
-static uint64_t peer_revision(const struct entry *e, uint64_t era,
-			      uint64_t number)
-{
-	if (era > TR_ERA_MAX || number > TR_REVISION_NUMBER_MAX)
-		return 0;
-	return tr_roster_peer_revision(&e->roster, (uint32_t)era, number);
-}
-
 /* Returns the decompressed text, to be freed with free(), or NULL unless length
  * and digest match the headers. */
 static char *decompress_answer(const struct message *answer, size_t *len)
@@ -90,9 +81,9 @@
 		text = decompress_answer(answer, &item.value_len);
 	if (text) {
 		item.value = text;
-		item.revision =
-			peer_revision(e, header_number(answer, HEADER_ERA),
-				      header_number(answer, HEADER_REVISION));
+		item.revision = tr_roster_peer_revision(
+			&e->roster, header_number(answer, HEADER_ERA),
+			header_number(answer, HEADER_REVISION));
 		entry_apply_routes(e, &item, "peer");
 	}
 	if (entry_routes_order(e) > before) {
@@ -130,8 +121,9 @@
 	r->leaving = leaving;
 	r->gone = gone;
 	r->cold_for = cold;
-	r->revision = peer_revision(
-		e, (uint64_t)json_integer_value(json_array_get(row, 10)),
+	r->revision = tr_roster_peer_revision(
+		&e->roster,
+		(uint64_t)json_integer_value(json_array_get(row, 10)),
 		(uint64_t)revision);
 	r->stale_copy = json_is_true(json_array_get(row, 11));
 	r->born = (uint64_t)born;
@@ -143,8 +135,9 @@
 static void apply_list(struct entry *e, json_t *root, apr_time_t since)
 {
 	json_t *rows = json_object_get(root, "targets");
-	uint64_t as_of = peer_revision(
-		e, (uint64_t)json_integer_value(json_object_get(root, "era")),
+	uint64_t as_of = tr_roster_peer_revision(
+		&e->roster,
+		(uint64_t)json_integer_value(json_object_get(root, "era")),
 		(uint64_t)json_integer_value(json_object_get(root, "as_of")));
 	apr_time_t age =
 		json_integer_value(json_object_get(root, "age")) + since;
--- a/lib/revision.c
+++ b/lib/revision.c
@@ -1,6 +1,6 @@
 #include "revision.h"
 
-#define ERA_SHIFT 44
+#define ERA_SHIFT 48
 
 /* Returns the revision with that number in the era. */
 uint64_t tr_revision_make(uint32_t era, uint64_t number)
--- a/lib/revision.h
+++ b/lib/revision.h
@@ -13,9 +13,9 @@
 /* The era that is not known: the platform, or the VM that names the revision,
  * has no eras. */
 #define TR_ERA_UNKNOWN 0U
-#define TR_ERA_MAX     ((UINT32_C(1) << 20) - 1)
-/* Twelve years of 46,000 writes a second. */
-#define TR_REVISION_NUMBER_MAX ((UINT64_C(1) << 44) - 1)
+#define TR_ERA_MAX     ((UINT32_C(1) << 16) - 1)
+/* 190 years of 46,000 writes a second. */
+#define TR_REVISION_NUMBER_MAX ((UINT64_C(1) << 48) - 1)
 
 /* Revisions of one published value at a VM; the platform assigns them. */
 struct tr_revision_state {
--- a/lib/roster.c
+++ b/lib/roster.c
@@ -161,16 +161,19 @@
 }
 
 /*
- * Returns the revision that another VM named. A VM of a build without eras
- * means the present one; once the store has returned from a copy it may as well
- * mean a former one, and the revision counts as older than any other.
+ * Returns the revision that another VM named, or 0 if it is out of range. A VM
+ * of a build without eras means the present one; once the store has returned
+ * from a copy it may as well mean a former one, and the revision counts as
+ * older than any other.
  */
-uint64_t tr_roster_peer_revision(const struct tr_roster *roster, uint32_t era,
+uint64_t tr_roster_peer_revision(const struct tr_roster *roster, uint64_t era,
 				 uint64_t number)
 {
+	if (era > TR_ERA_MAX || number > TR_REVISION_NUMBER_MAX)
+		return 0;
 	if (!era && !roster->store_returned)
 		era = roster->era;
-	return tr_revision_make(era, number);
+	return tr_revision_make((uint32_t)era, number);
 }
 
 /* Removes a target that is no longer listed: at once, or after a grace period
--- a/tests/roster_test.cc
+++ b/tests/roster_test.cc
@@ -741,4 +741,16 @@
 		  tr_revision_make(2, 21));
 }
 
+/* Guards against a damaged message whose era would pass for a later one. */
+TEST_F(Returned, ErasAndNumbersOutOfRangeAreOlderThanAny)
+{
+	EXPECT_EQ(tr_roster_peer_revision(&roster, TR_ERA_MAX + 1ULL, 5), 0u);
+	EXPECT_EQ(
+		tr_roster_peer_revision(&roster, 1, TR_REVISION_NUMBER_MAX + 1),
+		0u);
+	EXPECT_EQ(tr_roster_peer_revision(&roster, TR_ERA_MAX,
+					  TR_REVISION_NUMBER_MAX),
+		  UINT64_MAX);
+}
+
 } // namespace
