--- a/tests/platform_test.cc
+++ b/tests/platform_test.cc
@@ -137,8 +137,8 @@
 
 TEST(Platform, ErasThatAreNoNumbersAreRejectedWithAReason)
 {
-	for (const char *text : { "", "x", "-1", "1.5", "2 3", "65535",
-				  "99999999999999999999" }) {
+	for (const char *text :
+	     { "", "x", "-1", "1.5", "2 3", "65535", "99999999999999999999" }) {
 		uint32_t era = 7;
 		tr_error err{};
 
