roster, entry: a first era that comes with lower revisions is a return

What callers saw, in a test: a target that had left got requests again after a store that named no era before returned from a copy and named one.

Cause: only a change from one known era to a later one counted as a return.

The change: the first era that a VM hears of is a return if the list's revision is below the one that it holds. While revisions rise, the platform has only begun to name eras, and builds without them are still understood. A record of a later era than that of a row without one counts as such once the store has returned.

StoreReturn.AFirstEraThatComesWithTheReturnIsFollowed failed before (the target that had left was used) and passes; two tests of Roster below it.

--- a/entry/entry.c
+++ b/entry/entry.c
@@ -145,13 +145,15 @@
 	       e->outdated_revision > e->routes->revision;
 }
 
-/* Notes the era of a revision at which the store was read. */
-void entry_enter_era(struct entry *e, uint64_t as_of, const char *from)
+/* Notes the era of a list's revision, and the least revision at which the store
+ * is known to have been read in it. */
+void entry_enter_era(struct entry *e, uint64_t as_of, uint64_t start,
+		     const char *from)
 {
 	uint64_t before = e->roster.as_of;
 
-	if (tr_roster_enter_era(&e->roster, tr_revision_era(as_of),
-				tr_revision_number(as_of), entry_now(e)))
+	if (tr_roster_enter_era(&e->roster, as_of, tr_revision_number(start),
+				entry_now(e)))
 		eventlog(EVENT_STATE, "store-restored",
 			 "era_before=%ld as_of_before=%" G_GUINT64_FORMAT
 			 " era=%ld as_of=%" G_GUINT64_FORMAT " from=%s",
--- a/entry/entry.h
+++ b/entry/entry.h
@@ -145,7 +145,8 @@
 			const char *from);
 void entry_apply_routes(struct entry *e, const struct store_item *item,
 			const char *from);
-void entry_enter_era(struct entry *e, uint64_t as_of, const char *from);
+void entry_enter_era(struct entry *e, uint64_t as_of, uint64_t start,
+		     const char *from);
 void entry_log_refusal(struct entry *e, const char *event, const char *format,
 		       ...) G_GNUC_PRINTF(3, 4);
 uint64_t entry_routes_order(const struct entry *e);
--- a/entry/mesh_receive.c
+++ b/entry/mesh_receive.c
@@ -63,6 +63,8 @@
 				     ? -1
 				     : TR_MSEC(msg->proof_age_ms),
 	};
+	uint64_t as_of = tr_roster_peer_revision(
+		&e->roster, msg->flags >> MESH_ERA_SHIFT, msg->as_of);
 	apr_time_t now = entry_now(e);
 	struct tr_node *node;
 	bool restarted;
@@ -72,12 +74,7 @@
 	if (!node)
 		return;
 	if (msg->era_start)
-		entry_enter_era(
-			e,
-			tr_roster_peer_revision(&e->roster,
-						msg->flags >> MESH_ERA_SHIFT,
-						msg->era_start),
-			"peer");
+		entry_enter_era(e, as_of, msg->era_start, "peer");
 	if (restarted) {
 		mesh_forget_node(mesh, node, now);
 		if (!(msg->flags & MESH_REPLY))
--- a/entry/pull.c
+++ b/entry/pull.c
@@ -148,7 +148,7 @@
 
 	if (!records)
 		return;
-	entry_enter_era(e, as_of, "peer");
+	entry_enter_era(e, as_of, as_of, "peer");
 	/* A list of a former era lacks what the others will keep out. */
 	if (tr_revision_era(as_of) == e->roster.era)
 		e->list_fetched = true;
--- a/entry/reader.c
+++ b/entry/reader.c
@@ -147,7 +147,7 @@
 	 * as of the first page; the watch continues from there. */
 	if (!r->list_as_of) {
 		r->list_as_of = page->as_of;
-		entry_enter_era(e, page->as_of, "store");
+		entry_enter_era(e, page->as_of, page->as_of, "store");
 	}
 	apply_items(r, page);
 	if (page->has_more && n) {
--- a/lib/list_check.c
+++ b/lib/list_check.c
@@ -28,8 +28,10 @@
 {
 	uint32_t era = tr_revision_era(roster->as_of);
 
-	return era && tr_revision_era(reported->as_of) > era ? FETCH_DELAY_ERA
-							     : FETCH_DELAY;
+	return (era || roster->store_returned) &&
+			       tr_revision_era(reported->as_of) > era
+		       ? FETCH_DELAY_ERA
+		       : FETCH_DELAY;
 }
 
 static void note_difference(struct tr_list_check *c, uint64_t as_of,
--- a/lib/roster.c
+++ b/lib/roster.c
@@ -138,15 +138,20 @@
 }
 
 /*
- * Notes the store's era and a revision, a number, at which the store was read
- * in it. Returns whether the store has returned from a copy: what it accepted
- * since is lost, targets that are missing get the time to write their entries
- * again, and older eras count no more.
+ * Notes the era of a list's revision, and the least number at which the store
+ * is known to have been read in it. Returns whether the store has returned from
+ * a copy: what it accepted since is lost, targets that are missing get the time
+ * to write their entries again, and older eras count no more. A store that
+ * names its first era has returned if its revisions have gone back.
  */
-bool tr_roster_enter_era(struct tr_roster *roster, uint32_t era, uint64_t start,
-			 apr_time_t now)
+bool tr_roster_enter_era(struct tr_roster *roster, uint64_t as_of,
+			 uint64_t start, apr_time_t now)
 {
-	bool returned = roster->era && era > roster->era;
+	uint32_t era = tr_revision_era(as_of);
+	bool returned =
+		era > roster->era &&
+		(roster->era ||
+		 tr_revision_number(as_of) < tr_revision_number(roster->as_of));
 
 	if (era > roster->era ||
 	    (era == roster->era && start < roster->era_start))
@@ -315,7 +320,8 @@
 			      const struct tr_target_record *record)
 {
 	uint32_t era = tr_revision_era(row->revision);
-	bool later_era = era && tr_revision_era(record->revision) > era;
+	bool later_era = (era || roster->store_returned) &&
+			 tr_revision_era(record->revision) > era;
 
 	if (record->gone || record->leaving)
 		return false;
--- a/lib/roster.h
+++ b/lib/roster.h
@@ -155,8 +155,8 @@
 		     const struct tr_target_record *record, apr_time_t now);
 void tr_roster_reject_entry(struct tr_roster *roster, const char *id,
 			    uint64_t revision, apr_time_t now);
-bool tr_roster_enter_era(struct tr_roster *roster, uint32_t era, uint64_t start,
-			 apr_time_t now);
+bool tr_roster_enter_era(struct tr_roster *roster, uint64_t as_of,
+			 uint64_t start, apr_time_t now);
 uint64_t tr_roster_peer_revision(const struct tr_roster *roster, uint64_t era,
 				 uint64_t number);
 void tr_roster_drop_unlisted(struct tr_roster *roster,
--- a/tests/roster_test.cc
+++ b/tests/roster_test.cc
@@ -552,7 +552,7 @@
  * way, when the store has lost it. */
 TEST_F(ListCheck, AfterAReturnADifferentListIsFetchedSoon)
 {
-	tr_roster_enter_era(&roster, 1, 10, now);
+	tr_roster_enter_era(&roster, tr_revision_make(1, 10), 10, now);
 	tr_roster_confirm(&roster, tr_revision_make(1, 10), 0, now);
 	EXPECT_FALSE(reported(tr_revision_make(2, 8), false));
 	now += TR_MSEC(150);
@@ -565,7 +565,7 @@
 {
 	apr_time_t before;
 
-	tr_roster_enter_era(&roster, 2, 8, now);
+	tr_roster_enter_era(&roster, tr_revision_make(2, 8), 8, now);
 	tr_roster_confirm(&roster, tr_revision_make(2, 8), 0, now);
 	before = roster.confirmed_at;
 	now += TR_SEC(1);
@@ -591,7 +591,8 @@
 
 	void SetUp() override
 	{
-		EXPECT_FALSE(tr_roster_enter_era(&roster, 1, 1, now));
+		EXPECT_FALSE(tr_roster_enter_era(
+			&roster, tr_revision_make(1, 1), 1, now));
 		apply_record(of_era(1, 90));
 	}
 
@@ -606,7 +607,8 @@
 
 	void return_from_copy()
 	{
-		EXPECT_TRUE(tr_roster_enter_era(&roster, 2, COPY, now));
+		EXPECT_TRUE(tr_roster_enter_era(
+			&roster, tr_revision_make(2, COPY), COPY, now));
 	}
 
 	bool usable()
@@ -664,7 +666,8 @@
 	leave(true);
 	return_from_copy();
 	apply_record(of_era(2, COPY));
-	EXPECT_TRUE(tr_roster_enter_era(&roster, 3, COPY, now));
+	EXPECT_TRUE(tr_roster_enter_era(&roster, tr_revision_make(3, COPY),
+					COPY, now));
 	apply_record(of_era(3, COPY - 1));
 	EXPECT_TRUE(row("a")->gone);
 }
@@ -677,7 +680,8 @@
 		tr_target_record r = of_era(2, COPY);
 
 		tr_roster_release(&roster);
-		tr_roster_enter_era(&roster, 2, COPY, now);
+		tr_roster_enter_era(&roster, tr_revision_make(2, COPY), COPY,
+				    now);
 		apply_record(r);
 		ASSERT_TRUE(usable());
 		r.gone = gone;
@@ -741,6 +745,30 @@
 		  tr_revision_make(2, 21));
 }
 
+/* Guards against a return that is not noticed since the platform named no era
+ * before it. */
+TEST_F(Roster, AFirstEraIsAReturnWhereRevisionsHaveGoneBack)
+{
+	apply("a", 90);
+	apply("a", 95, true);
+	tr_roster_confirm(&roster, 95, 0, now);
+	EXPECT_TRUE(
+		tr_roster_enter_era(&roster, tr_revision_make(1, 20), 20, now));
+	apply("a", tr_revision_make(1, 18));
+	EXPECT_FALSE(tr_instance_usable(row("a"), now));
+}
+
+/* Guards against a platform that begins to name eras and passes for one that
+ * has lost something. */
+TEST_F(Roster, AFirstEraIsNoReturnWhereRevisionsRise)
+{
+	tr_roster_confirm(&roster, 95, 0, now);
+	EXPECT_FALSE(
+		tr_roster_enter_era(&roster, tr_revision_make(1, 95), 20, now));
+	EXPECT_EQ(tr_roster_peer_revision(&roster, 0, 96),
+		  tr_revision_make(1, 96));
+}
+
 /* Guards against a damaged message whose era would pass for a later one. */
 TEST_F(Returned, ErasAndNumbersOutOfRangeAreOlderThanAny)
 {
--- a/tests/store_return_test.cc
+++ b/tests/store_return_test.cc
@@ -410,6 +410,38 @@
 	EXPECT_TRUE(gets_no_more(0));
 }
 
+/* Guards against a return that is not noticed since the platform names its
+ * first era with it. */
+TEST_F(StoreReturn, AFirstEraThatComesWithTheReturnIsFollowed)
+{
+	store->set_era_text("");
+	for (unsigned i = 0; i < VMS; i++) {
+		vms[i]->kill_now();
+		vms[i]->start();
+	}
+	ASSERT_TRUE(eventually([&] { return all_serve("s1"); }));
+	store->take_copy();
+	raise_revisions();
+	write_config(2, "s2");
+	write_target(0, "draining");
+	ASSERT_TRUE(in_force("s2") && gets_no_more(0));
+	unsigned before = arrivals[0];
+
+	store->set_mode(StoreMode::Reset);
+	store->set_era_text(std::nullopt);
+	away_and_back();
+	auto end = std::chrono::steady_clock::now() + WATCHED;
+
+	while (std::chrono::steady_clock::now() < end) {
+		send_reads(1);
+		for (unsigned i = 0; i < VMS; i++)
+			EXPECT_EQ(moved_to(i), "s2") << i;
+	}
+	EXPECT_EQ(arrivals[0], before);
+	write_config(3, "s1");
+	EXPECT_TRUE(in_force("s1"));
+}
+
 /* Guards against answers that are lost since their era is not a number. */
 TEST_F(StoreReturn, AnEraThatIsNoNumberIsLoggedAndNothingIsLost)
 {
