roster: keep departures of the former era against the copy

What callers saw: a VM that started while the store's copy stood sent requests to a target that had left, for as long as the copy stood (DRAIN).

Cause and evidence: a VM enters the new era by a message too, where its list has the digest that the sender names. It then holds the same list as of the new era, but its departures have revisions of the former one, since only a VM that reads the copy gives them the copy's. The VM that started had read the copy's entry, and fetched its first list from such a VM: the line "list targets=5 as_of=8 era=2 from=peer", while the VM that had read the copy holds six, of which one is marked as gone. The departure's revision was of an earlier era than the entry's and was ignored. Nothing told it again: the list had been fetched, the VM confirmed its own by the store, and the changes of the VM that had read the copy were sent before it started.

Ruled out: the wait at the start (it ended after the list had come, after 341 ms of 400); load (it lengthens the time in which other VMs have heard of the era and not read in it, and makes it likely).

The change: a departure of a former era holds against an entry that may be from the copy if its number is the same or larger: the store went on from that entry to the departure, and lost it. One with a lower number is older than the entry and is ignored as before, and so is one against what was written after the return.

--- a/lib/roster.c
+++ b/lib/roster.c
@@ -340,6 +340,38 @@
 	roster->departures_due = true;
 }
 
+/* Tells whether the record is of a departure in a former era that is missing
+ * from the copy, of which this VM's entry is. */
+static bool is_missing_from_copy(const struct tr_roster *roster,
+				 const struct tr_instance *row,
+				 const struct tr_target_record *record)
+{
+	uint64_t revision = record->revision;
+
+	if (record->born != row->born || row->gone ||
+	    (!record->gone && (!record->leaving || row->leaving)))
+		return false;
+	return tr_revision_era(revision) < tr_revision_era(row->revision) &&
+	       tr_revision_number(revision) >=
+		       tr_revision_number(row->revision) &&
+	       may_be_from_copy(roster, row->revision);
+}
+
+/* Applies a departure that is missing from the copy. */
+static void apply_missing_departure(struct tr_roster *roster,
+				    struct tr_instance *row, bool gone,
+				    apr_time_t now)
+{
+	roster->digest_known = false;
+	if (gone) {
+		set_gone(row, now);
+	} else {
+		row->leaving = true;
+		row->leaving_since = now;
+	}
+	keep_departure(roster, row, now);
+}
+
 static bool update_row(struct tr_roster *roster, struct tr_instance *row,
 		       const struct tr_target_record *record, apr_time_t now)
 {
@@ -407,6 +439,10 @@
 		return false;
 	if (!row)
 		return add_row(roster, record, now);
+	if (is_missing_from_copy(roster, row, record)) {
+		apply_missing_departure(roster, row, record->gone, now);
+		return true;
+	}
 	if (record->revision < row->revision ||
 	    (record->revision == row->revision &&
 	     !is_departure_to_keep(roster, row, record)))
--- a/tests/roster_test.cc
+++ b/tests/roster_test.cc
@@ -611,6 +611,13 @@
 			&roster, tr_revision_make(2, COPY), COPY, now));
 	}
 
+	/* For a VM that starts after the return. */
+	void return_from_copy_at_start()
+	{
+		EXPECT_FALSE(tr_roster_enter_era(
+			&roster, tr_revision_make(2, COPY), COPY, now));
+	}
+
 	bool usable()
 	{
 		return tr_instance_usable(row("a"), now);
@@ -693,6 +700,49 @@
 	}
 }
 
+/* Guards against a VM that knows only the copy and ignores departures from VMs
+ * that have not read it, since the copy's revisions are of a later era. */
+TEST_F(Returned, ADepartureOfTheFormerEraHoldsAgainstTheCopy)
+{
+	for (bool gone : { false, true }) {
+		tr_roster_release(&roster);
+		return_from_copy_at_start();
+		apply_record(of_era(2, COPY - 2));
+		ASSERT_TRUE(usable());
+		leave(gone);
+		EXPECT_FALSE(usable()) << gone;
+		EXPECT_TRUE(roster.departures_due) << gone;
+		EXPECT_EQ(apply_record(of_era(2, COPY + 1)), gone);
+	}
+}
+
+/* Guards against a departure that undoes what a target wrote after it. */
+TEST_F(Returned, AnEarlierDepartureDoesNotHoldAgainstTheCopy)
+{
+	tr_target_record earlier = of_era(1, COPY - 3);
+
+	for (bool gone : { false, true }) {
+		tr_roster_release(&roster);
+		return_from_copy_at_start();
+		apply_record(of_era(2, COPY - 2));
+		earlier.gone = gone;
+		earlier.leaving = !gone;
+		EXPECT_FALSE(apply_record(earlier));
+		EXPECT_TRUE(usable()) << gone;
+	}
+}
+
+/* Guards against the same where the target wrote after the return. */
+TEST_F(Returned, ADepartureOfTheFormerEraDoesNotUndoALaterEntry)
+{
+	return_from_copy();
+	apply_record(of_era(2, COPY + 1));
+	for (bool gone : { false, true }) {
+		leave(gone);
+		EXPECT_TRUE(usable()) << gone;
+	}
+}
+
 /* Guards against a target that wrote its entry again and is taken out by a VM
  * that remembers its end. */
 TEST_F(Returned, ATargetThatWroteAgainIsNotTakenOut)
