exchange: replace a hedge that reached no target

What callers saw: 504 after the whole deadline for a read at a VM that is cut off from the targets, though another VM reaches them and had seconds to do so.

What comes after a failure to connect sends the request on only where no other attempt is active; the first one still was. Its stages were over, so the next timer was the deadline.

The change: a hedge that reached no target is replaced by one to another target, while the attempt that it was for is late or on a cut path. The repeat was admitted for the one that it replaces, and nothing was sent, so it isn't charged again. Targets tried, attempts and time left bound it as before.

Looked for elsewhere: a hedge that a target refuses leaves the first attempt alone in the same way; it has reached a target, so one more would cost a repeat, and it is left as it is.

--- a/entry/exchange.c
+++ b/entry/exchange.c
@@ -185,20 +185,25 @@
 	return "all-tried";
 }
 
+/* Returns whether one more attempt is possible, the fleet's bound aside. */
+static bool can_repeat(struct exchange *x)
+{
+	return !x->done && x->tried_count < MAX_TRIED_TARGETS &&
+	       free_upstream(x) &&
+	       x->deadline - entry_now(x->e) >=
+		       exchange_typical_latency(x) / 2 &&
+	       tr_fatal_may_repeat(&x->e->fatals, x->identity);
+}
+
 /*
  * Returns whether one more attempt is possible, and spends a repeat of the
  * fleet's bound if so.
  */
 static bool may_repeat(struct exchange *x)
 {
-	struct entry *e = x->e;
-
-	if (x->done || x->tried_count >= MAX_TRIED_TARGETS ||
-	    !free_upstream(x) ||
-	    x->deadline - entry_now(e) < exchange_typical_latency(x) / 2 ||
-	    !tr_fatal_may_repeat(&e->fatals, x->identity))
+	if (!can_repeat(x))
 		return false;
-	if (repeat_admit(e, x->service))
+	if (repeat_admit(x->e, x->service))
 		return true;
 	x->budget_exhausted = true;
 	return false;
@@ -206,9 +211,10 @@
 
 /*
  * Hedges a late attempt: sends the request to a second target if that is less
- * likely to be gray, or if the answer can't come before the path is whole.
+ * likely to be gray, or if the answer can't come before the path is whole. An
+ * attempt that replaces one that reached no target is admitted already.
  */
-static void hedge(struct exchange *x, const struct upstream *u)
+static void hedge(struct exchange *x, const struct upstream *u, bool admitted)
 {
 	const struct tr_roster *roster = &x->e->roster;
 	double risk = tr_gray_probability(&roster->rows[u->row].gray,
@@ -222,9 +228,10 @@
 	    !free_upstream(x) || (risk < HEDGE_RISK && !cut))
 		return;
 	if (choose_target(x, &p) != TR_PLACE_FOUND ||
-	    (p.risk >= risk && !cut) || !may_repeat(x))
+	    (p.risk >= risk && !cut) ||
+	    !(admitted ? can_repeat(x) : may_repeat(x)))
 		return;
-	x->e->counts.repeats++;
+	x->e->counts.repeats += !admitted;
 	if (send_to(x, &p))
 		x->runs--;
 }
@@ -280,7 +287,7 @@
 			continue;
 		upstream_check_age(u, now);
 		if (!x->done && u->active && u->stage >= TR_STAGE_LATE)
-			hedge(x, u);
+			hedge(x, u, false);
 	}
 	if (!x->done)
 		set_timer(x);
@@ -316,6 +323,22 @@
 				  x);
 }
 
+/* Replaces a hedge that reached no target. The attempt that it was for is late
+ * still, and no timer is left that would hedge it before the deadline. */
+static void hedge_again(struct exchange *x)
+{
+	for (int i = 0; i < MAX_UPSTREAMS; i++) {
+		const struct upstream *u = &x->upstreams[i];
+
+		if (!u->active || !u->connected ||
+		    (u->stage < TR_STAGE_LATE && !upstream_is_on_cut_path(u)))
+			continue;
+		hedge(x, u, true);
+		set_timer(x);
+		return;
+	}
+}
+
 /*
  * After a refusal or a failure to connect, nothing has run: tries another
  * target while there is time.
@@ -325,8 +348,11 @@
 	const char *why = upstream_end_name(how);
 
 	x->runs--;
-	if (exchange_any_active(x))
+	if (exchange_any_active(x)) {
+		if (how == UPSTREAM_UNREACHED)
+			hedge_again(x);
 		return;
+	}
 	/*
 	 * The fleet's bound does not count requests that never reached a
 	 * target.
@@ -403,7 +429,7 @@
 
 			if (x->service == service && u->active &&
 			    u->connected && upstream_is_on_cut_path(u)) {
-				hedge(x, u);
+				hedge(x, u, false);
 				set_timer(x);
 				break;
 			}
--- a/tests/cut_path_test.cc
+++ b/tests/cut_path_test.cc
@@ -311,6 +311,20 @@
 		EXPECT_EQ(failures(vm, 10), 0u) << vm;
 }
 
+/* Guards against a read that waits at a connection that hangs, since its second
+ * attempt has reached no target. */
+TEST_F(CutPath, AReadWhoseSecondAttemptReachesNothingIsSentOnceMore)
+{
+	int found = 0;
+
+	set_path(VMS, Path::Hangs);
+	std::thread caller([&] { found = status(0, "/read/a"); });
+	usleep(700000);
+	set_path(VMS, Path::Open);
+	caller.join();
+	EXPECT_EQ(found, 200);
+}
+
 /* Guards against VMs that are cut off and tell each other that the targets are
  * down. */
 TEST_F(CutPath, WhereMostVmsAreRefusedTheyDontBlameTheTargets)
