entry, pull: report departures that another VM's list would undo

What callers saw: after a return from a copy, requests to a target that had left (DRAIN), at all VMs but the one that remembered it, until its entry was written again.

Cause and evidence: a VM that keeps a departure against the copy reports it when it next applies a record from a message or from the store; one that learns of the copy by another VM's list, since the store turns it away or it was suspended, applied the list's records without that. The report came with the next change of any target, seconds later or never, and the line target-kept-out named that other target.

Ruled out: lost messages (on loopback, and the line came 5 s late or never).

The change: records of lists go the same way as those of messages.

--- a/entry/entry.c
+++ b/entry/entry.c
@@ -287,22 +287,38 @@
 	return record->leaving ? "leaving" : "ready";
 }
 
-/* Applies a target's record from the store or a peer, and logs a change. */
-void entry_apply_target(struct entry *e, const struct tr_target_record *record,
+/* Reports the departure to the other VMs if the record, which the store's copy
+ * has, would have undone it. */
+static void report_departure(struct entry *e,
+			     const struct tr_target_record *record,
+			     const char *from)
+{
+	if (!e->roster.departures_due)
+		return;
+	e->roster.departures_due = false;
+	mesh_report_departures(e->mesh);
+	eventlog(EVENT_STATE, "target-kept-out",
+		 "id=%s revision=%" G_GUINT64_FORMAT " era=%ld from=%s",
+		 record->id, (guint64)tr_revision_number(record->revision),
+		 entry_era_number(record->revision), from);
+}
+
+/* Applies a target's record of a list. Returns whether this changes what the VM
+ * does. */
+bool entry_apply_listed(struct entry *e, const struct tr_target_record *record,
 			const char *from)
 {
 	bool changed = tr_roster_apply(&e->roster, record, entry_now(e));
 
-	if (e->roster.departures_due) {
-		e->roster.departures_due = false;
-		mesh_report_departures(e->mesh);
-		eventlog(EVENT_STATE, "target-kept-out",
-			 "id=%s revision=%" G_GUINT64_FORMAT " era=%ld from=%s",
-			 record->id,
-			 (guint64)tr_revision_number(record->revision),
-			 entry_era_number(record->revision), from);
-	}
-	if (!changed)
+	report_departure(e, record, from);
+	return changed;
+}
+
+/* Applies a target's record from the store or a peer, and logs a change. */
+void entry_apply_target(struct entry *e, const struct tr_target_record *record,
+			const char *from)
+{
+	if (!entry_apply_listed(e, record, from))
 		return;
 	eventlog(EVENT_STATE, "target",
 		 "id=%s born=%" G_GUINT64_FORMAT " service=%s address=%s "
--- a/entry/entry.h
+++ b/entry/entry.h
@@ -141,6 +141,8 @@
 
 bool entry_apply_item(struct entry *e, const struct store_item *item,
 		      const char *from, struct tr_target_record *record);
+bool entry_apply_listed(struct entry *e, const struct tr_target_record *record,
+			const char *from);
 void entry_apply_target(struct entry *e, const struct tr_target_record *record,
 			const char *from);
 void entry_apply_routes(struct entry *e, const struct store_item *item,
--- a/entry/pull.c
+++ b/entry/pull.c
@@ -157,7 +157,7 @@
 	for (size_t i = 0; i < n; i++) {
 		if (parse_record(e, json_array_get(rows, i), &records[i]))
 			return;
-		tr_roster_apply(&e->roster, &records[i], now);
+		entry_apply_listed(e, &records[i], "peer");
 	}
 	tr_roster_drop_unlisted(&e->roster, records, (unsigned)n, as_of, now);
 	tr_roster_confirm_from_peer(&e->roster, as_of, age, now);
--- a/tests/store_return_test.cc
+++ b/tests/store_return_test.cc
@@ -294,6 +294,30 @@
 	EXPECT_EQ(arrivals[1], before[1]);
 }
 
+/* Guards against departures that only one VM remembers, which learns from
+ * another one's list that the copy lacks them, and tells nobody. */
+TEST_F(StoreReturn, DeparturesThatOneVmRemembersReachThoseThatReadTheCopy)
+{
+	store->take_copy();
+	write_target(0, "draining");
+	store->remove(key_of(1));
+	ASSERT_TRUE(gets_no_more(0) && gets_no_more(1));
+	vms[2]->send(SIGSTOP);
+	away_and_back();
+	store->set_mode(StoreMode::Busy, { vms[2]->ip });
+	for (unsigned vm : { 0u, 1u, 3u })
+		restart(vm);
+	for (unsigned vm : { 0u, 1u, 3u })
+		ASSERT_TRUE(eventually([&] { return moved_to(vm) == "s1"; }));
+	vms[2]->send(SIGCONT);
+	EXPECT_TRUE(gets_no_more(0));
+	EXPECT_TRUE(gets_no_more(1));
+	for (unsigned i : { 0u, 1u })
+		EXPECT_TRUE(any_logs("event=target-kept-out id=i-" +
+				     std::to_string(i)))
+			<< i;
+}
+
 /* Guards against targets that are dropped at once because the copy lacks them,
  * and against such that are never dropped. */
 TEST_F(StoreReturn, ATargetThatTheCopyLacksIsKeptForAWhile)
