roster: report a departure again to a VM that lacks it

What callers saw: nothing yet; by reading, while the report of departures was mended. A VM that keeps a departure against the copy of the store reported it in one message. If that was lost, VMs that know the copy only sent requests to a target that had left until its entry was written again (DRAIN).

Cause: what is kept gets the copy's revision, and the same record, told once more, is no news. Only readers repeat changes in later messages.

The change: a record of the copy that says ready, at the revision at which this VM keeps a departure, shows that its sender lacks it; it is reported again. Lists that differ are fetched every quarter of a second, so it is repeated until they are equal.

A lost message on loopback was not played.

--- a/lib/roster.c
+++ b/lib/roster.c
@@ -420,6 +420,15 @@
 			    : record->leaving && !row->leaving;
 }
 
+/* Tells whether the record is the copy's, and its sender lacks the departure
+ * that this VM keeps. */
+static bool lacks_departure(const struct tr_instance *row,
+			    const struct tr_target_record *record)
+{
+	return row->stale_copy && record->revision == row->revision &&
+	       record->born == row->born && !record->gone && !record->leaving;
+}
+
 /*
  * Applies a record of one target. Of two records the one with the larger
  * revision wins, whoever sends it and in whatever order. Of two starts the
@@ -443,6 +452,8 @@
 		apply_missing_departure(roster, row, record->gone, now);
 		return true;
 	}
+	if (lacks_departure(row, record))
+		keep_departure(roster, row, now);
 	if (record->revision < row->revision ||
 	    (record->revision == row->revision &&
 	     !is_departure_to_keep(roster, row, record)))
--- a/tests/roster_test.cc
+++ b/tests/roster_test.cc
@@ -716,6 +716,24 @@
 	}
 }
 
+/* Guards against a report of a departure that is lost and never repeated. */
+TEST_F(Returned, ADepartureIsReportedAgainToAVmThatLacksIt)
+{
+	for (bool gone : { false, true }) {
+		tr_roster_release(&roster);
+		SetUp();
+		leave(gone);
+		return_from_copy();
+		apply_record(of_era(2, COPY - 2));
+		roster.departures_due = false;
+		now += TR_SEC(2);
+		EXPECT_FALSE(apply_record(of_era(2, COPY - 2)));
+		EXPECT_TRUE(roster.departures_due) << gone;
+		EXPECT_EQ(row("a")->changed_at, now);
+		EXPECT_FALSE(usable());
+	}
+}
+
 /* Guards against a departure that undoes what a target wrote after it. */
 TEST_F(Returned, AnEarlierDepartureDoesNotHoldAgainstTheCopy)
 {
