roster, reader: keep targets whose entries expired during an outage

What callers saw: after an outage of the store in which entries expired, VMs that listed them anew, the store having lost its history, dropped live targets at once, and so did VMs that heard of it from others: fewer targets until they wrote again, up to two seconds later. The platform promises them that time.

And a reader tells others that a target whose entry is missing is gone, whatever it does itself.

The change: the end of an interruption is noted before the answer is applied, and messages and lists tell that an entry is missing, and for how long, so that no VM's grace period is longer than the reader's. Builds before see such a target as gone, as now.

Only a VM that asked in vain, hears most of the others and was not suspended may note it, and only if no other VM had an answer for a second.

The test counted the VMs that sent a read to the target within 20 reads each. Unit tests that began an interruption by a late confirmation begin it by an answer after one now, with the same expectations.

--- a/entry/entry.c
+++ b/entry/entry.c
@@ -283,7 +283,7 @@
 static const char *state_name(const struct tr_target_record *record)
 {
 	if (record->gone)
-		return "gone";
+		return record->lapsed ? "lapsed" : "gone";
 	return record->leaving ? "leaving" : "ready";
 }
 
--- a/entry/mesh_changes.c
+++ b/entry/mesh_changes.c
@@ -7,12 +7,33 @@
 #define DEPARTURE_BYTES	   16
 #define RECORD_BYTES	   150
 
-static uint32_t record_flags(bool leaving, bool gone,
-			     const struct tr_instance *row)
+/* Rounded up, so that a target's grace period does not get longer by being told
+ * from VM to VM. */
+static uint32_t lapsed_flags(apr_time_t lapsed_for)
 {
-	return (leaving ? RECORD_LEAVING : 0) | (gone ? RECORD_GONE : 0) |
-	       (row->stale_copy ? RECORD_STALE_COPY : 0) |
-	       tr_revision_era(row->revision) << RECORD_ERA_SHIFT;
+	apr_time_t units = (lapsed_for + LAPSED_UNIT - 1) / LAPSED_UNIT;
+
+	if (units > RECORD_LAPSED_MAX)
+		units = RECORD_LAPSED_MAX;
+	return RECORD_LAPSED | (uint32_t)units << RECORD_LAPSED_SHIFT;
+}
+
+static uint32_t record_flags(const struct tr_target_record *r)
+{
+	return (r->leaving ? RECORD_LEAVING : 0) | (r->gone ? RECORD_GONE : 0) |
+	       (r->stale_copy ? RECORD_STALE_COPY : 0) |
+	       (r->lapsed ? lapsed_flags(r->lapsed_for) : 0) |
+	       tr_revision_era(r->revision) << RECORD_ERA_SHIFT;
+}
+
+static void read_flags(uint32_t flags, struct tr_target_record *r)
+{
+	r->leaving = flags & RECORD_LEAVING;
+	r->gone = flags & RECORD_GONE;
+	r->stale_copy = flags & RECORD_STALE_COPY;
+	r->lapsed = flags & RECORD_LAPSED;
+	r->lapsed_for = LAPSED_UNIT *
+			(flags >> RECORD_LAPSED_SHIFT & RECORD_LAPSED_MAX);
 }
 
 static void add_record(const struct mesh *mesh, struct mesh_message *msg,
@@ -29,24 +50,25 @@
 		.address = t->address,
 		.data_centre = t->data_centre,
 		.slots = t->slots,
-		.flags = record_flags(t->leaving, t->gone, row),
+		.flags = record_flags(t),
 		.cold_ms = (uint32_t)(t->cold_for / 1000),
 		.revision = tr_revision_number(t->revision),
 		.born = t->born,
 	};
 }
 
-static void add_departure(struct mesh_message *msg,
+static void add_departure(const struct mesh *mesh, struct mesh_message *msg,
 			  struct mesh_changes *storage,
-			  const struct tr_instance *row)
+			  const struct tr_instance *row, apr_time_t now)
 {
-	bool gone = row->gone || row->lapsed_at;
+	struct tr_target_record r;
 
+	tr_roster_export_record(&mesh->e->roster, row, &r, now);
 	storage->departures[msg->departures.departures_len++] =
 		(struct mesh_departure){
 			.target = row->hash,
-			.flags = record_flags(row->leaving, gone, row),
-			.revision = tr_revision_number(row->revision),
+			.flags = record_flags(&r),
+			.revision = tr_revision_number(r.revision),
 		};
 }
 
@@ -87,7 +109,7 @@
 		    msg->departures.departures_len == MESH_MAX_DEPARTURES)
 			return;
 		if (is_known && leaves)
-			add_departure(msg, storage, row);
+			add_departure(mesh, msg, storage, row, now);
 		else
 			add_record(mesh, msg, storage, row, now);
 	}
@@ -97,9 +119,6 @@
 {
 	struct tr_target_record r = {
 		.slots = in->slots,
-		.leaving = in->flags & RECORD_LEAVING,
-		.gone = in->flags & RECORD_GONE,
-		.stale_copy = in->flags & RECORD_STALE_COPY,
 		.cold_for = TR_MSEC(in->cold_ms),
 		.revision = tr_roster_peer_revision(
 			&mesh->e->roster, in->flags >> RECORD_ERA_SHIFT,
@@ -107,6 +126,7 @@
 		.born = in->born,
 	};
 
+	read_flags(in->flags, &r);
 	strncpy(r.id, in->id, TR_ID_MAX);
 	strncpy(r.service, in->service, TR_ID_MAX);
 	strncpy(r.address, in->address, TR_ADDRESS_MAX);
@@ -124,9 +144,7 @@
 	if (!row || row->superseded)
 		return;
 	tr_roster_export_record(&e->roster, row, &r, entry_now(e));
-	r.leaving = in->flags & RECORD_LEAVING;
-	r.gone = in->flags & RECORD_GONE;
-	r.stale_copy = in->flags & RECORD_STALE_COPY;
+	read_flags(in->flags, &r);
 	r.revision = tr_roster_peer_revision(
 		&e->roster, in->flags >> RECORD_ERA_SHIFT, in->revision);
 	entry_apply_target(e, &r, "peer");
--- a/entry/mesh_internal.h
+++ b/entry/mesh_internal.h
@@ -30,6 +30,11 @@
 #define RECORD_LEAVING	  1U
 #define RECORD_GONE	  2U
 #define RECORD_STALE_COPY 4U /* the store's copy says otherwise */
+#define RECORD_LAPSED	  8U /* its entry is missing since an interruption */
+/* For how long it is missing, in units of LAPSED_UNIT. */
+#define RECORD_LAPSED_SHIFT 4
+#define RECORD_LAPSED_MAX   15U
+#define LAPSED_UNIT	    TR_MSEC(125)
 
 /* Storage for the target changes of a message; its strings point into
  * target_records. */
--- a/entry/pull.c
+++ b/entry/pull.c
@@ -98,8 +98,8 @@
 			 &e->random, entry_now(e));
 }
 
-/* Parses a target of a list, an array as targets_json() writes it. Lists of
- * builds without eras lack the last two elements. */
+/* Parses a target of a list, an array as record_json() writes it. Lists of
+ * builds without eras lack the last three elements. */
 static int parse_record(const struct entry *e, json_t *row,
 			struct tr_target_record *r)
 {
@@ -126,6 +126,8 @@
 		(uint64_t)json_integer_value(json_array_get(row, 10)),
 		(uint64_t)revision);
 	r->stale_copy = json_is_true(json_array_get(row, 11));
+	r->lapsed_for = json_integer_value(json_array_get(row, 12));
+	r->lapsed = r->lapsed_for > 0;
 	r->born = (uint64_t)born;
 	return 0;
 }
@@ -135,13 +137,15 @@
 static void apply_list(struct entry *e, json_t *root, apr_time_t since)
 {
 	json_t *rows = json_object_get(root, "targets");
+	json_t *lapsed = json_object_get(root, "lapsed");
 	uint64_t as_of = tr_roster_peer_revision(
 		&e->roster,
 		(uint64_t)json_integer_value(json_object_get(root, "era")),
 		(uint64_t)json_integer_value(json_object_get(root, "as_of")));
 	apr_time_t age =
 		json_integer_value(json_object_get(root, "age")) + since;
-	size_t n = json_array_size(rows);
+	size_t listed = json_array_size(rows);
+	size_t n = listed + json_array_size(lapsed);
 	auto_free struct tr_target_record *records =
 		calloc(n + 1, sizeof(*records));
 	apr_time_t now = entry_now(e);
@@ -155,15 +159,19 @@
 	if (as_of < e->roster.as_of)
 		return;
 	for (size_t i = 0; i < n; i++) {
-		if (parse_record(e, json_array_get(rows, i), &records[i]))
+		json_t *row = i < listed ? json_array_get(rows, i)
+					 : json_array_get(lapsed, i - listed);
+
+		if (parse_record(e, row, &records[i]))
 			return;
+		records[i].lapsed_for += records[i].lapsed ? since : 0;
 		entry_apply_listed(e, &records[i], "peer");
 	}
 	tr_roster_drop_unlisted(&e->roster, records, (unsigned)n, as_of, now);
 	tr_roster_confirm_from_peer(&e->roster, as_of, age, now);
 	eventlog(EVENT_STATE, "list",
 		 "targets=%zu as_of=%" PRIu64 " era=%ld age_ms=%ld from=peer",
-		 n, tr_revision_number(as_of), entry_era_number(as_of),
+		 listed, tr_revision_number(as_of), entry_era_number(as_of),
 		 (long)(age / 1000));
 }
 
@@ -266,10 +274,24 @@
 		  handle_targets_answer);
 }
 
+static json_t *record_json(const struct tr_target_record *r)
+{
+	return json_pack("[s,s,s,s,I,b,b,I,I,I,I,b,I]", r->id, r->service,
+			 r->address, r->data_centre, (json_int_t)r->slots,
+			 r->leaving, r->gone, (json_int_t)r->cold_for,
+			 (json_int_t)tr_revision_number(r->revision),
+			 (json_int_t)r->born,
+			 (json_int_t)tr_revision_era(r->revision),
+			 r->stale_copy, (json_int_t)r->lapsed_for);
+}
+
+/* Those whose entry is missing since an interruption are apart, where builds
+ * that would take them for listed don't look. */
 static char *targets_json(const struct entry *e)
 {
 	auto_json json_t *root = json_object();
 	json_t *rows = json_array();
+	json_t *lapsed = json_array();
 	apr_time_t now = entry_now(e);
 
 	for (unsigned i = 0; i < e->roster.count; i++) {
@@ -278,21 +300,15 @@
 
 		/* Of those that are gone only such are listed that a copy of
 		 * the store still has. */
-		if (!row->used || row->superseded || row->lapsed_at ||
+		if (!row->used || row->superseded ||
 		    (row->gone && !row->stale_copy))
 			continue;
 		tr_roster_export_record(&e->roster, row, &r, now);
-		json_array_append_new(
-			rows,
-			json_pack("[s,s,s,s,I,b,b,I,I,I,I,b]", r.id, r.service,
-				  r.address, r.data_centre, (json_int_t)r.slots,
-				  r.leaving, r.gone, (json_int_t)r.cold_for,
-				  (json_int_t)tr_revision_number(r.revision),
-				  (json_int_t)r.born,
-				  (json_int_t)tr_revision_era(r.revision),
-				  r.stale_copy));
+		json_array_append_new(r.lapsed ? lapsed : rows,
+				      record_json(&r));
 	}
 	json_object_set_new(root, "targets", rows);
+	json_object_set_new(root, "lapsed", lapsed);
 	json_object_set_new(
 		root, "as_of",
 		json_integer((json_int_t)tr_revision_number(e->roster.as_of)));
--- a/entry/reader.c
+++ b/entry/reader.c
@@ -50,6 +50,9 @@
 /* A reader whose watches return no changes lists all keys again when the proof
  * of its configuration has used up this share of its lifetime. */
 #define PROOF_RENEW_SHARE 0.35
+/* A VM that hears a smaller share of the others may be the one that is cut off.
+ */
+#define HEARD_SHARE_MIN 0.5
 /* Consecutive failures after which another VM should read. */
 #define FAILURES_REPORTED 2
 
@@ -194,11 +197,24 @@
 	r->next_at = entry_now(r->e);
 }
 
+/* Returns whether the store may have answered no VM lately. One that was
+ * suspended, has not asked, or is cut off from the others does not know. */
+static bool may_end_interruption(const struct reader *r, apr_time_t now)
+{
+	const struct entry *e = r->e;
+
+	return self(r)->cannot_read && now >= e->hold_until &&
+	       tr_membership_recent_share(&e->members, now) >= HEARD_SHARE_MIN;
+}
+
 static void handle_page(struct reader *r, struct store_page *page, uint32_t era)
 {
 	uint64_t known = r->listing ? r->list_as_of : r->e->roster.as_of;
+	apr_time_t now = entry_now(r->e);
 
 	store_page_set_era(page, era);
+	if (may_end_interruption(r, now))
+		tr_roster_note_answer(&r->e->roster, r->sent_at, now);
 	/* Changes, or a further page of a list, of another era than what they
 	 * continue: the store has returned from a copy in between. */
 	if (known && era != tr_revision_era(known)) {
--- a/lib/list_check.c
+++ b/lib/list_check.c
@@ -59,6 +59,8 @@
 {
 	apr_time_t delay;
 
+	if (reported->as_of)
+		tr_roster_note_peer(roster, reported->age, now);
 	/* A list of a former era says nothing of what the store has now. */
 	if (!reported->as_of || tr_revision_era(reported->as_of) < roster->era)
 		return false;
--- a/lib/roster.c
+++ b/lib/roster.c
@@ -11,7 +11,7 @@
 #include "hash.h"
 #include "revision.h"
 
-/* The list counts as interrupted if it was not confirmed for this long. Readers
+/* The store counts as interrupted if it gave no answer for this long. Readers
  * ask the store about three times a second, so that three reads have failed by
  * then. */
 #define INTERRUPTION_MIN TR_MSEC(1000)
@@ -348,7 +348,7 @@
 {
 	uint64_t revision = record->revision;
 
-	if (record->born != row->born || row->gone ||
+	if (record->born != row->born || row->gone || record->lapsed ||
 	    (!record->gone && (!record->leaving || row->leaving)))
 		return false;
 	return tr_revision_era(revision) < tr_revision_era(row->revision) &&
@@ -372,6 +372,25 @@
 	keep_departure(roster, row, now);
 }
 
+/* Applies that the target's entry is missing since an interruption, which this
+ * VM may not have noticed. */
+static bool apply_lapse(struct tr_roster *roster, struct tr_instance *row,
+			apr_time_t lapsed_for, apr_time_t now)
+{
+	if (row->gone || row->lapsed_at)
+		return false;
+	roster->digest_known = false;
+	if (row->leaving || row->says_leaving || lapsed_for >= LAPSE_GRACE) {
+		set_gone(row, now);
+		return true;
+	}
+	row->lapsed_at = now - lapsed_for;
+	row->changed_at = now;
+	if (row->lapsed_at > roster->resumed_at)
+		roster->resumed_at = row->lapsed_at;
+	return true;
+}
+
 static bool update_row(struct tr_roster *roster, struct tr_instance *row,
 		       const struct tr_target_record *record, apr_time_t now)
 {
@@ -390,6 +409,8 @@
 		row->stale_copy = true;
 		return changed;
 	}
+	if (record->lapsed)
+		return apply_lapse(roster, row, record->lapsed_for, now);
 	if (record->gone) {
 		row->stale_copy = false;
 		changed = !row->gone && !row->lapsed_at;
@@ -455,7 +476,7 @@
 	if (lacks_departure(row, record))
 		keep_departure(roster, row, now);
 	if (record->revision < row->revision ||
-	    (record->revision == row->revision &&
+	    (record->revision == row->revision && !record->lapsed &&
 	     !is_departure_to_keep(roster, row, record)))
 		return false;
 	if (record->gone || record->born == row->born)
@@ -495,6 +516,31 @@
 	}
 }
 
+/*
+ * Records that the store has answered. If neither this VM nor another one had
+ * an answer for a while, entries may have expired meanwhile, and their targets
+ * get a grace period. Of a VM that alone had none, the others know which
+ * targets left. Call before what the answer says is applied.
+ */
+void tr_roster_note_answer(struct tr_roster *roster, apr_time_t asked_at,
+			   apr_time_t now)
+{
+	apr_time_t last = roster->confirmed_at > roster->peers_confirmed_at
+				  ? roster->confirmed_at
+				  : roster->peers_confirmed_at;
+
+	if (roster->confirmed_at && asked_at - last > INTERRUPTION_MIN)
+		roster->resumed_at = now;
+}
+
+/* Records that another VM has confirmed its list, age ago. */
+void tr_roster_note_peer(struct tr_roster *roster, apr_time_t age,
+			 apr_time_t now)
+{
+	if (now - age > roster->peers_confirmed_at)
+		roster->peers_confirmed_at = now - age;
+}
+
 /* Records that the list was complete and current, as of a revision, age ago. */
 void tr_roster_confirm(struct tr_roster *roster, uint64_t as_of, apr_time_t age,
 		       apr_time_t now)
@@ -506,12 +552,8 @@
 	 * changes again and announce a revision that the other VMs have. */
 	if (as_of > roster->as_of)
 		roster->as_of = as_of;
-	if (at <= roster->confirmed_at)
-		return;
-	if (roster->confirmed_at &&
-	    at - roster->confirmed_at > INTERRUPTION_MIN)
-		roster->resumed_at = now;
-	roster->confirmed_at = at;
+	if (at > roster->confirmed_at)
+		roster->confirmed_at = at;
 }
 
 /*
@@ -686,6 +728,8 @@
 	record->leaving = row->leaving;
 	record->gone = row->gone || row->lapsed_at;
 	record->stale_copy = row->stale_copy;
+	record->lapsed = !row->gone && row->lapsed_at;
+	record->lapsed_for = record->lapsed ? now - row->lapsed_at : 0;
 	record->cold_for = row->cold_until > now ? row->cold_until - now : 0;
 	record->revision = row->revision;
 	record->born = row->born;
--- a/lib/roster.h
+++ b/lib/roster.h
@@ -28,6 +28,10 @@
 	/* It left or ended in a former era of the store, whose copy lists it as
 	 * it was before. */
 	bool stale_copy;
+	/* It is gone as its entry is missing since an interruption, this long
+	 * ago, and it may write it again. */
+	bool lapsed;
+	apr_time_t lapsed_for;
 	/* Time until it has warmed up, in us. */
 	apr_time_t cold_for;
 	uint64_t revision;
@@ -142,7 +146,9 @@
 	/* When the list was last known to be complete and current, by the
 	 * steady clock. */
 	apr_time_t confirmed_at;
-	/* When it was confirmed again after an interruption. */
+	/* When another VM last confirmed its list, which may differ. */
+	apr_time_t peers_confirmed_at;
+	/* When the store answered again after an interruption. */
 	apr_time_t resumed_at;
 	apr_time_t learned_at;
 	bool digest_known;
@@ -162,6 +168,10 @@
 void tr_roster_drop_unlisted(struct tr_roster *roster,
 			     const struct tr_target_record *records,
 			     unsigned count, uint64_t as_of, apr_time_t now);
+void tr_roster_note_answer(struct tr_roster *roster, apr_time_t asked_at,
+			   apr_time_t now);
+void tr_roster_note_peer(struct tr_roster *roster, apr_time_t age,
+			 apr_time_t now);
 void tr_roster_confirm(struct tr_roster *roster, uint64_t as_of, apr_time_t age,
 		       apr_time_t now);
 void tr_roster_confirm_from_peer(struct tr_roster *roster, uint64_t as_of,
--- a/tests/mesh_test.cc
+++ b/tests/mesh_test.cc
@@ -162,6 +162,22 @@
 	EXPECT_EQ(leaving.size(), 40u);
 }
 
+/* Guards against a lapse that is told as an end, or as more recent than it is.
+ */
+TEST_F(MeshChanges, ALapseIsToldWithItsAge)
+{
+	mesh_changes storage{};
+	mesh_message msg{};
+	uint32_t next = 0;
+
+	e.roster.rows[7].lapsed_at = now - TR_MSEC(501);
+	e.roster.rows[7].changed_at = now;
+	mesh_add_changes(&m, &msg, &storage, &next, now);
+	ASSERT_EQ(msg.departures.departures_len, 1u);
+	EXPECT_EQ(storage.departures[0].flags & 0xff,
+		  RECORD_GONE | RECORD_LAPSED | 5U << RECORD_LAPSED_SHIFT);
+}
+
 /* Guards against messages that are never sent because they do not fit. */
 TEST_F(MeshChanges, AMessageFullOfAnnouncementsFitsIntoADatagram)
 {
--- a/tests/roster_test.cc
+++ b/tests/roster_test.cc
@@ -92,6 +92,7 @@
 	apply("a", 5);
 	tr_roster_confirm(&roster, 5, 0, now);
 	now += TR_SEC(8);
+	tr_roster_note_answer(&roster, now, now);
 	tr_roster_confirm(&roster, 9, 0, now);
 	tr_roster_drop_unlisted(&roster, nullptr, 0, 9, now);
 	EXPECT_TRUE(tr_instance_usable(row("a"), now));
@@ -103,11 +104,84 @@
 	EXPECT_FALSE(tr_instance_usable(row("a"), now));
 }
 
+/* Guards against entries that expired while the store was away and are dropped
+ * by the answer that ends the interruption. */
+TEST_F(Roster, TheFirstAnswerAfterAnInterruptionBeginsTheGracePeriod)
+{
+	apply("a", 5);
+	tr_roster_confirm(&roster, 5, 0, now);
+	now += TR_SEC(3);
+	tr_roster_note_peer(&roster, TR_SEC(3), now);
+	tr_roster_note_answer(&roster, now, now);
+	tr_roster_drop_unlisted(&roster, nullptr, 0, 9, now);
+	EXPECT_TRUE(tr_instance_usable(row("a"), now));
+}
+
+/* Guards against targets that left while only this VM was cut off from the
+ * store, and get requests from it for a while. */
+TEST_F(Roster, AnInterruptionOfOneVmBeginsNoGracePeriod)
+{
+	apply("a", 5);
+	tr_roster_confirm(&roster, 5, 0, now);
+	now += TR_SEC(3);
+	tr_roster_note_peer(&roster, TR_MSEC(300), now);
+	tr_roster_note_answer(&roster, now, now);
+	tr_roster_drop_unlisted(&roster, nullptr, 0, 9, now);
+	EXPECT_FALSE(tr_instance_usable(row("a"), now));
+}
+
+/* Guards against the same after the VM has heard from the others again. */
+TEST_F(Roster, AListThatIsConfirmedLateBeginsNoGracePeriod)
+{
+	apply("a", 5);
+	tr_roster_confirm(&roster, 5, 0, now);
+	now += TR_SEC(3);
+	tr_roster_confirm_from_peer(&roster, 9, 0, now);
+	tr_roster_drop_unlisted(&roster, nullptr, 0, 9, now);
+	EXPECT_FALSE(tr_instance_usable(row("a"), now));
+}
+
+/* Guards against a grace period that gets longer as VMs tell it on, and against
+ * one for a target that leaves. */
+TEST_F(Roster, ALapseThatIsToldEndsWithTheTellersGracePeriod)
+{
+	tr_target_record r = record("a", 5);
+
+	apply("a", 5);
+	apply("b", 5, true);
+	r.gone = r.lapsed = true;
+	r.lapsed_for = TR_MSEC(1000);
+	EXPECT_TRUE(tr_roster_apply(&roster, &r, now));
+	memcpy(r.id, "b", 2);
+	EXPECT_TRUE(tr_roster_apply(&roster, &r, now));
+	EXPECT_TRUE(row("b")->gone);
+	now += TR_MSEC(600);
+	tr_roster_step(&roster, now);
+	EXPECT_TRUE(tr_instance_usable(row("a"), now));
+	tr_roster_export_record(&roster, row("a"), &r, now);
+	EXPECT_EQ(r.lapsed_for, TR_MSEC(1600));
+	now += TR_MSEC(200);
+	tr_roster_step(&roster, now);
+	EXPECT_FALSE(tr_instance_usable(row("a"), now));
+}
+
+/* Guards against a lapse that is told late and undoes a newer entry. */
+TEST_F(Roster, ALapseThatIsToldLateDoesNotUndoANewerEntry)
+{
+	tr_target_record r = record("a", 5);
+
+	apply("a", 6);
+	r.gone = r.lapsed = true;
+	EXPECT_FALSE(tr_roster_apply(&roster, &r, now));
+	EXPECT_EQ(row("a")->lapsed_at, 0);
+}
+
 TEST_F(Roster, ATargetThatRegistersAgainStays)
 {
 	apply("a", 5);
 	tr_roster_confirm(&roster, 5, 0, now);
 	now += TR_SEC(8);
+	tr_roster_note_answer(&roster, now, now);
 	tr_roster_confirm(&roster, 9, 0, now);
 	tr_roster_drop_unlisted(&roster, nullptr, 0, 9, now);
 	apply("a", 11);
@@ -122,6 +196,7 @@
 	apply("a", 5, true);
 	tr_roster_confirm(&roster, 5, 0, now);
 	now += TR_SEC(8);
+	tr_roster_note_answer(&roster, now, now);
 	tr_roster_confirm(&roster, 9, 0, now);
 	tr_roster_drop_unlisted(&roster, nullptr, 0, 9, now);
 	EXPECT_TRUE(row("a")->gone);
@@ -351,6 +426,7 @@
 	apply("b", 6);
 	tr_roster_confirm(&roster, 6, 0, now);
 	now += TR_SEC(8);
+	tr_roster_note_answer(&roster, now, now);
 	tr_roster_confirm(&roster, 9, 0, now);
 	tr_roster_reject_entry(&roster, "a", 4, now);
 	EXPECT_TRUE(tr_instance_usable(row("a"), now));
--- a/tests/store_return_test.cc
+++ b/tests/store_return_test.cc
@@ -23,6 +23,8 @@
 constexpr unsigned REVISIONS = 100;
 /* How long a test watches that something does not happen. */
 constexpr auto WATCHED = std::chrono::milliseconds(1200);
+/* For so long at least a target is kept whose entry is missing. */
+constexpr auto KEPT = std::chrono::milliseconds(1000);
 /* Within this time a change has to be in force. */
 constexpr auto IN_FORCE = std::chrono::seconds(6);
 
@@ -199,6 +201,16 @@
 		return eventually([&] { return unused(target); }, IN_FORCE);
 	}
 
+	/* Sends some reads to each VM. Returns whether all have sent one to the
+	 * first target since the users were cleared. */
+	bool all_use_first_target()
+	{
+		send_reads(5);
+		std::lock_guard<std::mutex> lock(mutex);
+
+		return users.size() == VMS;
+	}
+
 	void restart(unsigned vm)
 	{
 		vms[vm]->kill_now();
@@ -495,11 +507,29 @@
 
 		users.clear();
 	}
-	send_reads(20);
-	EXPECT_EQ(users.size(), VMS);
+	EXPECT_TRUE(eventually([&] { return all_use_first_target(); }, KEPT));
 	EXPECT_TRUE(gets_no_more(0));
 }
 
+/* Guards against a target that left while a VM was suspended, and is taken for
+ * one whose entry expired. */
+TEST_F(StoreReturn, ATargetThatEndedWhileAVmWasSuspendedGetsNoWork)
+{
+	for (unsigned vm = 0; vm < 2; vm++) {
+		vms[vm]->send(SIGSTOP);
+		store->remove(key_of(vm));
+		std::this_thread::sleep_for(OUTAGE);
+		store->compact_history();
+		vms[vm]->send(SIGCONT);
+		unsigned before = arrivals[vm];
+		auto end = std::chrono::steady_clock::now() + WATCHED;
+
+		while (std::chrono::steady_clock::now() < end)
+			status(vm, "/read/a");
+		EXPECT_EQ(arrivals[vm], before) << vm;
+	}
+}
+
 class StoreReturnKeys : public StoreReturn
 {
       protected:
