list check: repeat departures while lists of an era differ

What callers saw: after a return from a copy, requests to a target that had left, at some VMs, until its entry was written again (DRAIN). Seen once in 20 sanitized runs of StoreReturn, ten at once: DeparturesThatOneVmRemembersReachThoseThatReadTheCopy, 6 s of requests to both targets.

Cause and evidence: the VM that was suspended got the departures by a message that one sent before it was restarted, and so did one VM more; the other two had started after it. None of the four ever has the line target-kept-out or list after that. Lists as of the same revision are taken for equal, so a VM that reads the store fetches nobody's, and one that is confirmed by one VM fetches none from the two that differ. Changes are sent for 0.6 s by VMs that read the store, and with nothing written they read every 0.65 s.

Ruled out: a lost message (the two that knew had it), the new grace period (no entry had expired, no line says lapsed).

The change: a VM that keeps departures against the copy reports them again while another VM names a list of the same era with another digest, four times a second at most. Nothing is sent where the store names no era.

--- a/entry/mesh_receive.c
+++ b/entry/mesh_receive.c
@@ -15,6 +15,9 @@
 	if (tr_list_check_compare(&mesh->list_check, &mesh->e->roster,
 				  &reported, &mesh->e->random, now))
 		pull_targets(&mesh->pull, node->ip);
+	if (mesh->e->roster.departures_due)
+		mesh_report_departures(mesh);
+	mesh->e->roster.departures_due = false;
 }
 
 /*
--- a/lib/list_check.c
+++ b/lib/list_check.c
@@ -22,6 +22,11 @@
  * not sent as a change. */
 #define FETCH_DELAY_ERA TR_MSEC(60)
 
+/* Time between two reports of the departures that a copy of the store lacks,
+ * while lists differ: more than a message takes, so that it is known that the
+ * last one was not enough. */
+#define REPEAT_INTERVAL TR_MSEC(250)
+
 /* Returns how long the lists may differ. */
 static apr_time_t fetch_delay(const struct tr_roster *roster,
 			      const struct tr_list_report *reported)
@@ -44,6 +49,22 @@
 		c->as_of = as_of;
 }
 
+/*
+ * Reports again what this VM remembers and the store has lost. Lists as of the
+ * same revision can differ in that only, and a VM that reads the store takes no
+ * other list for newer than its own.
+ */
+static void repeat_departures(struct tr_list_check *c, struct tr_roster *roster,
+			      const struct tr_list_report *reported,
+			      apr_time_t now)
+{
+	if (!roster->era || tr_revision_era(reported->as_of) != roster->era ||
+	    now - c->repeated_at < REPEAT_INTERVAL)
+		return;
+	c->repeated_at = now;
+	tr_roster_repeat_departures(roster, now);
+}
+
 /*
  * Compares with the list that another VM reported. Returns true if that list
  * should be fetched: it is newer, and newer lists have differed for a while.
@@ -71,6 +92,7 @@
 			c->since = 0;
 		return false;
 	}
+	repeat_departures(c, roster, reported, now);
 	if (!roster->as_of || reported->as_of < roster->as_of ||
 	    (reported->as_of == roster->as_of &&
 	     now - reported->age <= roster->confirmed_at))
--- a/lib/list_check.h
+++ b/lib/list_check.h
@@ -19,6 +19,8 @@
 struct tr_list_check {
 	apr_time_t since; /* 0: no difference is known */
 	uint64_t as_of;
+	/* When departures were last reported again. */
+	apr_time_t repeated_at;
 };
 
 bool tr_list_check_compare(struct tr_list_check *c, struct tr_roster *roster,
--- a/lib/roster.c
+++ b/lib/roster.c
@@ -441,13 +441,15 @@
 			    : record->leaving && !row->leaving;
 }
 
-/* Tells whether the record is the copy's, and its sender lacks the departure
- * that this VM keeps. */
-static bool lacks_departure(const struct tr_instance *row,
-			    const struct tr_target_record *record)
+/* Reports the departures that this VM keeps against the copy once more. */
+void tr_roster_repeat_departures(struct tr_roster *roster, apr_time_t now)
 {
-	return row->stale_copy && record->revision == row->revision &&
-	       record->born == row->born && !record->gone && !record->leaving;
+	for (unsigned i = 0; i < roster->count; i++) {
+		struct tr_instance *row = &roster->rows[i];
+
+		if (row->used && !row->superseded && row->stale_copy)
+			keep_departure(roster, row, now);
+	}
 }
 
 /*
@@ -473,8 +475,6 @@
 		apply_missing_departure(roster, row, record->gone, now);
 		return true;
 	}
-	if (lacks_departure(row, record))
-		keep_departure(roster, row, now);
 	if (record->revision < row->revision ||
 	    (record->revision == row->revision && !record->lapsed &&
 	     !is_departure_to_keep(roster, row, record)))
--- a/lib/roster.h
+++ b/lib/roster.h
@@ -159,6 +159,7 @@
 uint32_t tr_roster_service(struct tr_roster *roster, const char *name);
 bool tr_roster_apply(struct tr_roster *roster,
 		     const struct tr_target_record *record, apr_time_t now);
+void tr_roster_repeat_departures(struct tr_roster *roster, apr_time_t now);
 void tr_roster_reject_entry(struct tr_roster *roster, const char *id,
 			    uint64_t revision, apr_time_t now);
 bool tr_roster_enter_era(struct tr_roster *roster, uint64_t as_of,
