--- a/tests/store_return_test.cc
+++ b/tests/store_return_test.cc
@@ -23,6 +23,10 @@
 constexpr unsigned REVISIONS = 100;
 /* How long a test watches that something does not happen. */
 constexpr auto WATCHED = std::chrono::milliseconds(1200);
+/* The requests of an organisation that may be served in that time while its
+ * limit is four a second, which all VMs share: what they may hand out at most
+ * if none hears of the others. Hundreds are served without a limit. */
+constexpr unsigned LIMITED_MAX = 4 * (4 + 4 + 4);
 /* For so long at least a target is kept whose entry is missing. */
 constexpr auto KEPT = std::chrono::milliseconds(1000);
 /* Within this time a change has to be in force. */
@@ -107,7 +111,8 @@
 				(organisations.empty()
 					 ? ""
 					 : R"("tenants":{"columns":["name",)"
-					   R"("apiKeys"],"rows":[)" +
+					   R"("apiKeys","ratePerS","burst"],)"
+					   R"("rows":[)" +
 						   organisations + "]},") +
 				R"("services":{"columns":["name","healthPath",)"
 				R"("maxConns"],"rows":[["s1","/health",90],["s2",)"
@@ -535,7 +540,7 @@
       protected:
 	void SetUp() override
 	{
-		organisations = R"(["org",["key-1","key-2"]])";
+		organisations = R"(["org",["key-1","key-2"],5000,5000])";
 		api_key = "key-1";
 		key_proof = "1500ms";
 		StoreReturn::SetUp();
@@ -564,7 +569,7 @@
 TEST_F(StoreReturnKeys, AKeyThatWasTakenAwayIsNotUsedWhileTheCopyStands)
 {
 	store->take_copy();
-	organisations = R"(["org",["key-1"]])";
+	organisations = R"(["org",["key-1"],5000,5000])";
 	write_config(2, "s1");
 	ASSERT_TRUE(
 		eventually([&] { return all_answer("key-2", 401); }, IN_FORCE));
@@ -583,6 +588,30 @@
 	EXPECT_TRUE(all_answer("key-2", 401));
 }
 
+/* Guards against a limit of an organisation that is raised again, since the
+ * copy has the configuration before. */
+TEST_F(StoreReturnKeys, ALimitThatWasLoweredHoldsWhileTheCopyStands)
+{
+	unsigned served = 0;
+
+	store->take_copy();
+	organisations = R"(["org",["key-1"],4,4])";
+	write_config(2, "s1");
+	ASSERT_TRUE(eventually([&] { return status(0, "/read/a") == 429; }));
+	away_and_back();
+	restart(0);
+	auto end = std::chrono::steady_clock::now() + WATCHED;
+
+	while (std::chrono::steady_clock::now() < end)
+		for (unsigned i = 0; i < VMS; i++)
+			served += status(i, "/read/a") == 200;
+	EXPECT_LE(served, LIMITED_MAX);
+	write_all_again();
+	organisations = R"(["org",["key-1"],5000,5000])";
+	write_config(3, "s1");
+	EXPECT_TRUE(in_force("s1"));
+}
+
 /* Guards against a return that operators can't see. */
 TEST_F(StoreReturn, AllVmsLogTheReturnWithErasAndRevisions)
 {
