tests: a VM that is cut off from the others over a return of the store

StoreReturn.AVmThatIsCutOffFromTheOthersFollows: one VM that reads the store itself meanwhile, and one that the store turns away too. Neither puts the older configuration in force or uses a target that had left, the one that hears nothing stays in the former era, and after the cut both follow. It was missing among the tests of a return.

--- a/tests/store_return_test.cc
+++ b/tests/store_return_test.cc
@@ -46,6 +46,8 @@
 	void SetUp() override
 	{
 		ASSERT_NO_FATAL_FAILURE(open_store("store-return"));
+		ASSERT_EQ(setenv("CUT_PATH_DIR", dir.c_str(), 1), 0);
+		ASSERT_EQ(setenv("CUT_PEERS_DIR", dir.c_str(), 1), 0);
 		write_config(1, "s1");
 		for (unsigned i = 0; i < TARGETS; i++) {
 			targets.push_back(std::make_unique<Listener>(
@@ -222,6 +224,13 @@
 		vms[vm]->start();
 	}
 
+	/* Cuts the VM off from all others, or ends that. */
+	void set_cut_off(unsigned vm, bool cut)
+	{
+		std::ofstream(dir + "/" + vms[vm]->ip + ".peers")
+			<< (cut ? "cut" : "open");
+	}
+
 	bool any_logs(const std::string &text)
 	{
 		for (unsigned i = 0; i < vms.size(); i++)
@@ -399,6 +408,44 @@
 	EXPECT_TRUE(unused(0));
 }
 
+/* Guards against a VM that is cut off from the others over the return, and
+ * follows the copy, or tells them of the former era afterwards. */
+TEST_F(StoreReturn, AVmThatIsCutOffFromTheOthersFollows)
+{
+	for (bool reads : { true, false }) {
+		unsigned vm = reads ? 1 : 2;
+
+		store->take_copy();
+		raise_revisions();
+		write_config(reads ? 2 : 4, "s2");
+		write_target(vm, "draining");
+		ASSERT_TRUE(in_force("s2") && gets_no_more(vm));
+		unsigned before = arrivals[vm];
+
+		set_cut_off(vm, true);
+		away_and_back();
+		if (!reads)
+			store->set_mode(StoreMode::Busy, { vms[vm]->ip });
+		auto end = std::chrono::steady_clock::now() + WATCHED;
+
+		while (std::chrono::steady_clock::now() < end) {
+			send_reads(1);
+			EXPECT_NE(moved_to(vm), "s1") << reads;
+		}
+		/* It learns of the new era from the store only. */
+		EXPECT_EQ(log_of(vm).find(reads ? " era=2 " : " era=3 ") !=
+				  std::string::npos,
+			  reads);
+		set_cut_off(vm, false);
+		write_all_again();
+		write_config(reads ? 3 : 5, "s1");
+		EXPECT_TRUE(in_force("s1")) << reads;
+		EXPECT_TRUE(gets_no_more(vm)) << reads;
+		EXPECT_EQ(arrivals[vm], before) << reads;
+		store->set_mode(StoreMode::Up);
+	}
+}
+
 /* Guards against VMs that the store turns away and that stay in the former era.
  */
 TEST_F(StoreReturn, VmsThatTheStoreTurnsAwayFollowTheOthers)
