pull: tell what is missing since an interruption by the list it is in

An entry that was missed in the same microsecond as the list was made would have been taken for gone. By reading; the tests of StoreReturn pass as before.

--- a/entry/pull.c
+++ b/entry/pull.c
@@ -127,7 +127,6 @@
 		(uint64_t)revision);
 	r->stale_copy = json_is_true(json_array_get(row, 11));
 	r->lapsed_for = json_integer_value(json_array_get(row, 12));
-	r->lapsed = r->lapsed_for > 0;
 	r->born = (uint64_t)born;
 	return 0;
 }
@@ -164,7 +163,8 @@
 
 		if (parse_record(e, row, &records[i]))
 			return;
-		records[i].lapsed_for += records[i].lapsed ? since : 0;
+		records[i].lapsed = i >= listed;
+		records[i].lapsed_for += since;
 		entry_apply_listed(e, &records[i], "peer");
 	}
 	tr_roster_drop_unlisted(&e->roster, records, (unsigned)n, as_of, now);
