entry: a VM that starts waits for one that serves, not for any

What callers saw: two VMs that restart together while the store's copy stands serve by the older configuration, until they hear of the later one (CONFIG).

Cause and evidence: a VM that starts holds requests until it has heard another VM and has what that holds.

Ruled out: the wait's limit of 400 ms; the order of configurations (version 2 is put in force as soon as it is heard of).

The change: what counts is a VM that takes callers. One that starts does so only when it has heard such a VM itself, or after 400 ms, so that VMs that start together don't take each other's word for that of the fleet. When all have started anew they wait out the 400 ms; requests are held meanwhile.

StoreReturn.VmsThatStartTogetherWaitForTheOthers, two VMs restart while the others are silent for 150 ms: before, over 500 answers by the older configuration from each in 6 of 6 runs; after, 6 of 6 passed.

--- a/entry/entry.c
+++ b/entry/entry.c
@@ -96,17 +96,19 @@
 /*
  * Returns whether this VM, since it started, has what other VMs hold, or has
  * waited long enough for it. The store alone may have returned from a copy, and
- * lack a configuration that is in force or that a target has left.
+ * lack a configuration that is in force or that a target has left. VMs that
+ * have just started too know no more than this one.
  */
 bool entry_is_settled(struct entry *e)
 {
 	apr_time_t now = entry_now(e);
 
 	if (!e->start_settled)
-		e->start_settled = e->settings->first_start ||
-				   now - e->started_at >= MAX_PEERS_WAIT ||
-				   (e->members.heard_any &&
-				    !lacks_what_peers_hold(e, now));
+		e->start_settled =
+			e->settings->first_start ||
+			now - e->started_at >= MAX_PEERS_WAIT ||
+			(tr_membership_hears_ready(&e->members, now) &&
+			 !lacks_what_peers_hold(e, now));
 	return e->start_settled;
 }
 
--- a/lib/membership.c
+++ b/lib/membership.c
@@ -402,6 +402,15 @@
 	       heard_within(m, node, node->near ? span : REMOTE_LISTED, now);
 }
 
+/* Returns whether another VM that takes callers is known. */
+bool tr_membership_hears_ready(const struct tr_membership *m, apr_time_t now)
+{
+	for (unsigned i = 1; i < m->count; i++)
+		if (tr_node_takes_callers(m, &m->nodes[i], now))
+			return true;
+	return false;
+}
+
 /*
  * Returns this VM's rank, by address, among the VMs of its group that take
  * callers; *vms is set to their number, this VM included.
--- a/lib/membership.h
+++ b/lib/membership.h
@@ -172,6 +172,7 @@
 bool tr_node_heard_from_start(const struct tr_node *node, apr_time_t now);
 bool tr_node_takes_callers(const struct tr_membership *m,
 			   const struct tr_node *node, apr_time_t now);
+bool tr_membership_hears_ready(const struct tr_membership *m, apr_time_t now);
 struct tr_node *tr_membership_next_lost(struct tr_membership *m,
 					apr_time_t now);
 unsigned tr_membership_alive(const struct tr_membership *m, apr_time_t now);
--- a/tests/store_return_test.cc
+++ b/tests/store_return_test.cc
@@ -299,6 +299,34 @@
 	EXPECT_TRUE(in_force("s1"));
 }
 
+/* Guards against VMs that start together, read the copy, and take each other's
+ * word for that of the fleet. */
+TEST_F(StoreReturn, VmsThatStartTogetherWaitForTheOthers)
+{
+	constexpr auto SILENT = std::chrono::milliseconds(150);
+
+	store->take_copy();
+	write_config(2, "s2");
+	ASSERT_TRUE(in_force("s2"));
+	away_and_back();
+	for (unsigned vm : { 2u, 3u })
+		vms[vm]->send(SIGSTOP);
+	restart(0);
+	restart(1);
+	std::thread waker([&] {
+		std::this_thread::sleep_for(SILENT);
+		for (unsigned vm : { 2u, 3u })
+			vms[vm]->send(SIGCONT);
+	});
+	auto end = std::chrono::steady_clock::now() + WATCHED;
+
+	while (std::chrono::steady_clock::now() < end)
+		for (unsigned vm : { 0u, 1u })
+			EXPECT_NE(moved_to(vm), "s1") << vm;
+	waker.join();
+	EXPECT_TRUE(in_force("s2"));
+}
+
 /* Guards against targets that have left, or ended, and get requests again since
  * the copy has them as they were before. */
 TEST_F(StoreReturn, ATargetThatHasLeftGetsNoWorkWhileTheCopyStands)
