upstream: give up interim responses that have no end

Callers saw: 504 for reads that other targets could have served, while one target of the service sends 100 Continue again and again.

Cause: each interim response was a message of its own, with limits of its own, so a head that never comes was waited for until the deadline, reading all the while. The same holds for responses to other requests.

Ruled out: endless fields, one endless value and a huge length meet the limits of their one message.

Change: what precedes the awaited response counts together: interim responses against the limit of a head, others against that of a body (message_skip). Past it the attempt ends as 'oversized', an end of its own: counted as a failure of the target, reported at once, whatever the path, logged as response-oversized, counted as oversized_total. A read is repeated as after any failure; an order may have run and gets 502.

--- a/entry/endpoints.c
+++ b/entry/endpoints.c
@@ -224,6 +224,7 @@
 		{ "targets_limited", e->roster.limits.active_count },
 		{ "notices_refused_total", c->notices_refused },
 		{ "paths_cut", path_count_cut(e) },
+		{ "oversized_total", c->oversized },
 		{ "unreached_total", c->unreached },
 		{ "via_peer_total", c->via_peer },
 		{ "detours_total", c->detours },
--- a/entry/entry.h
+++ b/entry/entry.h
@@ -56,6 +56,7 @@
 	uint64_t over_limit;
 	uint64_t fatal;
 	uint64_t notices_refused;
+	uint64_t oversized; /* responses of targets that exceeded a limit */
 	uint64_t unreached; /* attempts that no connection was made for */
 	uint64_t via_peer;  /* requests sent through another VM */
 	uint64_t detours;   /* targets that only another VM could reach */
--- a/entry/message.c
+++ b/entry/message.c
@@ -135,8 +135,8 @@
 	msg->parser.data = msg;
 }
 
-/* Prepares for the next message on the same connection. */
-void message_reset(struct message *msg)
+/* Forgets the message, but not what was skipped before it. */
+static void reset_parser(struct message *msg)
 {
 	enum http_parser_type type = (enum http_parser_type)msg->parser.type;
 
@@ -144,6 +144,7 @@
 	g_array_set_size(msg->headers, 0);
 	g_byte_array_set_size(msg->body, 0);
 	msg->head_bytes = 0;
+	msg->parsed = 0;
 	msg->in_value = false;
 	msg->begun = false;
 	msg->head_done = false;
@@ -153,6 +154,41 @@
 	http_parser_init(&msg->parser, type);
 }
 
+/* Prepares for the next message on the same connection. */
+void message_reset(struct message *msg)
+{
+	reset_parser(msg);
+	msg->skipped_interim = 0;
+	msg->skipped_others = 0;
+	msg->skipped_too_much = false;
+}
+
+/*
+ * Passes over a complete response that is not the awaited one. The limits of a
+ * head and of a body hold for all interim responses and for all others that
+ * precede it. Returns false if they are exceeded: the peer may never send the
+ * awaited one.
+ */
+bool message_skip(struct message *msg)
+{
+	if (msg->parser.status_code < 200)
+		msg->skipped_interim += msg->parsed;
+	else
+		msg->skipped_others += msg->parsed;
+	msg->skipped_too_much = msg->skipped_interim > msg->max_head ||
+				msg->skipped_others > msg->max_body;
+	reset_parser(msg);
+	return !msg->skipped_too_much;
+}
+
+/* Returns whether the peer sends more than the limits allow. */
+bool message_exceeds_limit(const struct message *msg)
+{
+	return msg->head_too_long || msg->body_too_long ||
+	       msg->skipped_too_much ||
+	       HTTP_PARSER_ERRNO(&msg->parser) == HPE_HEADER_OVERFLOW;
+}
+
 void message_free(struct message *msg)
 {
 	if (!msg->text)
@@ -175,6 +211,7 @@
 	if (msg->complete)
 		return 0;
 	used = http_parser_execute(&msg->parser, &parser_callbacks, data, len);
+	msg->parsed += used;
 	if (msg->complete)
 		return (ssize_t)used;
 	if (HTTP_PARSER_ERRNO(&msg->parser) != HPE_OK || msg->parser.upgrade)
--- a/entry/message.h
+++ b/entry/message.h
@@ -25,20 +25,28 @@
 	size_t max_body;   /* bytes */
 	size_t max_head;   /* bytes */
 	size_t head_bytes; /* received so far */
-	bool in_value;	   /* the value of the last header has begun */
-	bool begun;	   /* parsing has begun */
+	size_t parsed;	   /* bytes of this message that were parsed */
+	/* Bytes of the messages that message_skip() passed over: interim
+	 * responses, and others. */
+	size_t skipped_interim;
+	size_t skipped_others;
+	bool in_value; /* the value of the last header has begun */
+	bool begun;    /* parsing has begun */
 	bool head_done;
 	bool complete;
 	bool keep_alive;
 	bool framed; /* has Content-Length or is chunked */
 	bool head_too_long;
 	bool body_too_long;
+	bool skipped_too_much;
 	bool head_only; /* a response to HEAD, which has no body */
 };
 
 void message_init(struct message *msg, enum http_parser_type type,
 		  size_t max_head, size_t max_body);
 void message_reset(struct message *msg);
+bool message_skip(struct message *msg);
+bool message_exceeds_limit(const struct message *msg);
 void message_free(struct message *msg);
 ssize_t message_feed(struct message *msg, const char *data, size_t len);
 bool message_end_of_stream(struct message *msg);
--- a/entry/upstream.c
+++ b/entry/upstream.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #include "entry_settings.h"
+#include "eventlog.h"
 #include "mechanism.h"
 #include "mesh.h"
 #include "notices.h"
@@ -43,7 +44,7 @@
 
 static const char *const end_names[] = {
 	"answered", "failed",	 "refused",   "unreached",
-	"broken",   "timed-out", "abandoned",
+	"broken",   "oversized", "timed-out", "abandoned",
 };
 
 const char *upstream_end_name(enum upstream_end how)
@@ -149,6 +150,28 @@
 		report_symptom(u, row, TR_SYMPTOM_LATE);
 }
 
+/*
+ * Reports a response that exceeds a limit. It came from the target itself, so
+ * it counts against the target whatever the path.
+ */
+static void report_oversized(struct upstream *u, struct tr_instance *row)
+{
+	const struct message *msg = &u->response;
+
+	u->e->counts.oversized++;
+	eventlog(EVENT_FAILURE, "response-oversized",
+		 "id=%s service=%s request=%s head_bytes=%zu body_bytes=%u "
+		 "interim_bytes=%zu other_bytes=%zu took_ms=%ld",
+		 row->id, u->e->roster.services[row->service].name,
+		 u->request_id, msg->head_bytes, msg->body->len,
+		 msg->skipped_interim, msg->skipped_others,
+		 (long)((entry_now(u->e) - u->sent_at) / 1000));
+	if (u->stage != TR_STAGE_OVERDUE)
+		report_symptom(u, row, TR_SYMPTOM_FAILED);
+	else
+		tr_roster_end_hang(row, entry_now(u->e));
+}
+
 static void report_end(struct upstream *u, struct tr_instance *row,
 		       enum upstream_end how)
 {
@@ -173,6 +196,9 @@
 				       tr_gray_connect_failure_symptom(
 					       u->dial.refused));
 		break;
+	case UPSTREAM_OVERSIZED:
+		report_oversized(u, row);
+		break;
 	case UPSTREAM_FAILED:
 	case UPSTREAM_BROKEN:
 	case UPSTREAM_TIMED_OUT:
@@ -331,7 +357,9 @@
 
 		read_notice(u);
 		if (used < 0) {
-			finish(u, UPSTREAM_BROKEN);
+			finish(u, message_exceeds_limit(&u->response)
+					  ? UPSTREAM_OVERSIZED
+					  : UPSTREAM_BROKEN);
 			return;
 		}
 		if (!u->response.complete)
@@ -343,7 +371,10 @@
 			finish(u, classify_response(u));
 			return;
 		}
-		message_reset(&u->response);
+		if (!message_skip(&u->response)) {
+			finish(u, UPSTREAM_OVERSIZED);
+			return;
+		}
 		data += used;
 		len -= (size_t)used;
 	}
--- a/entry/upstream.h
+++ b/entry/upstream.h
@@ -12,6 +12,7 @@
 	UPSTREAM_REFUSED,   /* the target says that it has not run it */
 	UPSTREAM_UNREACHED, /* could not connect, nothing was sent */
 	UPSTREAM_BROKEN,    /* the connection or the response broke off */
+	UPSTREAM_OVERSIZED, /* the response exceeds a limit, or never ends */
 	UPSTREAM_TIMED_OUT, /* the deadline passed */
 	UPSTREAM_ABANDONED, /* cancelled, nothing is learned from it */
 };
--- a/tests/message_test.cc
+++ b/tests/message_test.cc
@@ -97,6 +97,54 @@
 	EXPECT_TRUE(msg.body_too_long);
 }
 
+/* Guards against reading interim responses without end in place of a head. */
+TEST_F(Message, InterimResponsesHaveTheLimitOfAHeadTogether)
+{
+	std::string interim = "HTTP/1.1 100 Continue\r\n\r\n";
+	unsigned skipped = 0;
+
+	start(HTTP_RESPONSE, 10 * interim.size());
+	do {
+		ASSERT_EQ(feed(interim), (ssize_t)interim.size());
+		ASSERT_TRUE(msg.complete);
+	} while (message_skip(&msg) && ++skipped < 100);
+	EXPECT_EQ(skipped, 10u);
+	EXPECT_TRUE(message_exceeds_limit(&msg));
+	message_reset(&msg);
+	EXPECT_FALSE(message_exceeds_limit(&msg));
+}
+
+/* Guards against reading responses to other requests without end. */
+TEST_F(Message, ResponsesToOthersHaveTheLimitOfABodyTogether)
+{
+	std::string other = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nother";
+	unsigned skipped = 0;
+
+	start(HTTP_RESPONSE, 4096, 3 * other.size());
+	do {
+		ASSERT_EQ(feed(other), (ssize_t)other.size());
+		ASSERT_TRUE(msg.complete);
+	} while (message_skip(&msg) && ++skipped < 100);
+	EXPECT_EQ(skipped, 3u);
+}
+
+/* Guards against taking a few interim responses for ones without end. */
+TEST_F(Message, TheResponseAfterInterimOnesIsRead)
+{
+	std::string interim = "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n";
+
+	start(HTTP_RESPONSE);
+	for (int i = 0; i < 5; i++) {
+		feed(interim);
+		ASSERT_TRUE(message_skip(&msg));
+	}
+	feed("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+	EXPECT_TRUE(msg.complete);
+	EXPECT_EQ(msg.parser.status_code, 200u);
+	EXPECT_EQ(body(), "ok");
+	EXPECT_EQ(message_header(&msg, "Link"), nullptr);
+}
+
 /*
  * Guards against a success with half a body: a target's connection ends in the
  * middle of a response, and the end of the stream is taken for the end of the
