--- a/lib/buffers.c
+++ b/lib/buffers.c
@@ -50,8 +50,8 @@
 }
 
 /* Adds an empty buffer and returns its handle. ctx is passed to give_up. */
-uint32_t tr_buffers_open(struct tr_buffers *b,
-			 const struct tr_buffer_use *use, void *ctx)
+uint32_t tr_buffers_open(struct tr_buffers *b, const struct tr_buffer_use *use,
+			 void *ctx)
 {
 	uint32_t handle = b->first_free;
 
@@ -96,8 +96,7 @@
 /* Returns whether buffers must be given up before more is read. */
 bool tr_buffers_full(const struct tr_buffers *b)
 {
-	return b->bytes > b->max &&
-	       b->bytes > b->kind_bytes[TR_BUFFER_FIXED];
+	return b->bytes > b->max && b->bytes > b->kind_bytes[TR_BUFFER_FIXED];
 }
 
 /* Returns the largest buffer of the kinds from one rank to another. */
--- a/lib/buffers.h
+++ b/lib/buffers.h
@@ -58,8 +58,8 @@
 };
 
 void tr_buffers_release(struct tr_buffers *b);
-uint32_t tr_buffers_open(struct tr_buffers *b,
-			 const struct tr_buffer_use *use, void *ctx);
+uint32_t tr_buffers_open(struct tr_buffers *b, const struct tr_buffer_use *use,
+			 void *ctx);
 void tr_buffers_resize(struct tr_buffers *b, uint32_t handle, size_t bytes);
 void tr_buffers_close(struct tr_buffers *b, uint32_t *handle);
 bool tr_buffers_full(const struct tr_buffers *b);
