mesh: a request that is withdrawn is neither use nor the end of a hang

Cause, one of two: a VM that is cut off takes a request out of its count when it can't tell of it. The others see one request less in flight and no outcome, took that for the end of an overdue one, and by that for a failure of the target just now, if any VM had reported a hang there before: the target needed no request for 1.45 s more. What was sent in vain counted as use just as long.

Change: a VM counts how many overdue requests another has told of. Only so many can end as hangs; what else ends without an outcome is withdrawn, and the target was last used when it was before, unless others have sent since. Messages stay as they are.

MeshRows.AWithdrawnRequestIsNotTheEndOfAnothersHang and AWithdrawnRequestIsNoUseOfTheTarget fail without it; two more guard against the opposite.

--- a/entry/mesh_rows.c
+++ b/entry/mesh_rows.c
@@ -120,6 +120,7 @@
 		if (row)
 			row->others_in_flight -= reported->in_flight;
 		reported->in_flight = 0;
+		reported->overdue = 0;
 	}
 	node->reports_work = false;
 }
@@ -197,10 +198,11 @@
 	return total_count(totals) <= FIRST_TOTALS_MAX;
 }
 
-/* Whether a request finished without a reported outcome. Such a request was
- * overdue and was reported as such at that time. LATE is also reported for an
- * attempt that ended because it could not connect. */
-static bool overdue_finished(const struct tr_report *reported,
+/* How many requests finished without a reported outcome: those that were
+ * overdue, those that were given up, and those of which a VM that is cut off
+ * can't tell. LATE is also reported for an attempt that ended because it could
+ * not connect. */
+static int finished_silently(const struct tr_report *reported,
 			     const struct mesh_row *in,
 			     const struct tr_symptom_totals *totals)
 {
@@ -211,7 +213,38 @@
 		    s == TR_SYMPTOM_LATE)
 			ended -= (uint16_t)(totals->count[s] -
 					    reported->totals.count[s]);
-	return ended > 0;
+	return ended > 0 ? ended : 0;
+}
+
+static uint16_t added(const struct tr_report *reported,
+		      const struct tr_symptom_totals *totals,
+		      enum tr_symptom symptom)
+{
+	return (uint16_t)(totals->count[symptom] -
+			  reported->totals.count[symptom]);
+}
+
+/*
+ * Splits the requests that finished silently by what is known of them, and
+ * updates how many overdue ones the VM has at the target. Sets *hangs to the
+ * overdue ones, and *withdrawn to those of which nothing is known, not even
+ * that they reached the target.
+ */
+static void count_finished(struct tr_report *reported,
+			   const struct mesh_row *in,
+			   const struct tr_symptom_totals *totals, int *hangs,
+			   int *withdrawn)
+{
+	int overdue = reported->overdue +
+		      added(reported, totals, TR_SYMPTOM_OVERDUE) -
+		      added(reported, totals, TR_SYMPTOM_ANSWERED_OVERDUE);
+	int finished = finished_silently(reported, in, totals);
+
+	if (overdue < 0)
+		overdue = 0;
+	*hangs = finished < overdue ? finished : overdue;
+	*withdrawn = finished - *hangs;
+	reported->overdue = (uint16_t)(overdue - *hangs);
 }
 
 /* Whether the VM has sent the target a request since its last message, even if
@@ -237,6 +270,8 @@
 	struct tr_symptom_totals totals;
 	struct tr_report *reported;
 	bool old = false;
+	int hangs;
+	int withdrawn;
 
 	if (!row)
 		return;
@@ -246,12 +281,20 @@
 		reported->target = row->hash;
 		old = !counts_as_new(node, &totals, now);
 	}
-	if (!old && overdue_finished(reported, in, &totals))
+	count_finished(reported, in, &totals, &hangs, &withdrawn);
+	if (old)
+		reported->overdue = 0;
+	else if (hangs)
 		tr_roster_end_hang(row, now);
+	else if (withdrawn && row->used_at == reported->started_at)
+		row->used_at = reported->used_before;
 	row->others_in_flight += in->in_flight - reported->in_flight;
 	if (old ? in->in_flight > reported->in_flight
-		: request_started(reported, in, &totals))
+		: request_started(reported, in, &totals)) {
+		reported->used_before = row->used_at;
+		reported->started_at = now;
 		row->used_at = now;
+	}
 	reported->in_flight = (uint16_t)in->in_flight;
 	node->reports_work = true;
 	for (int s = 0; s < TR_SYMPTOMS; s++) {
--- a/lib/membership.h
+++ b/lib/membership.h
@@ -31,6 +31,12 @@
 	uint32_t target;
 	struct tr_symptom_totals totals;
 	uint16_t in_flight;
+	/* Requests that it reported as overdue and that have not ended. */
+	uint16_t overdue;
+	/* When it last reported a new request there, and what used_at of the
+	 * target was before. */
+	apr_time_t started_at;
+	apr_time_t used_before;
 };
 
 /*
--- a/tests/mesh_test.cc
+++ b/tests/mesh_test.cc
@@ -282,6 +282,74 @@
 	EXPECT_EQ(other.roster.rows[7].others_in_flight, 0u);
 }
 
+/* Guards against a hang that seems to end once more when a VM that is cut off
+ * withdraws its request, since another VM had reported the hang. */
+TEST_F(MeshRows, AWithdrawnRequestIsNotTheEndOfAnothersHang)
+{
+	tr_instance *row = &other.roster.rows[7];
+
+	tr_roster_add_outcome(&other.roster, row, TR_SYMPTOM_OVERDUE, 1, now);
+	apr_time_t failed_at = row->failed_at;
+
+	request(7, 1);
+	report_rows(false);
+	now += TR_SEC(1);
+	request(7, 0);
+	report_rows(false);
+	EXPECT_EQ(row->others_in_flight, 0u);
+	EXPECT_EQ(row->failed_at, failed_at);
+}
+
+/* Guards against a target that counts as in use by a request that a VM which is
+ * cut off sent there in vain. */
+TEST_F(MeshRows, AWithdrawnRequestIsNoUseOfTheTarget)
+{
+	tr_instance *row = &other.roster.rows[7];
+	apr_time_t used_at = now - TR_SEC(1);
+
+	row->used_at = used_at;
+	request(7, 1);
+	report_rows(false);
+	EXPECT_GT(row->used_at, used_at);
+	now += TR_MSEC(300);
+	request(7, 0);
+	report_rows(false);
+	EXPECT_EQ(row->used_at, used_at);
+}
+
+/* Guards against undoing what another VM sent there since. */
+TEST_F(MeshRows, AWithdrawnRequestLeavesTheUseByOthers)
+{
+	tr_instance *row = &other.roster.rows[7];
+
+	request(7, 1);
+	report_rows(false);
+	now += TR_MSEC(100);
+	row->used_at = now;
+	request(7, 0);
+	report_rows(false);
+	EXPECT_EQ(row->used_at, now - TR_MSEC(50));
+}
+
+/* Guards against a hang that never ends: its request was reported as overdue
+ * and then given up. */
+TEST_F(MeshRows, TheEndOfAnOverdueRequestEndsItsHang)
+{
+	tr_instance *row = &other.roster.rows[7];
+
+	request(7, 1);
+	report_rows(false);
+	e.roster.rows[7].own.count[TR_SYMPTOM_OVERDUE]++;
+	request(7, 1);
+	report_rows(false);
+	now += TR_SEC(2);
+	request(7, 0);
+	apr_time_t ended_at = now;
+
+	report_rows(false);
+	EXPECT_EQ(row->failed_at, ended_at);
+}
+
 /* Guards against targets that get their next request too late, because VMs take
  * an answer for a request that has just been sent. */
 TEST_F(MeshRows, AnAnswerDoesNotCountAsANewRequest)
