paths: what a cut may have caused waits until the path was checked

Cause, the other of two: what is late is reported when it is late, and a VM knows of a cut only some 0.2 s after the first late answer. So until then each answer that the cut has taken counts as a failure of its target, at all VMs, and a failure counts as use. What was sent on open connections counts as use of targets that it never reached. A path counted as sound if anything had come since the request was sent, even before the cut.

Change: late and overdue stages of requests on own connections wait while the path is in doubt, 0.3 s at most (tr_path_must_wait). A path is in doubt if nothing came in the last 0.2 s. Once it is known to be cut, what is under way there is withdrawn: not in flight, not use, and what it showed is not told. Checks stay as they are: one connection, on which nothing is sent.

CutPath.ReadsOnConnectionsThatACutHasTakenDontBlameTheTargets guards the same over real processes.

--- a/entry/exchange.c
+++ b/entry/exchange.c
@@ -406,23 +406,33 @@
 	}
 }
 
-/*
- * Hedges the requests for a service that were sent on connections of this VM
- * before its path was cut.
- */
-void exchange_hedge_all(struct entry *e, uint32_t service)
+/* Withdraws and hedges the request, if it was sent on a connection of this VM
+ * itself. */
+static void leave_cut_path(struct exchange *x)
+{
+	const struct upstream *late = NULL;
+
+	for (int i = 0; i < MAX_UPSTREAMS; i++) {
+		struct upstream *u = &x->upstreams[i];
+
+		if (!u->active || !u->connected || !upstream_is_on_cut_path(u))
+			continue;
+		upstream_withdraw(u);
+		late = u;
+	}
+	if (!late)
+		return;
+	hedge(x, late, false);
+	set_timer(x);
+}
+
+/* The path to the targets of a service is cut: what was sent there on
+ * connections of this VM before is withdrawn and hedged. */
+void exchange_leave_cut_path(struct entry *e, uint32_t service)
 {
 	for (struct exchange *x = e->exchanges; x; x = x->next)
-		for (int i = 0; i < MAX_UPSTREAMS && !x->done; i++) {
-			const struct upstream *u = &x->upstreams[i];
-
-			if (x->service == service && u->active &&
-			    u->connected && upstream_is_on_cut_path(u)) {
-				hedge(x, u, false);
-				set_timer(x);
-				break;
-			}
-		}
+		if (x->service == service && !x->done)
+			leave_cut_path(x);
 }
 
 /*
--- a/entry/exchange.h
+++ b/entry/exchange.h
@@ -9,7 +9,7 @@
 void exchange_resume_held(struct entry *e);
 void exchange_fatal_log(const struct entry *e, uint64_t identity,
 			enum tr_fatal_change change);
-void exchange_hedge_all(struct entry *e, uint32_t service);
+void exchange_leave_cut_path(struct entry *e, uint32_t service);
 void exchange_reply_all(struct entry *e);
 void exchange_free_all(struct entry *e);
 
--- a/entry/path_watch.c
+++ b/entry/path_watch.c
@@ -126,7 +126,7 @@
 	for (uint32_t i = 0; i < e->roster.services_count; i++)
 		tr_path_suspect(&e->roster.services[i].path,
 				now - HEARD_LATELY);
-	exchange_hedge_all(e, service);
+	exchange_leave_cut_path(e, service);
 }
 
 /* A connection to the target failed that was made for another VM. */
@@ -138,7 +138,16 @@
 /* An attempt on an own connection, sent at the given time, is late. */
 void path_late(struct entry *e, uint32_t row, apr_time_t sent_at)
 {
-	tr_path_suspect(path_of(e, row), sent_at);
+	apr_time_t lately = entry_now(e) - HEARD_LATELY;
+
+	tr_path_suspect(path_of(e, row), sent_at > lately ? sent_at : lately);
+}
+
+/* Returns whether what was noticed at the target at the given time may be due
+ * to the path, and must not be reported yet. */
+bool path_must_wait(const struct entry *e, uint32_t row, apr_time_t since)
+{
+	return tr_path_must_wait(path_of(e, row), since, entry_now(e));
 }
 
 /* Something came from the target on an own connection. */
--- a/entry/path_watch.h
+++ b/entry/path_watch.h
@@ -20,6 +20,7 @@
 void path_note_connected(struct entry *e, uint32_t row);
 void path_note_detour(struct entry *e, uint32_t row);
 void path_suspect(struct entry *e, uint32_t row);
+bool path_must_wait(const struct entry *e, uint32_t row, apr_time_t since);
 void path_late(struct entry *e, uint32_t row, apr_time_t sent_at);
 void path_heard(struct entry *e, uint32_t row);
 void path_step(struct entry *e, apr_time_t now);
--- a/entry/upstream.c
+++ b/entry/upstream.c
@@ -35,6 +35,8 @@
  */
 #define MAX_LEARN_RISK	   0.3
 #define MAX_LEARNED_FACTOR 4
+/* How often it is checked whether the path is still in doubt. */
+#define DOUBT_POLL TR_MSEC(25)
 /* For a target that names no Keep-Alive timeout. */
 #define DEFAULT_KEEP_ALIVE TR_SEC(1)
 /*
@@ -115,6 +117,43 @@
 		report_symptom(u, row, symptom);
 }
 
+/*
+ * Takes back that the request is in flight at the target and that the target
+ * was used: on a path that is cut it may never arrive there, or has mostly
+ * ended, and only its answer is missing.
+ */
+static void withdraw(struct upstream *u, struct tr_instance *row)
+{
+	if (!u->in_flight)
+		return;
+	u->in_flight = false;
+	row->in_flight--;
+	row->connecting++;
+	if (row->used_at == u->started_at)
+		row->used_at = u->used_before;
+	tr_roster_mark_dirty(&u->e->roster, row);
+	mesh_schedule_report(u->e->mesh);
+}
+
+/* Reports the next stage that the request has reached, unless its path is cut.
+ */
+static void settle_stage(struct upstream *u, struct tr_instance *row)
+{
+	u->settled = (enum tr_request_stage)(u->settled + 1);
+	if (!upstream_is_on_cut_path(u)) {
+		u->reported = u->settled;
+		report_symptom(u, row, tr_gray_stage_symptom(u->settled));
+	} else if (u->settled == TR_STAGE_OVERDUE) {
+		withdraw(u, row);
+	}
+}
+
+static void settle_stages(struct upstream *u, struct tr_instance *row)
+{
+	while (u->settled < u->stage)
+		settle_stage(u, row);
+}
+
 static void report_answered(struct upstream *u, struct tr_instance *row)
 {
 	struct tr_roster *roster = &u->e->roster;
@@ -124,7 +163,7 @@
 	bool uncontended = !u->queued && tr_gray_probability(&row->gray, now) <
 						 MAX_LEARN_RISK;
 
-	report_symptom(u, row, tr_gray_answer_symptom(u->stage));
+	report_symptom(u, row, tr_gray_answer_symptom(u->reported));
 	if (row->cold_until < now)
 		tr_service_stats_add_answer(&roster->services[row->service],
 					    took < max ? took : max,
@@ -166,7 +205,7 @@
 		 u->request_id, msg->head_bytes, msg->body->len,
 		 msg->skipped_interim, msg->skipped_others,
 		 (long)((entry_now(u->e) - u->sent_at) / 1000));
-	if (u->stage != TR_STAGE_OVERDUE)
+	if (u->reported != TR_STAGE_OVERDUE)
 		report_symptom(u, row, TR_SYMPTOM_FAILED);
 	else
 		tr_roster_end_hang(row, entry_now(u->e));
@@ -175,6 +214,8 @@
 static void report_end(struct upstream *u, struct tr_instance *row,
 		       enum upstream_end how)
 {
+	if (how != UPSTREAM_ABANDONED)
+		settle_stages(u, row);
 	switch (how) {
 	case UPSTREAM_ANSWERED:
 		report_answered(u, row);
@@ -207,9 +248,9 @@
 			row->unreachable_until =
 				entry_now(u->e) + UNREACHABLE_FOR;
 		/* An overdue attempt has been reported already. */
-		if (how == UPSTREAM_FAILED && u->stage != TR_STAGE_OVERDUE)
+		if (how == UPSTREAM_FAILED && u->reported != TR_STAGE_OVERDUE)
 			report_symptom(u, row, TR_SYMPTOM_FAILED);
-		else if (u->stage != TR_STAGE_OVERDUE)
+		else if (u->reported != TR_STAGE_OVERDUE)
 			report_failure(u, row, TR_SYMPTOM_FAILED);
 		else if (!upstream_is_on_cut_path(u))
 			tr_roster_end_hang(row, entry_now(u->e));
@@ -675,7 +716,7 @@
 	u->row = at;
 	u->hash = row->hash;
 	u->connected = false;
-	u->stage = TR_STAGE_NORMAL;
+	u->stage = u->settled = u->reported = TR_STAGE_NORMAL;
 	u->started_at = entry_now(e);
 	u->sent_at = u->started_at;
 	u->expected = request->expected;
@@ -717,24 +758,44 @@
 	return -1;
 }
 
+/* The attempt has reached a later stage. */
+static void reach_stage(struct upstream *u, enum tr_request_stage stage)
+{
+	if (u->settled == u->stage)
+		u->waits_since = entry_now(u->e);
+	u->stage = stage;
+	if (stage >= TR_STAGE_LATE && !u->peer)
+		path_late(u->e, u->row, u->sent_at);
+}
+
 /*
- * Reports that the attempt has reached a later stage. On a cut path, what is
- * overdue has mostly ended at the target, and only its answer is missing.
+ * Reports the stages that the attempt has reached, or lets them wait while they
+ * may be due to the path. Returns when to check again.
  */
-static void note_stage(struct upstream *u, struct tr_instance *row)
+static apr_time_t report_stages(struct upstream *u, apr_time_t now)
 {
-	if (u->stage == TR_STAGE_LATE && !u->peer)
-		path_late(u->e, u->row, u->sent_at);
-	if (!row)
-		return;
-	report_failure(u, row, tr_gray_stage_symptom(u->stage));
-	if (u->stage != TR_STAGE_OVERDUE || !upstream_is_on_cut_path(u) ||
-	    !u->in_flight)
+	struct tr_instance *row = row_of(u);
+
+	while (row && u->settled < u->stage) {
+		if (!u->peer && path_must_wait(u->e, u->row, u->waits_since))
+			return now + DOUBT_POLL;
+		settle_stage(u, row);
+	}
+	return APR_INT64_MAX;
+}
+
+/*
+ * The path is known to be cut. What the attempt showed on a connection of this
+ * VM itself is not reported.
+ */
+void upstream_withdraw(struct upstream *u)
+{
+	struct tr_instance *row = row_of(u);
+
+	if (!row || !u->active || !u->connected || u->peer)
 		return;
-	u->in_flight = false;
-	row->in_flight--;
-	row->connecting++;
-	tr_roster_mark_dirty(&u->e->roster, row);
+	u->settled = u->stage;
+	withdraw(u, row);
 }
 
 /*
@@ -743,7 +804,7 @@
  */
 apr_time_t upstream_check_age(struct upstream *u, apr_time_t now)
 {
-	struct tr_instance *row = row_of(u);
+	apr_time_t again;
 
 	if (u->probe_timer)
 		return APR_INT64_MAX;
@@ -761,12 +822,13 @@
 			u->sent_at +
 			tr_gray_stage_start(next, u->expected, u->spread);
 
-		if (now < at)
-			return at;
-		u->stage = next;
-		note_stage(u, row);
+		if (now < at) {
+			again = report_stages(u, now);
+			return again < at ? again : at;
+		}
+		reach_stage(u, next);
 	}
-	return APR_INT64_MAX;
+	return report_stages(u, now);
 }
 
 /* Cancels the attempt if it runs, and frees its memory. */
--- a/entry/upstream.h
+++ b/entry/upstream.h
@@ -28,6 +28,11 @@
 	bool active;
 	bool connected;		     /* and the request was written */
 	enum tr_request_stage stage; /* how late it is */
+	/* The last stage that was settled, reported or not, and the last one
+	 * that was reported. Later ones wait since the given time. */
+	enum tr_request_stage settled;
+	enum tr_request_stage reported;
+	apr_time_t waits_since;
 	bool misdirected; /* status 421: the address is another target's */
 	bool notice_read; /* the target's report about itself was processed */
 	uint32_t row;	  /* index in the roster */
@@ -96,6 +101,7 @@
 		   upstream_done_fn done, void *ctx);
 apr_time_t upstream_check_age(struct upstream *u, apr_time_t now);
 void upstream_stop(struct upstream *u, enum upstream_end how);
+void upstream_withdraw(struct upstream *u);
 bool upstream_is_on_cut_path(const struct upstream *u);
 bool upstream_may_have_run(const struct upstream *u);
 void upstream_release(struct upstream *u);
--- a/lib/path.c
+++ b/lib/path.c
@@ -16,6 +16,9 @@
 #define CHECK_INTERVAL		 TR_MSEC(200)
 #define CHECK_INTERVAL_DETOUR	 TR_MSEC(25)
 #define CHECK_INTERVAL_SUSPECTED TR_MSEC(500)
+/* Time in which a check tells whether the path is cut: two detours in a row,
+ * and some round trips. */
+#define DOUBT_MAX TR_MSEC(300)
 
 /* Records an own connection to a target. Returns true if the path is no longer
  * cut. */
@@ -66,3 +69,15 @@
 		return now - p->checked_at >= CHECK_INTERVAL_DETOUR;
 	return p->suspected && now - p->checked_at >= CHECK_INTERVAL_SUSPECTED;
 }
+
+/*
+ * Returns whether what this VM noticed at a target at the given time must not
+ * be told yet: it may be due to the path, which is being checked. Otherwise a
+ * path that is cut would look like a fault of the targets until it is known.
+ */
+bool tr_path_must_wait(const struct tr_path *p, apr_time_t since,
+		       apr_time_t now)
+{
+	return !p->cut && (p->suspected || p->detours) &&
+	       now - since < DOUBT_MAX;
+}
--- a/lib/path.h
+++ b/lib/path.h
@@ -24,5 +24,7 @@
 void tr_path_heard(struct tr_path *p, apr_time_t now);
 void tr_path_suspect(struct tr_path *p, apr_time_t since);
 bool tr_path_check_due(const struct tr_path *p, apr_time_t now);
+bool tr_path_must_wait(const struct tr_path *p, apr_time_t since,
+		       apr_time_t now);
 
 #endif
--- a/tests/buffers_test.cc
+++ b/tests/buffers_test.cc
@@ -26,8 +26,9 @@
 
 struct Buffers : testing::Test {
 	tr_buffers b{};
-	int names[16] = { 0, 1, 2,  3,	4,  5,	6,  7,
-			  8, 9, 10, 11, 12, 13, 14, 15 };
+	int names[16] = {
+		0, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15
+	};
 	std::vector<uint32_t> handles;
 
 	void SetUp() override
--- a/tests/cut_path_test.cc
+++ b/tests/cut_path_test.cc
@@ -543,4 +543,21 @@
 	EXPECT_EQ(answer.substr(9, 3), "403");
 }
 
+/* Guards against reads that never reach their targets, on connections that a
+ * silent cut has taken, and that count as failures of the targets. */
+TEST_F(CutPath, ReadsOnConnectionsThatACutHasTakenDontBlameTheTargets)
+{
+	std::vector<std::thread> callers;
+
+	set_path(1, Path::Hangs);
+	for (unsigned i = 0; i < 3 * TARGETS; i++)
+		callers.emplace_back([&] { status(0, "/read/a"); });
+	for (auto &each : callers)
+		each.join();
+	for (unsigned i = 0; i < 10; i++)
+		status(LAST, "/order/b", "order");
+	EXPECT_LT(greatest_risk(0), SUSPECT);
+	EXPECT_LT(greatest_risk(LAST), SUSPECT);
+}
+
 } // namespace
