limits of targets: a request counts once it is sent

Callers saw: after a cut that took the paths of all VMs to a service whose targets had named limits, 503 (limited) for seconds at targets that had got nothing.

Cause: an attempt took a token of its target's limit, and was told to the others as sent, when it began to connect. Attempts for which no connection came about used limits up, at all VMs, and up to four seconds of a limit ahead.

Change: an attempt takes a token when it begins, so that a VM can't send too much meanwhile, and gives it back if nothing is sent; others are told of it once it is sent.

SendLimit has a test of the token.

--- a/entry/upstream.c
+++ b/entry/upstream.c
@@ -117,6 +117,43 @@
 		report_symptom(u, row, symptom);
 }
 
+static double heard_share(const struct entry *e)
+{
+	return tr_membership_recent_share(&e->members, entry_now(e));
+}
+
+/* Takes a token of the target's limit, if it has one. */
+static void reserve_token(struct upstream *u, const struct tr_instance *row)
+{
+	struct tr_send_limit *l = tr_roster_limit(&u->e->roster, row);
+
+	if (!l || u->reserved)
+		return;
+	tr_send_limit_reserve(l, heard_share(u->e), entry_now(u->e));
+	u->reserved = true;
+}
+
+/* Counts the request, which is sent now, against the target's limit. */
+static void count_sent(struct upstream *u, const struct tr_instance *row)
+{
+	struct tr_send_limit *l = tr_roster_limit(&u->e->roster, row);
+
+	reserve_token(u, row);
+	if (l)
+		tr_send_limit_sent(l);
+	u->reserved = false;
+}
+
+/* Gives back the token of a request that was not sent. */
+static void give_back_token(struct upstream *u, const struct tr_instance *row)
+{
+	struct tr_send_limit *l = tr_roster_limit(&u->e->roster, row);
+
+	if (l && u->reserved)
+		tr_send_limit_give_back(l);
+	u->reserved = false;
+}
+
 /*
  * Takes back that the request is in flight at the target and that the target
  * was used: on a path that is cut it may never arrive there, or has mostly
@@ -306,6 +343,7 @@
 	row = row_of(u);
 	if (!row)
 		return;
+	give_back_token(u, row);
 	tr_roster_mark_dirty(&u->e->roster, row);
 	mesh_schedule_report(u->e->mesh);
 	report_end(u, row, how);
@@ -454,6 +492,7 @@
 	u->connected = true;
 	u->sent_at = entry_now(u->e);
 	count_in_flight(u);
+	count_sent(u, &u->e->roster.rows[u->row]);
 	u->e->counts.via_peer += u->peer != 0;
 	stream_account(&u->stream, &u->e->buffers, &request_use);
 	if (u->announces)
@@ -487,20 +526,6 @@
 
 static const struct dial_callbacks dial_callbacks;
 
-static double heard_share(const struct entry *e)
-{
-	return tr_membership_recent_share(&e->members, entry_now(e));
-}
-
-/* Counts the request against the target's limit, if it has one. */
-static void count_sent(const struct upstream *u, const struct tr_instance *row)
-{
-	struct tr_send_limit *l = tr_roster_limit(&u->e->roster, row);
-
-	if (l)
-		tr_send_limit_sent(l, heard_share(u->e), entry_now(u->e));
-}
-
 static bool limit_allows(const struct upstream *u,
 			 const struct tr_instance *row)
 {
@@ -596,7 +621,7 @@
 		probe_target(u);
 		return;
 	}
-	count_sent(u, row_of(u));
+	reserve_token(u, row_of(u));
 	if (connect_to(u, &dial_callbacks)) {
 		u->target_exited = u->dial.refused;
 		finish(u, connect_failed_end(u));
@@ -746,7 +771,8 @@
 	u->response.head_only = request->head_only;
 	u->buffer = tr_buffers_open(&e->buffers, &response_use, u);
 	row->connecting++;
-	count_sent(u, row);
+	u->reserved = false;
+	reserve_token(u, row);
 	u->used_before = row->used_at;
 	row->used_at = u->started_at;
 	tr_roster_mark_dirty(&u->e->roster, row);
--- a/entry/upstream.h
+++ b/entry/upstream.h
@@ -65,6 +65,7 @@
 	unsigned attempt;
 	bool in_flight;	  /* counts as such at the target, not as connecting */
 	bool announces;	  /* the other VMs are told at once when it is sent */
+	bool reserved;	  /* a token of the target's limit, and not sent yet */
 	bool path_failed; /* the connection broke by a fault of the path */
 	/* What used_at of the target was before this attempt. */
 	apr_time_t used_before;
--- a/lib/send_limit.c
+++ b/lib/send_limit.c
@@ -199,13 +199,24 @@
 	return tr_send_limit_clear(limits, row_index, named_at);
 }
 
-/* Counts a request that this VM sends to the target. */
-void tr_send_limit_sent(struct tr_send_limit *l, double heard_share,
-			apr_time_t now)
+/* Takes the token of a request that this VM is about to send. */
+void tr_send_limit_reserve(struct tr_send_limit *l, double heard_share,
+			   apr_time_t now)
+{
+	take_tokens(l, 1, heard_share, now);
+}
+
+/* Gives the token back: no connection was made, and nothing was sent. */
+void tr_send_limit_give_back(struct tr_send_limit *l)
+{
+	l->tokens++;
+}
+
+/* Counts a request that this VM has sent, for which it took a token. */
+void tr_send_limit_sent(struct tr_send_limit *l)
 {
 	l->sent++;
 	l->changed = true;
-	take_tokens(l, 1, heard_share, now);
 }
 
 /* Counts requests that other VMs have reported as sent. */
--- a/lib/send_limit.h
+++ b/lib/send_limit.h
@@ -66,8 +66,10 @@
 			       uint32_t row_index);
 bool tr_send_limit_is_stale(const struct tr_send_limit *l, apr_time_t now);
 apr_time_t tr_send_limit_report_time(apr_time_t reported_age, apr_time_t now);
-void tr_send_limit_sent(struct tr_send_limit *l, double heard_share,
-			apr_time_t now);
+void tr_send_limit_reserve(struct tr_send_limit *l, double heard_share,
+			   apr_time_t now);
+void tr_send_limit_give_back(struct tr_send_limit *l);
+void tr_send_limit_sent(struct tr_send_limit *l);
 void tr_send_limit_reported(struct tr_send_limit *l, uint16_t sent,
 			    double heard_share, apr_time_t now);
 double tr_send_limit_tokens(const struct tr_send_limit *l, double heard_share,
--- a/tests/cut_path_test.cc
+++ b/tests/cut_path_test.cc
@@ -19,6 +19,8 @@
 /* The VM that is not cut off where all others are. */
 constexpr unsigned LAST = VMS - 1;
 constexpr uint16_t PORT = 9000, FULL_PORT = 9002;
+/* The limit that targets name, in requests a second. */
+constexpr unsigned LIMIT = 10;
 /* From this probability of being gray on, a target counts as a suspect. */
 constexpr double SUSPECT = 0.5;
 /* The share of sound targets that must be in use, and the length of a window in
@@ -121,6 +123,10 @@
 		std::string head =
 			"X-Request-Id: " + id + "\r\nX-Server-Stamp: s\r\n";
 
+		if (line.find("limited") != std::string::npos)
+			head += "Server-Limit: " + std::to_string(LIMIT) +
+				"\r\n";
+
 		{
 			std::lock_guard<std::mutex> lock(mutex);
 
@@ -560,4 +566,31 @@
 	EXPECT_LT(greatest_risk(LAST), SUSPECT);
 }
 
+/* Guards against targets' limits that are used up by attempts for which no
+ * connection was made, so that callers are refused after a cut. */
+TEST_F(CutPath, AttemptsWithoutAConnectionDontUseUpALimit)
+{
+	std::vector<std::thread> callers;
+
+	for (unsigned i = 0; i < 10; i++) {
+		status(LAST, "/few/limited", "order");
+		usleep(100000);
+	}
+	set_path(VMS, Path::Hangs);
+	for (unsigned i = 0; i < 10 * VMS; i++)
+		callers.emplace_back([&, vm = i % VMS] {
+			status(vm, "/few/limited", "order");
+		});
+	for (auto &each : callers)
+		each.join();
+	set_path(VMS, Path::Open);
+	ASSERT_TRUE(eventually(
+		[&] { return status(LAST, "/few/limited", "order") == 200; }));
+	for (unsigned i = 0; i < 5; i++) {
+		EXPECT_EQ(status(LAST, "/few/limited", "order"), 200);
+		usleep(200000);
+	}
+	EXPECT_EQ(log_of(LAST).find("why=limited"), std::string::npos);
+}
+
 } // namespace
--- a/tests/floor_cut_load_test.cc
+++ b/tests/floor_cut_load_test.cc
@@ -97,15 +97,15 @@
 				lost_times.push_back(now);
 			return;
 		}
-		Request r{ v,	  p.row, now, 0, false, false, TR_STAGE_NORMAL,
-			   tried };
+		Request r{ v,	  p.row,	   now,	 0, false,
+			   false, TR_STAGE_NORMAL, tried };
 
 		r.tried.push_back(p.row);
 		if (cut.reads && !path.cut && !path.suspected && !path.detours)
 			send_in_vain(r);
 		else
-			dial(r, path.cut ? RELAY_TIME
-					 : PEER_DELAY + RELAY_TIME);
+			dial(r,
+			     path.cut ? RELAY_TIME : PEER_DELAY + RELAY_TIME);
 	}
 
 	/* Sends the request on an open connection whose path is cut. */
@@ -256,8 +256,7 @@
 					vm, r.row,
 					tr_gray_stage_symptom(r.reported),
 					now - r.sent_at);
-			else if (r.reported == TR_STAGE_OVERDUE &&
-				 !r.uncounted)
+			else if (r.reported == TR_STAGE_OVERDUE && !r.uncounted)
 				uncount(r, row);
 		}
 	}
--- a/tests/floor_fleet.h
+++ b/tests/floor_fleet.h
@@ -308,7 +308,7 @@
 	}
 
 	virtual void begin(unsigned v, const tr_placement &p,
-		   const std::vector<uint32_t> &tried)
+			   const std::vector<uint32_t> &tried)
 	{
 		Vm &vm = *vms[v];
 		tr_instance *row = &vm.e.roster.rows[p.row];
--- a/tests/send_limit_load_test.cc
+++ b/tests/send_limit_load_test.cc
@@ -177,7 +177,8 @@
 
 		if (tokens < 1 || !tr_send_limits_admit(tokens, demand, unit()))
 			return;
-		tr_send_limit_sent(l, heard_share(vm), now);
+		tr_send_limit_reserve(l, heard_share(vm), now);
+		tr_send_limit_sent(l);
 		sent.push_back(now);
 	}
 
--- a/tests/send_limit_test.cc
+++ b/tests/send_limit_test.cc
@@ -44,11 +44,27 @@
 	EXPECT_DOUBLE_EQ(tokens_after(TR_SEC(60)), 2);
 }
 
+/* Guards against a limit that is used up by what was never sent. */
+TEST_F(SendLimit, ATokenThatIsGivenBackIsNeitherTakenNorReported)
+{
+	set_limit(2, now);
+	now += TR_SEC(1);
+	row()->changed = false;
+	tr_send_limit_reserve(row(), 1, now);
+	EXPECT_DOUBLE_EQ(tokens_after(0), 1);
+	tr_send_limit_give_back(row());
+	EXPECT_DOUBLE_EQ(tokens_after(0), 2);
+	EXPECT_DOUBLE_EQ(tokens_after(TR_SEC(60)), 2);
+	EXPECT_EQ(row()->sent, 0);
+	EXPECT_FALSE(row()->changed);
+}
+
 TEST_F(SendLimit, RequestsOfThisVmAndOthersTakeTokens)
 {
 	set_limit(2, now);
 	now += TR_SEC(1);
-	tr_send_limit_sent(row(), 1, now);
+	tr_send_limit_reserve(row(), 1, now);
+	tr_send_limit_sent(row());
 	EXPECT_DOUBLE_EQ(tokens_after(0), 1);
 	tr_send_limit_reported(row(), 3, 1, now);
 	EXPECT_DOUBLE_EQ(tokens_after(0), -2);
