--- a/tests/place_test.cc
+++ b/tests/place_test.cc
@@ -335,7 +335,8 @@
 	for (int i = 0; i < 3; i++)
 		roster.rows[i].others_in_flight = i == 1 ? 0 : 3;
 	EXPECT_EQ(draw(20)[1], 20);
-	tr_send_limit_reserve(tr_roster_limit(&roster, &roster.rows[1]), 1, now);
+	tr_send_limit_reserve(tr_roster_limit(&roster, &roster.rows[1]), 1,
+			      now);
 	EXPECT_EQ(draw(200)[1], 0);
 }
 
--- a/tests/soak/target.cc
+++ b/tests/soak/target.cc
@@ -123,6 +123,22 @@
 		    status == 200 ? response_body(id, stamp) : "failed\n");
 }
 
+void Target::answer_without_end(int fd, Mode now, const std::string &id,
+				const std::string &stamp)
+{
+	auto lasts = [&] { return mode == now; };
+
+	if (now == Mode::EndlessHead)
+		send_without_end(fd, "", "HTTP/1.1 100 Continue\r\n\r\n", 0,
+				 lasts);
+	else
+		send_without_end(fd,
+				 "HTTP/1.1 200 X\r\nX-Request-Id: " + id +
+					 "\r\nX-Server-Stamp: " + stamp +
+					 "\r\n\r\n",
+				 std::string(16384, 'x'), 2000, lasts);
+}
+
 bool Target::work(int fd, const std::string &request, const std::string &id,
 		  const std::string &vm)
 {
@@ -139,6 +155,10 @@
 	}
 	usleep((useconds_t)work_ms() * 1000 *
 	       (now == Mode::Slow ? SLOW_FACTOR : 1));
+	if (now == Mode::EndlessHead || now == Mode::EndlessBody) {
+		answer_without_end(fd, now, id, stamp);
+		return false;
+	}
 	if (now == Mode::Reset) {
 		set_reset_on_close(fd);
 		return false;
--- a/tests/soak/target.h
+++ b/tests/soak/target.h
@@ -11,7 +11,21 @@
 namespace soak
 {
 
-enum class Mode { Healthy, Errors, Hang, Reset, Slow, Shed, Cut, Extra };
+enum class Mode {
+	Healthy,
+	Errors,
+	Hang,
+	Reset,
+	Slow,
+	Shed,
+	Cut,
+	Extra,
+	EndlessHead,
+	EndlessBody,
+};
+
+/* Modes in which a target is faulty. */
+constexpr unsigned FAULTY_MODES = (unsigned)Mode::EndlessBody;
 
 struct TargetConfig {
 	std::string id;
@@ -52,6 +66,9 @@
 	bool handle(int fd, const std::string &request, const std::string &vm);
 	bool work(int fd, const std::string &request, const std::string &id,
 		  const std::string &vm);
+	/* Answers without an end while the mode lasts. */
+	void answer_without_end(int fd, Mode now, const std::string &id,
+				const std::string &stamp);
 	bool chance(double p);
 	int work_ms();
 	std::string make_response(const std::string &id,
--- a/tests/soak/world.cc
+++ b/tests/soak/world.cc
@@ -339,18 +339,19 @@
 
 void Cluster::inject_store_fault()
 {
-	static const StoreMode modes[] = { StoreMode::Busy, StoreMode::Reset,
-					   StoreMode::Silent, StoreMode::Slow,
-					   StoreMode::Lost };
-	unsigned which = random_below(7);
+	static const StoreMode modes[] = {
+		StoreMode::Busy, StoreMode::Reset, StoreMode::Silent,
+		StoreMode::Slow, StoreMode::Lost,  StoreMode::Endless
+	};
+	unsigned which = random_below(8);
 	std::set<std::string> some;
 
-	if (which == 6) {
+	if (which == 7) {
 		return_store_from_copy();
 		return;
 	}
 
-	if (which == 5) {
+	if (which == 6) {
 		log_event("store compacts its history");
 		store->compact_history();
 		return;
@@ -386,33 +387,34 @@
 	TargetSlot &p =
 		*target_slots[random_below((unsigned)target_slots.size())];
 	std::string service = p.target->config.service;
-	unsigned which = random_below(14);
+	unsigned which = random_below(FAULTY_MODES + 7);
 
-	if (which == 13) {
+	if (which == FAULTY_MODES + 6) {
 		shed_service(service, 2000 + random_below(4000));
 		return;
 	}
-	if (which >= 10) {
+	if (which >= FAULTY_MODES + 3) {
 		static const Notice notices[] = { Notice::Limit,
 						  Notice::Leaving,
 						  Notice::RetryAfter };
 		Target *t = p.target.get();
+		Notice notice = notices[which - FAULTY_MODES - 3];
 
 		log_event("target " + t->config.id + " sends notice " +
-			  std::to_string(which - 9));
-		t->current_notice = notices[which - 10];
+			  std::to_string((int)notice));
+		t->current_notice = notice;
 		/* A target that announced that it leaves is replaced. */
-		schedule_revert(2000 + random_below(4000),
-				[this, t, &p, service, which] {
-					t->current_notice = Notice::None;
-					if (which != 11 || p.target.get() != t)
-						return;
-					p.target->crash();
-					start_target(p, service);
-				});
+		schedule_revert(2000 + random_below(4000), [this, t, &p,
+							    service, notice] {
+			t->current_notice = Notice::None;
+			if (notice != Notice::Leaving || p.target.get() != t)
+				return;
+			p.target->crash();
+			start_target(p, service);
+		});
 		return;
 	}
-	if (which < 7) {
+	if (which < FAULTY_MODES) {
 		Mode mode = (Mode)(1 + which);
 		Target *t = p.target.get();
 
@@ -423,7 +425,7 @@
 				[t] { t->mode = Mode::Healthy; });
 		return;
 	}
-	if (which == 7) {
+	if (which == FAULTY_MODES) {
 		log_event("target " + p.target->config.id + " drains");
 		p.target->drain();
 		schedule_revert(5000, [this, &p, service] {
@@ -436,7 +438,7 @@
 	 * same one. */
 	log_event("target " + p.target->config.id + " crashes");
 	p.target->crash();
-	if (which == 9)
+	if (which == FAULTY_MODES + 2)
 		service = service == "svc-a" ? "svc-b" : "svc-a";
 	schedule_revert(300 + random_below(2500),
 			[this, &p, service] { start_target(p, service); });
