upstream: an attempt that has ended is not withdrawn once more

Found by reading: where an attempt ends with stages that wait, and its path has just been cut, its count was taken down at its end and again when the stages were settled. The count of a target's requests in flight would fall below zero, and the target seem full for good. The count now follows the attempt's own mark. Tests of paths whole.

--- a/entry/upstream.c
+++ b/entry/upstream.c
@@ -321,6 +321,7 @@
 		row->in_flight--;
 	else
 		row->connecting--;
+	u->in_flight = false;
 }
 
 /* Ends the attempt and reports its outcome. The done callback is not called. */
