--- a/tests/floor_cut_load_test.cc
+++ b/tests/floor_cut_load_test.cc
@@ -27,8 +27,6 @@
 	bool reads = false;
 	/* The share of the other VMs that is lost two seconds after the cut. */
 	double lost_share = 0;
-	/* What never reaches a target leaves no trace, as if VMs knew. */
-	bool only_arrivals_count = false;
 	/* What may be due to the path is told once the path was checked. */
 	bool evidence_waits = true;
 	/* What was sent on a path that is cut is withdrawn once that is known.
@@ -117,13 +115,11 @@
 		r.silent = true;
 		r.ends_at = now + plan.hangs_for;
 		never_arrived++;
-		if (!cut.only_arrivals_count) {
-			row->in_flight++;
-			r.used_before = row->used_at;
-			row->used_at = now;
-			tr_roster_mark_dirty(&vm.e.roster, row);
-			vm.report_soon = true;
-		}
+		row->in_flight++;
+		r.used_before = row->used_at;
+		row->used_at = now;
+		tr_roster_mark_dirty(&vm.e.roster, row);
+		vm.report_soon = true;
 		pending.push_back(r);
 	}
 
@@ -183,8 +179,7 @@
 		for (Request &r : pending) {
 			tr_instance *row = &vms[v]->e.roster.rows[r.row];
 
-			if (r.vm != v || !r.silent || r.uncounted ||
-			    (cut.only_arrivals_count && !r.reached))
+			if (r.vm != v || !r.silent || r.uncounted)
 				continue;
 			r.reported = r.stage;
 			uncount(r, row);
@@ -249,8 +244,6 @@
 			    tr_path_must_wait(&path, r.waits_since, now))
 				return;
 			r.reported = (tr_request_stage)(r.reported + 1);
-			if (cut.only_arrivals_count && !r.reached)
-				continue;
 			if (r.relay >= 0 || !path.cut)
 				report_outcome(
 					vm, r.row,
@@ -286,8 +279,6 @@
 		}
 		if (!cut.reads)
 			lost_times.push_back(r.sent_at);
-		if (cut.only_arrivals_count && !r.reached)
-			return;
 		if (r.uncounted)
 			row->connecting--;
 		else
@@ -539,6 +530,18 @@
 	}
 }
 
+/* Guards against cuts that show nothing: without what VMs do about them, they
+ * leave targets idle. */
+TEST(FloorCutLoad, TheCutsAreHardEnough)
+{
+	CutPlan cut;
+
+	cut.reads = true;
+	cut.evidence_waits = cut.withdraws = false;
+	EXPECT_GT(play(small_service(30), cut, { 15, 21, 51 }).short_checks,
+		  0u);
+}
+
 /* Guards against sound targets that are idle after a silent cut, since answers
  * that it has taken counted as failures of theirs. */
 TEST(FloorCutLoad, ASilentCutLeavesTheTargetsOfOrdersInUse)
