--- a/entry/upstream_report.c
+++ b/entry/upstream_report.c
@@ -188,7 +188,7 @@
 
 /* Reports how the attempt ended. */
 void upstream_report_end(struct upstream *u, struct tr_instance *row,
-		       enum upstream_end how)
+			 enum upstream_end how)
 {
 	if (how != UPSTREAM_ABANDONED)
 		settle_stages(u, row);
