soak: a target that stops answering without end breaks off

Traced: the target's mode ended while it sent a body without a length, and it closed the connection in order. By the protocol that ends such a response, which is then whole, and the VM passed it on. The platform's targets in trouble send bytes that are no answer until the caller closes, so the soak's target resets its connection when it stops. The check stays as it was.

--- a/tests/soak/target.cc
+++ b/tests/soak/target.cc
@@ -137,6 +137,8 @@
 					 "\r\nX-Server-Stamp: " + stamp +
 					 "\r\n\r\n",
 				 std::string(16384, 'x'), 2000, lasts);
+	/* Without a length, an orderly end would make it a whole response. */
+	set_reset_on_close(fd);
 }
 
 bool Target::work(int fd, const std::string &request, const std::string &id,
