lib/roster: what the list is of, copies, outcomes and rows in files of their own

roster.c had 914 lines: the rows and how records are applied, how current the list is, what a copy of the store lacks, what outcomes teach, and the state of single targets. The last four move to roster_view.c, roster_copy.c, roster_outcome.c and roster_row.c; what these files share is declared in roster_internal.h. Functions and constants are moved as they are; those that are called across files get the prefix tr_roster_.

No behaviour changes: the tests of the roster, of lists, messages and members pass as before.

--- a/lib/roster.c
+++ b/lib/roster.c
@@ -10,19 +10,13 @@
 #include "clock.h"
 #include "hash.h"
 #include "revision.h"
+#include "roster_internal.h"
 
-/* The store counts as interrupted if it gave no answer for this long. Readers
- * ask the store about three times a second, so that three reads have failed by
- * then. */
-#define INTERRUPTION_MIN TR_MSEC(1000)
 /* The platform promises that entries which expired during an interruption are
  * registered again within about two seconds of its end; an entry that is still
  * missing then is gone. A little less than that, so that the last request ends
  * in time. */
 #define LAPSE_GRACE TR_MSEC(1700)
-/* The longest usual delay of a message between two VMs: some milliseconds on
- * the network and one turn of an event loop that is busy with callers. */
-#define MAX_MESSAGE_DELAY TR_MSEC(30)
 /* How long the row of a target that is gone is kept, so that older records
  * don't bring the target back. */
 #define TOMBSTONE_TTL TR_SEC(60)
@@ -31,14 +25,6 @@
  * not use up the memory for callers' requests. */
 #define MAX_ROWS     100000
 #define MAX_SERVICES 4096
-/* How long another group's report of requests in flight is valid: a few report
- * intervals, or the time that a request takes. */
-#define REPORT_TTL TR_MSEC(1500)
-/* How often all rows are checked: a tenth of the shortest time above. */
-#define STEP_INTERVAL TR_MSEC(100)
-/* How often the share of gray targets is updated: evidence decays within
- * seconds. */
-#define LEARN_INTERVAL TR_MSEC(200)
 
 void tr_roster_release(struct tr_roster *roster)
 {
@@ -137,50 +123,6 @@
 	return roster->resumed_at && now - roster->resumed_at < LAPSE_GRACE;
 }
 
-/*
- * Notes the era of a list's revision, and the least number at which the store
- * is known to have been read in it. Returns whether the store has returned from
- * a copy: what it accepted since is lost, targets that are missing get the time
- * to write their entries again, and older eras count no more. A store that
- * names its first era has returned if its revisions have gone back.
- */
-bool tr_roster_enter_era(struct tr_roster *roster, uint64_t as_of,
-			 uint64_t start, apr_time_t now)
-{
-	uint32_t era = tr_revision_era(as_of);
-	bool returned =
-		era > roster->era &&
-		(roster->era ||
-		 tr_revision_number(as_of) < tr_revision_number(roster->as_of));
-
-	if (era > roster->era ||
-	    (era == roster->era && start < roster->era_start))
-		roster->era_start = start;
-	if (era > roster->era)
-		roster->era = era;
-	if (!returned)
-		return false;
-	roster->store_returned = true;
-	roster->resumed_at = now;
-	return true;
-}
-
-/*
- * Returns the revision that another VM named, or 0 if it is out of range. A VM
- * of a build without eras means the present one; once the store has returned
- * from a copy it may as well mean a former one, and the revision counts as
- * older than any other.
- */
-uint64_t tr_roster_peer_revision(const struct tr_roster *roster, uint64_t era,
-				 uint64_t number)
-{
-	if (era > TR_ERA_MAX || number > TR_REVISION_NUMBER_MAX)
-		return 0;
-	if (!era && !roster->store_returned)
-		era = roster->era;
-	return tr_revision_make((uint32_t)era, number);
-}
-
 /* Removes a target that is no longer listed: at once, or after a grace period
  * if the list was interrupted recently and the target may only have lapsed. */
 static void mark_gone_or_lapsed(struct tr_roster *roster,
@@ -311,59 +253,6 @@
 	set_gone(row, now);
 }
 
-/* Tells whether the revision may be that of an entry in the copy from which the
- * store has returned. */
-static bool may_be_from_copy(const struct tr_roster *roster, uint64_t revision)
-{
-	return tr_revision_era(revision) == roster->era &&
-	       tr_revision_number(revision) <= roster->era_start;
-}
-
-/* Tells whether the record is what a copy of the store says of a target that
- * has left or ended since. A target that leaves does so until it starts anew;
- * one that has ended is back when it writes its entry again. */
-static bool is_undone_by_copy(const struct tr_roster *roster,
-			      const struct tr_instance *row,
-			      const struct tr_target_record *record)
-{
-	uint32_t era = tr_revision_era(row->revision);
-	bool later_era = (era || roster->store_returned) &&
-			 tr_revision_era(record->revision) > era;
-
-	if (record->gone || record->leaving)
-		return false;
-	return (row->gone && later_era &&
-		may_be_from_copy(roster, record->revision)) ||
-	       (row->leaving && (later_era || row->stale_copy));
-}
-
-/* Keeps what is known of a target against what the copy says, and reports it to
- * VMs that may not know. */
-static void keep_departure(struct tr_roster *roster, struct tr_instance *row,
-			   apr_time_t now)
-{
-	row->stale_copy = true;
-	row->changed_at = now;
-	roster->departures_due = true;
-}
-
-/* Tells whether the record is of a departure in a former era that is missing
- * from the copy, of which this VM's entry is. */
-static bool is_missing_from_copy(const struct tr_roster *roster,
-				 const struct tr_instance *row,
-				 const struct tr_target_record *record)
-{
-	uint64_t revision = record->revision;
-
-	if (record->born != row->born || row->gone || record->lapsed ||
-	    (!record->gone && (!record->leaving || row->leaving)))
-		return false;
-	return tr_revision_era(revision) < tr_revision_era(row->revision) &&
-	       tr_revision_number(revision) >=
-		       tr_revision_number(row->revision) &&
-	       may_be_from_copy(roster, row->revision);
-}
-
 /* Applies a departure that is missing from the copy. */
 static void apply_missing_departure(struct tr_roster *roster,
 				    struct tr_instance *row, bool gone,
@@ -376,7 +265,7 @@
 		row->leaving = true;
 		row->leaving_since = now;
 	}
-	keep_departure(roster, row, now);
+	tr_roster_keep_departure(roster, row, now);
 }
 
 /* Applies that the target's entry is missing since an interruption, which this
@@ -401,12 +290,12 @@
 static bool update_row(struct tr_roster *roster, struct tr_instance *row,
 		       const struct tr_target_record *record, apr_time_t now)
 {
-	bool undone = is_undone_by_copy(roster, row, record);
+	bool undone = tr_roster_is_undone_by_copy(roster, row, record);
 	bool changed;
 
 	row->revision = record->revision;
 	if (undone) {
-		keep_departure(roster, row, now);
+		tr_roster_keep_departure(roster, row, now);
 		return false;
 	}
 	if (record->gone && record->stale_copy) {
@@ -436,29 +325,6 @@
 	return changed;
 }
 
-/* Tells whether another VM knows of a departure that this VM's entry of the
- * same revision lacks. */
-static bool is_departure_to_keep(const struct tr_roster *roster,
-				 const struct tr_instance *row,
-				 const struct tr_target_record *record)
-{
-	if (!record->stale_copy || record->born != row->born || row->gone)
-		return false;
-	return record->gone ? may_be_from_copy(roster, record->revision)
-			    : record->leaving && !row->leaving;
-}
-
-/* Reports the departures that this VM keeps against the copy once more. */
-void tr_roster_repeat_departures(struct tr_roster *roster, apr_time_t now)
-{
-	for (unsigned i = 0; i < roster->count; i++) {
-		struct tr_instance *row = &roster->rows[i];
-
-		if (row->used && !row->superseded && row->stale_copy)
-			keep_departure(roster, row, now);
-	}
-}
-
 /*
  * Applies a record of one target. Of two records the one with the larger
  * revision wins, whoever sends it and in whatever order. Of two starts the
@@ -478,13 +344,13 @@
 		return false;
 	if (!row)
 		return add_row(roster, record, now);
-	if (is_missing_from_copy(roster, row, record)) {
+	if (tr_roster_is_missing_from_copy(roster, row, record)) {
 		apply_missing_departure(roster, row, record->gone, now);
 		return true;
 	}
 	if (record->revision < row->revision ||
 	    (record->revision == row->revision && !record->lapsed &&
-	     !is_departure_to_keep(roster, row, record)))
+	     !tr_roster_is_departure_to_keep(roster, row, record)))
 		return false;
 	if (record->gone || record->born == row->born)
 		return update_row(roster, row, record, now);
@@ -523,113 +389,6 @@
 	}
 }
 
-/*
- * Records that the store has answered. If neither this VM nor another one had
- * an answer for a while, entries may have expired meanwhile, and their targets
- * get a grace period. Of a VM that alone had none, the others know which
- * targets left. Call before what the answer says is applied.
- */
-void tr_roster_note_answer(struct tr_roster *roster, apr_time_t asked_at,
-			   apr_time_t now)
-{
-	apr_time_t last = roster->confirmed_at > roster->peers_confirmed_at
-				  ? roster->confirmed_at
-				  : roster->peers_confirmed_at;
-
-	if (roster->confirmed_at && asked_at - last > INTERRUPTION_MIN)
-		roster->resumed_at = now;
-}
-
-/* Records that another VM has confirmed its list, age ago. */
-void tr_roster_note_peer(struct tr_roster *roster, apr_time_t age,
-			 apr_time_t now)
-{
-	if (now - age > roster->peers_confirmed_at)
-		roster->peers_confirmed_at = now - age;
-}
-
-/* Records that the list was complete and current, as of a revision, age ago. */
-void tr_roster_confirm(struct tr_roster *roster, uint64_t as_of, apr_time_t age,
-		       apr_time_t now)
-{
-	apr_time_t at = now - age;
-
-	/* The store's answer may be newer than a confirmation that came after
-	 * the request was sent. Without this its reader would fetch the same
-	 * changes again and announce a revision that the other VMs have. */
-	if (as_of > roster->as_of)
-		roster->as_of = as_of;
-	if (at > roster->confirmed_at)
-		roster->confirmed_at = at;
-}
-
-/*
- * Records that another VM has the same list, and how old its list was. The
- * longest usual delay of a message is added to that age. Without it VMs kept
- * each other's lists young: each adopted the least age it was sent, a few
- * milliseconds late, and passed it on. With 100 VMs a list that nobody had read
- * for three seconds counted as 45 ms old, so that no VM took over from the
- * readers, and targets that had left still got requests.
- */
-void tr_roster_confirm_from_peer(struct tr_roster *roster, uint64_t as_of,
-				 apr_time_t reported_age, apr_time_t now)
-{
-	tr_roster_confirm(roster, as_of, reported_age + MAX_MESSAGE_DELAY, now);
-}
-
-/* Returns the mean probability of being gray over the service's targets, or a
- * negative number if it has none. */
-static double mean_gray_probability(const struct tr_roster *roster,
-				    uint32_t service, apr_time_t now)
-{
-	double sum = 0;
-	unsigned n = 0;
-
-	for (unsigned i = 0; i < roster->count; i++) {
-		const struct tr_instance *row = &roster->rows[i];
-
-		if (row->service != service || row->remote ||
-		    !tr_instance_usable(row, now))
-			continue;
-		sum += tr_gray_probability(&row->gray, now);
-		n++;
-	}
-	return n ? sum / n : -1;
-}
-
-/*
- * Learns the share of gray targets of each service, which is the prior for
- * targets that nobody has used for a while. With a fixed prior of 0.06 and
- * three in ten targets gray, such targets were given requests that must run
- * once.
- */
-static void learn_shares(struct tr_roster *roster, apr_time_t now)
-{
-	apr_time_t elapsed = now - roster->learned_at;
-
-	if (elapsed < LEARN_INTERVAL)
-		return;
-	for (unsigned s = 0; roster->learned_at && s < roster->services_count;
-	     s++) {
-		double share = mean_gray_probability(roster, s, now);
-
-		if (share >= 0)
-			tr_service_stats_learn_gray_share(
-				&roster->services[s], share,
-				(double)elapsed / 1e6);
-	}
-	for (unsigned i = 0; i < roster->count; i++) {
-		struct tr_instance *row = &roster->rows[i];
-
-		/* A row whose first record said that it is gone has no service.
-		 */
-		if (row->service < roster->services_count)
-			row->gray.prior =
-				roster->services[row->service].gray_share;
-	}
-	roster->learned_at = now;
-}
-
 static void free_row(struct tr_roster *roster, struct tr_instance *row)
 {
 	uint32_t i = row_index(roster, row);
@@ -657,10 +416,10 @@
  * of those that have been gone for long enough. */
 void tr_roster_step(struct tr_roster *roster, apr_time_t now)
 {
-	if (now - roster->stepped_at < STEP_INTERVAL)
+	if (now - roster->stepped_at < TR_ROSTER_STEP_INTERVAL)
 		return;
 	roster->stepped_at = now;
-	learn_shares(roster, now);
+	tr_roster_learn_shares(roster, now);
 	for (unsigned i = 0; i < roster->count; i++) {
 		struct tr_instance *row = &roster->rows[i];
 
@@ -682,37 +441,6 @@
 	}
 }
 
-static uint64_t compute_digest(const struct tr_roster *roster)
-{
-	uint64_t sum = 0;
-
-	for (unsigned i = 0; i < roster->count; i++) {
-		const struct tr_instance *row = &roster->rows[i];
-		uint64_t h;
-
-		if (!row->used || row->gone || row->lapsed_at)
-			continue;
-		h = tr_hash_string(row->id);
-		h = tr_hash_pair(h, tr_hash_string(row->address));
-		h = tr_hash_pair(h, row->born);
-		sum += tr_hash_pair(h, row->slots * 2 + row->leaving);
-	}
-	return sum;
-}
-
-/*
- * Returns a digest of the list that is equal on VMs with the same list, in
- * whatever order it was received. It is cached until the list changes:
- * computing it for each message was most of a message's cost with 183 targets.
- */
-uint64_t tr_roster_digest(struct tr_roster *roster)
-{
-	if (!roster->digest_known)
-		roster->digest = compute_digest(roster);
-	roster->digest_known = true;
-	return roster->digest;
-}
-
 struct tr_instance *tr_roster_by_hash(struct tr_roster *roster, uint32_t hash)
 {
 	uint32_t at;
@@ -744,171 +472,3 @@
 	record->revision = row->revision;
 	record->born = row->born;
 }
-
-/* Returns the limit that the target has set and that is in force, or NULL. */
-struct tr_send_limit *tr_roster_limit(const struct tr_roster *roster,
-				      const struct tr_instance *row)
-{
-	struct tr_send_limit *l;
-
-	if (row->limit == TR_NO_ROW)
-		return NULL;
-	l = &roster->limits.rows[row->limit];
-	return l->holds ? l : NULL;
-}
-
-/* Returns the index of the target's row among the limits, and adds it if there
- * is none. */
-uint32_t tr_roster_limit_index(struct tr_roster *roster,
-			       struct tr_instance *row)
-{
-	if (row->limit == TR_NO_ROW)
-		row->limit = tr_send_limits_add(&roster->limits, row->hash);
-	return row->limit;
-}
-
-/* Records that the target announced in an answer that it is leaving. Returns
- * true if it had not done so before. */
-bool tr_roster_mark_leaving(struct tr_roster *roster, struct tr_instance *row)
-{
-	if (row->says_leaving)
-		return false;
-	row->says_leaving = true;
-	roster->says_leaving_count++;
-	return true;
-}
-
-/* Tells whether the target serves requests, though it may have asked this VM to
- * back off. */
-bool tr_instance_serves(const struct tr_instance *row, apr_time_t now)
-{
-	return row->used && !row->gone && !row->leaving && !row->says_leaving &&
-	       row->unreachable_until <= now;
-}
-
-/* Tells whether the target may be sent new requests. */
-bool tr_instance_usable(const struct tr_instance *row, apr_time_t now)
-{
-	return tr_instance_serves(row, now) && row->backoff_until <= now;
-}
-
-/*
- * Returns how many requests are in flight at the target, as far as this VM
- * knows: those of its own group, or what the target's home group last reported
- * if that is more. They are not added, since the report includes this group's
- * requests. Attempts that have no connection yet count at this VM only.
- */
-uint32_t tr_instance_in_flight(const struct tr_instance *row, apr_time_t now)
-{
-	uint32_t in_flight =
-		row->in_flight + row->connecting + row->others_in_flight;
-
-	if (row->remote && row->reported_in_flight > in_flight &&
-	    now - row->reported_at < REPORT_TTL)
-		return row->reported_in_flight;
-	return in_flight;
-}
-
-/* Marks the target's state as changed, to be sent to other VMs. */
-void tr_roster_mark_dirty(struct tr_roster *roster, struct tr_instance *row)
-{
-	row->dirty = true;
-	row->dirty_remote = row->remote;
-	roster->remote_changed |= row->remote;
-}
-
-/* Applies a report of the target's home group. */
-void tr_roster_apply_report(struct tr_instance *row, double gray_probability,
-			    unsigned in_flight, apr_time_t now)
-{
-	row->reported_in_flight =
-		(uint16_t)(in_flight < UINT16_MAX ? in_flight : UINT16_MAX);
-	row->reported_at = now;
-	tr_gray_set_probability(&row->gray, gray_probability, now);
-}
-
-/*
- * Tells whether the newest request at the target was answered, and one that was
- * sent after the last request that hangs. Requests that are still in flight
- * then say nothing about the target's present state.
- */
-bool tr_instance_answered_since_hang(const struct tr_instance *row)
-{
-	return row->answered_at >= row->used_at &&
-	       row->answered_sent_at > row->hung_at;
-}
-
-static void advance(apr_time_t *at, apr_time_t then)
-{
-	if (then > *at)
-		*at = then;
-}
-
-/*
- * Learns the speed of the target from an outcome. When the request was sent
- * isn't reported; what the target held then is looked up by how long answers of
- * that stage usually take. What it holds as an answer arrives would mislead: by
- * the time a slowed request ends, those that it ran beside have mostly left.
- */
-static void learn_speed(struct tr_roster *roster, struct tr_instance *row,
-			enum tr_symptom symptom, unsigned times, apr_time_t now)
-{
-	struct tr_service_stats *service = &roster->services[row->service];
-	double factor =
-		tr_target_speed_took(&row->speed, &service->speed, symptom,
-				     tr_worktime_spread(&service->work_time));
-	double took = factor * (double)tr_worktime_mean(&service->work_time, 0);
-	uint32_t held = tr_held_history_at(&row->held_history,
-					   (unsigned)(took / STEP_INTERVAL));
-
-	tr_service_speed_add(&service->speed, symptom, times, now);
-	tr_target_speed_add(&row->speed, &service->speed, symptom, times,
-			    held > tr_target_speed_room(row->slots), now);
-}
-
-/*
- * Adds an outcome of a request at the target, from whichever VM. A request that
- * is overdue counts as failed at the time it was sent, as far as that is known.
- */
-void tr_roster_add_outcome(struct tr_roster *roster, struct tr_instance *row,
-			   enum tr_symptom symptom, unsigned times,
-			   apr_time_t now)
-{
-	const struct tr_worktime *work_time =
-		&roster->services[row->service].work_time;
-	apr_time_t mean_time = tr_worktime_mean(work_time, 0);
-	bool suspect = tr_gray_probability(&row->gray, now) >= TR_SUSPECT_RISK;
-	apr_time_t sent_at;
-
-	tr_gray_add(&row->gray, symptom, times, now);
-	tr_service_stats_add_outcomes(&roster->services[row->service], symptom,
-				      times, now);
-	if (!row->remote && !suspect && tr_symptom_ends_request(symptom) &&
-	    symptom != TR_SYMPTOM_FAILED)
-		tr_occupancy_ended(&roster->services[row->service].occupancy,
-				   times, now);
-	if (roster->learn_target_speed)
-		learn_speed(roster, row, symptom, times, now);
-	if (symptom == TR_SYMPTOM_OVERDUE) {
-		sent_at = now -
-			  tr_gray_stage_start(TR_STAGE_OVERDUE, mean_time,
-					      tr_worktime_spread(work_time));
-		advance(&row->hung_at, sent_at);
-		advance(&row->failed_at, sent_at);
-	} else if (symptom == TR_SYMPTOM_FAILED) {
-		advance(&row->hung_at, now);
-		advance(&row->failed_at, now);
-	} else if (tr_symptom_ends_request(symptom) &&
-		   symptom != TR_SYMPTOM_ANSWERED_OVERDUE) {
-		advance(&row->answered_at, now);
-		advance(&row->answered_sent_at, now - mean_time);
-	}
-}
-
-/* Records that a request that was overdue at the target has ended without an
- * answer. */
-void tr_roster_end_hang(struct tr_instance *row, apr_time_t now)
-{
-	if (!tr_instance_answered_since_hang(row))
-		row->failed_at = now;
-}
