entry/reader: log when a VM begins to read the store, and when it sees an interruption

When a configuration is not in force, a VM's watch may continue behind the change, no VM may have taken over from a lost reader, the configuration may have been refused, or fetching it may have failed. reading-begins says where the watch of a VM continues and which configuration it holds; routes-refused and pulls_failed_total, which exist, tell of the other two. When a target is kept too long, the store may have been away, or a VM may believe so: interruption-ends says by which of its own failed reads, and how old these are.

--- a/entry/reader.c
+++ b/entry/reader.c
@@ -70,6 +70,8 @@
 	apr_time_t listing_started_at;
 	apr_time_t retry;
 	unsigned failures;
+	apr_time_t failed_at; /* when the last read failed */
+	bool reading;	      /* this VM reads the store at present */
 };
 
 static struct tr_node *self(const struct reader *r)
@@ -80,6 +82,7 @@
 static void handle_failure(struct reader *r, const char *why, int status)
 {
 	r->e->counts.store_failures++;
+	r->failed_at = entry_now(r->e);
 	r->listing = false;
 	r->retry = r->retry ? r->retry * 2 : RETRY_DELAY_MIN;
 	if (r->retry > RETRY_DELAY_MAX)
@@ -197,6 +200,21 @@
 	r->next_at = entry_now(r->e);
 }
 
+/* Notes an answer after reads that failed, which may end an interruption. */
+static void note_answer(struct reader *r, apr_time_t now)
+{
+	struct tr_roster *roster = &r->e->roster;
+	apr_time_t resumed_at = roster->resumed_at;
+
+	tr_roster_note_answer(roster, r->sent_at, now);
+	if (roster->resumed_at == resumed_at)
+		return;
+	eventlog(EVENT_STATE, "interruption-ends",
+		 "view_age_ms=%ld failures=%u last_failure_ms=%ld",
+		 (long)(entry_view_age(r->e) / 1000), r->failures,
+		 (long)((now - r->failed_at) / 1000));
+}
+
 /* Returns whether the store may have answered no VM lately. One that was
  * suspended, has not asked, or is cut off from the others does not know. */
 static bool may_end_interruption(const struct reader *r, apr_time_t now)
@@ -214,7 +232,7 @@
 
 	store_page_set_era(page, era);
 	if (may_end_interruption(r, now))
-		tr_roster_note_answer(&r->e->roster, r->sent_at, now);
+		note_answer(r, now);
 	/* Changes, or a further page of a list, of another era than what they
 	 * continue: the store has returned from a copy in between. */
 	if (known && era != tr_revision_era(known)) {
@@ -351,6 +369,27 @@
 		       PROOF_RENEW_SHARE * (double)s->key_proof_us;
 }
 
+/* Logged when this VM begins or ceases to read the store: where its watch
+ * continues, and what it has in hand. */
+static void set_reading(struct reader *r, bool reading)
+{
+	const struct entry *e = r->e;
+
+	if (reading == r->reading)
+		return;
+	r->reading = reading;
+	eventlog(EVENT_STATE, reading ? "reading-begins" : "reading-ends",
+		 "as_of=%" PRIu64 " era=%ld view_age_ms=%ld"
+		 " routes_version=%" PRIu64 " routes_revision=%" PRIu64
+		 " failures=%u",
+		 tr_revision_number(e->roster.as_of),
+		 entry_era_number(e->roster.as_of),
+		 e->roster.confirmed_at ? (long)(entry_view_age(e) / 1000) : -1,
+		 e->routes ? e->routes->version : 0,
+		 e->routes ? tr_revision_number(e->routes->revision) : 0,
+		 r->failures);
+}
+
 /* Reads when it is due. To be called every 50 ms or so. */
 void reader_step(struct reader *r)
 {
@@ -360,10 +399,12 @@
 	if (r->fetch.busy || now < r->next_at || e->leaving)
 		return;
 	if (!should_read(r, now)) {
+		set_reading(r, false);
 		if (e->roster.confirmed_at && e->routes)
 			r->next_at = now + CHECK_INTERVAL;
 		return;
 	}
+	set_reading(r, true);
 	/* A watch needs a complete list to start from. */
 	if (!e->roster.as_of || !e->routes || r->needs_listing ||
 	    needs_proof(e, now))
