reader: a watch continues from what is known of the targets and the configuration

Cause: roster.as_of said up to where a VM knows the targets, up to where it knows the configuration, and where its watch continues. An equal digest of the list of targets raises it at all VMs with the first message of the VM that has read a change; the configuration is fetched 25 to 50 ms later. If its readers end in between, all other watches continue behind the change. Evidence: in a run with the line reading-begins VMs take over with as_of=148 and routes_version=23, revision 147; 148 is the change that is not in force, and lists are at most 1.2 s old. Ruled out: nobody takes over, a refusal (no line), failed fetches as such.

Now routes_view.as_of says up to where the configuration is known. It rises by what the store tells, by the configuration in force, and by a message whose flag says that its sender knows the configuration up to the revision of its list, if the sender's is not later. A watch continues from the older one, so whoever takes over reads the change again, however those that had it were lost. Changes of targets that come again are not applied. A revision of a former era is no place to continue from. No bytes are added to messages.

--- a/entry/entry.c
+++ b/entry/entry.c
@@ -157,6 +157,17 @@
 	       e->outdated_revision > e->routes->revision;
 }
 
+/*
+ * Returns whether this VM has seen every configuration that the store had at
+ * the revision of its list. One that it could not read may be valid for a VM of
+ * another build.
+ */
+bool entry_knows_routes(const struct entry *e)
+{
+	return e->routes && e->routes_view.as_of >= e->roster.as_of &&
+	       e->refused_revision <= e->routes->revision;
+}
+
 /* Notes the era of a list's revision, and the least revision at which the store
  * is known to have been read in it. */
 void entry_enter_era(struct entry *e, uint64_t as_of, uint64_t start,
@@ -191,6 +202,7 @@
 	set_limits(e, routes->organisations);
 	tr_routes_unref(e->routes);
 	e->routes = routes;
+	tr_routes_view_advance(&e->routes_view, routes->revision);
 	e->members.nodes[0].held[TR_RESOURCE_ROUTES] = entry_routes_order(e);
 	e->front.limits = routes->limits;
 }
--- a/entry/entry.h
+++ b/entry/entry.h
@@ -25,6 +25,7 @@
 #include "revision.h"
 #include "roster.h"
 #include "route.h"
+#include "routes_view.h"
 
 struct entry_settings;
 struct exchange;
@@ -74,13 +75,14 @@
 
 /*
  * The shared state of an entry VM. Each part has its writers: reader.c and
- * mesh.c write the list of targets in the roster, the routes, their proof and
- * the members; upstream.c the work and the evidence of the roster's rows;
- * repeat.c the allowances; exchange_identify.c the limits; exchange_fatal.c and
- * mesh_fatal.c the requests under which targets end; admission.c and
- * mesh_flows.c the flows, admission.c the decisions on overload; kept.c the
- * idle connections; path_watch.c and upstream.c the paths; dial.c the memory of
- * relays; tunnel.c the tunnels; crossing_watch.c what leaves the data centre.
+ * mesh.c write the list of targets in the roster, the routes, up to where they
+ * are known, their proof and the members; upstream.c the work and the evidence
+ * of the roster's rows; repeat.c the allowances; exchange_identify.c the
+ * limits; exchange_fatal.c and mesh_fatal.c the requests under which targets
+ * end; admission.c and mesh_flows.c the flows, admission.c the decisions on
+ * overload; kept.c the idle connections; path_watch.c and upstream.c the paths;
+ * dial.c the memory of relays; tunnel.c the tunnels; crossing_watch.c what
+ * leaves the data centre.
  */
 struct entry {
 	struct loop *loop;
@@ -89,6 +91,7 @@
 	struct tr_roster roster;
 	struct tr_membership members;
 	struct tr_routes *routes;
+	struct tr_routes_view routes_view;
 	struct tr_random random;
 	struct tr_repeat_bound repeat_bound;
 	struct tr_allowance *allowances;
@@ -171,6 +174,7 @@
 		       ...) G_GNUC_PRINTF(3, 4);
 uint64_t entry_routes_order(const struct entry *e);
 bool entry_store_lacks_routes(const struct entry *e);
+bool entry_knows_routes(const struct entry *e);
 bool entry_check_pause(struct entry *e, apr_time_t now);
 void entry_apply_bounds(struct entry *e);
 apr_time_t entry_view_age(const struct entry *e);
--- a/entry/mesh_internal.h
+++ b/entry/mesh_internal.h
@@ -8,12 +8,13 @@
 #include "mesh_xdr.h"
 #include "pull.h"
 
-#define MESH_READY	 1U
-#define MESH_LEAVING	 2U
-#define MESH_CANNOT_READ 4U
-#define MESH_LIST_UPDATE 8U
-#define MESH_REPLY	 16U /* to the first message of a VM */
-#define MESH_CUT_OFF	 32U
+#define MESH_READY	  1U
+#define MESH_LEAVING	  2U
+#define MESH_CANNOT_READ  4U
+#define MESH_LIST_UPDATE  8U
+#define MESH_REPLY	  16U /* to the first message of a VM */
+#define MESH_CUT_OFF	  32U
+#define MESH_KNOWS_ROUTES 64U /* up to the revision of its list */
 /* The bits above the flags hold an era. */
 #define MESH_ERA_SHIFT	 8
 #define RECORD_ERA_SHIFT 8
--- a/entry/mesh_receive.c
+++ b/entry/mesh_receive.c
@@ -20,6 +20,23 @@
 	mesh->e->roster.departures_due = false;
 }
 
+static void check_routes(struct mesh *mesh, struct tr_node *node,
+			 const struct mesh_message *msg, apr_time_t now)
+{
+	struct entry *e = mesh->e;
+	const struct tr_routes_report reported = {
+		.as_of = tr_roster_peer_revision(
+			&e->roster, msg->flags >> MESH_ERA_SHIFT, msg->as_of),
+		.order = msg->config_order,
+	};
+
+	(void)node;
+	(void)now;
+	if (msg->flags & MESH_KNOWS_ROUTES)
+		tr_routes_view_compare(&e->routes_view, entry_routes_order(e),
+				       &reported);
+}
+
 /*
  * Returns the place of the sender's configuration among those that VMs
  * announce, 0 for none. A VM of a build that doesn't tell it may hold a later
@@ -41,10 +58,10 @@
  * mesh_handle_nodes may move the sender's row, so the handlers after it must
  * not use node. */
 static mesh_handler_fn *const handlers[] = {
-	mesh_handle_changes, mesh_handle_rows,	  mesh_handle_held,
-	mesh_handle_fatals,  mesh_handle_limits,  mesh_handle_flows,
-	mesh_handle_notices, mesh_handle_proof,	  check_list,
-	mesh_handle_nodes,   mesh_handle_summary,
+	mesh_handle_changes, mesh_handle_rows,	 mesh_handle_held,
+	mesh_handle_fatals,  mesh_handle_limits, mesh_handle_flows,
+	mesh_handle_notices, mesh_handle_proof,	 check_list,
+	check_routes,	     mesh_handle_nodes,	 mesh_handle_summary,
 };
 
 /* Handles a message of the VM with the address. */
--- a/entry/mesh_send.c
+++ b/entry/mesh_send.c
@@ -31,6 +31,7 @@
 	       (e->leaving ? MESH_LEAVING : 0) |
 	       (e->members.nodes[0].cannot_read ? MESH_CANNOT_READ : 0) |
 	       (e->members.nodes[0].cut_off ? MESH_CUT_OFF : 0) |
+	       (entry_knows_routes(e) ? MESH_KNOWS_ROUTES : 0) |
 	       (mesh->list_update ? MESH_LIST_UPDATE : 0);
 }
 
--- a/entry/reader.c
+++ b/entry/reader.c
@@ -62,6 +62,9 @@
 	struct sockaddr_in store;
 	bool listing;
 	bool needs_listing;
+	uint64_t watch_after; /* revision after which the watch began */
+	/* Revision up to which the targets were known when it began. */
+	uint64_t targets_known;
 	uint64_t list_as_of; /* revision of the list's first page, or 0 */
 	GArray *records;
 	char *list_cursor; /* last key of the previous page */
@@ -126,9 +129,18 @@
 	r->next_at = now + WATCH_INTERVAL;
 	/* The answer reflects the store at some time after the request. */
 	tr_roster_confirm(&e->roster, as_of, now - r->sent_at, now);
+	tr_routes_view_advance(&e->routes_view, as_of);
 	mesh_broadcast_list(e->mesh);
 }
 
+/* Returns whether the item tells of a target what this VM knew when it asked. A
+ * watch that lacks a configuration returns such changes too. */
+static bool was_known(const struct reader *r, const struct store_item *item)
+{
+	return !r->listing && item->revision <= r->targets_known &&
+	       !r->e->dialect->is_routes_key(item->key);
+}
+
 static void apply_items(struct reader *r, const struct store_page *page)
 {
 	for (guint i = 0; i < page->items->len; i++) {
@@ -136,6 +148,8 @@
 			&g_array_index(page->items, struct store_item, i);
 		struct tr_target_record record;
 
+		if (was_known(r, item))
+			continue;
 		if (entry_apply_item(r->e, item, "store", &record) &&
 		    r->listing)
 			g_array_append_val(r->records, record);
@@ -225,9 +239,20 @@
 	       tr_membership_recent_share(&e->members, now) >= HEARD_SHARE_MIN;
 }
 
+/* Returns whether the page tells of a change after what the fleet knew when
+ * this VM asked. */
+static bool has_news(const struct reader *r, const struct store_page *page)
+{
+	for (guint i = 0; i < page->items->len; i++)
+		if (g_array_index(page->items, struct store_item, i).revision >
+		    r->targets_known)
+			return true;
+	return false;
+}
+
 static void handle_page(struct reader *r, struct store_page *page, uint32_t era)
 {
-	uint64_t known = r->listing ? r->list_as_of : r->e->roster.as_of;
+	uint64_t known = r->listing ? r->list_as_of : r->watch_after;
 	apr_time_t now = entry_now(r->e);
 
 	store_page_set_era(page, era);
@@ -241,7 +266,7 @@
 		handle_list_page(r, page);
 	} else {
 		apply_items(r, page);
-		renew_proof(r, r->sent_at, page->items->len > 0);
+		renew_proof(r, r->sent_at, has_news(r, page));
 		handle_success(r, page->as_of);
 	}
 }
@@ -289,12 +314,15 @@
 {
 	struct entry *e = r->e;
 	const struct dialect *d = e->dialect;
-	g_autofree char *path =
-		r->listing ? d->list_path(d->root_prefix, r->list_cursor)
-			   : d->watch_path(d->root_prefix,
-					   tr_revision_number(e->roster.as_of),
-					   WATCH_WAIT);
-
+	g_autofree char *path = NULL;
+
+	r->watch_after =
+		tr_routes_view_watch_after(&e->routes_view, &e->roster);
+	r->targets_known = e->roster.as_of;
+	path = r->listing ? d->list_path(d->root_prefix, r->list_cursor)
+			  : d->watch_path(d->root_prefix,
+					  tr_revision_number(r->watch_after),
+					  WATCH_WAIT);
 	e->counts.store_calls++;
 	r->sent_at = entry_now(e);
 	if (fetcher_get(&r->fetch, &r->store, path,
@@ -379,11 +407,13 @@
 		return;
 	r->reading = reading;
 	eventlog(EVENT_STATE, reading ? "reading-begins" : "reading-ends",
-		 "as_of=%" PRIu64 " era=%ld view_age_ms=%ld"
-		 " routes_version=%" PRIu64 " routes_revision=%" PRIu64
-		 " failures=%u",
+		 "as_of=%" PRIu64 " era=%ld watch_after=%" PRIu64
+		 " view_age_ms=%ld routes_version=%" PRIu64
+		 " routes_revision=%" PRIu64 " failures=%u",
 		 tr_revision_number(e->roster.as_of),
 		 entry_era_number(e->roster.as_of),
+		 tr_revision_number(tr_routes_view_watch_after(&e->routes_view,
+							       &e->roster)),
 		 e->roster.confirmed_at ? (long)(entry_view_age(e) / 1000) : -1,
 		 e->routes ? e->routes->version : 0,
 		 e->routes ? tr_revision_number(e->routes->revision) : 0,
@@ -406,8 +436,8 @@
 	}
 	set_reading(r, true);
 	/* A watch needs a complete list to start from. */
-	if (!e->roster.as_of || !e->routes || r->needs_listing ||
-	    needs_proof(e, now))
+	if (!tr_routes_view_watch_after(&e->routes_view, &e->roster) ||
+	    !e->routes || r->needs_listing || needs_proof(e, now))
 		start_listing(r);
 	else
 		send_request(r);
--- a/tests/cut_calls.c
+++ b/tests/cut_calls.c
@@ -59,8 +59,9 @@
 	return read_state(getenv("CUT_PATH_DIR"), &from, "path");
 }
 
-/* Returns whether one of the two VMs is cut off from the others. */
-static bool is_cut_from(int fd, const struct sockaddr_in *to)
+/* Returns whether one of the two VMs is in the state, by its first letter:
+ * "cut", off from the others, or "deaf" to their connections. */
+static bool has_peers_state(int fd, const struct sockaddr_in *to, char state)
 {
 	const char *dir = getenv("CUT_PEERS_DIR");
 	struct sockaddr_in from = { 0 };
@@ -69,14 +70,14 @@
 	if (!dir || to->sin_port != htons(PEER_PORT) ||
 	    getsockname(fd, (struct sockaddr *)&from, &len))
 		return false;
-	return read_state(dir, &from, "peers") == 'c' ||
-	       read_state(dir, to, "peers") == 'c';
+	return read_state(dir, &from, "peers") == state ||
+	       read_state(dir, to, "peers") == state;
 }
 
 ssize_t __wrap_sendto(int fd, const void *data, size_t len, int flags,
 		      const struct sockaddr *to, socklen_t to_len)
 {
-	if (to && is_cut_from(fd, (const struct sockaddr_in *)to))
+	if (to && has_peers_state(fd, (const struct sockaddr_in *)to, 'c'))
 		return (ssize_t)len;
 	return __real_sendto(fd, data, len, flags, to, to_len);
 }
@@ -86,7 +87,8 @@
 	struct sockaddr_in dead = *(const struct sockaddr_in *)to;
 	char state;
 
-	if (is_cut_from(fd, &dead)) {
+	if (has_peers_state(fd, &dead, 'c') ||
+	    has_peers_state(fd, &dead, 'd')) {
 		errno = ECONNREFUSED;
 		return -1;
 	}
@@ -107,8 +109,13 @@
 	struct sockaddr_in to = { 0 };
 	socklen_t to_len = sizeof(to);
 
-	if (!getpeername(fd, (struct sockaddr *)&to, &to_len) &&
-	    to.sin_port == htons(TARGET_PORT) && path_state(fd) == 'h')
+	if (getpeername(fd, (struct sockaddr *)&to, &to_len))
+		return __real_send(fd, data, len, flags);
+	if (to.sin_port == htons(TARGET_PORT) && path_state(fd) == 'h')
 		return (ssize_t)len;
+	if (has_peers_state(fd, &to, 'd')) {
+		errno = EPIPE;
+		return -1;
+	}
 	return __real_send(fd, data, len, flags);
 }
--- a/tests/soak/store.cc
+++ b/tests/soak/store.cc
@@ -57,6 +57,8 @@
 	std::lock_guard<std::mutex> lock(mutex);
 
 	items[key] = { value, ++rev };
+	if (sent.count(key))
+		sent[key].clear();
 	history.push_back({ key, items[key], false });
 	changed.notify_all();
 	return rev;
@@ -74,6 +76,26 @@
 	return rev;
 }
 
+std::set<std::string> Store::vms_sent(const std::string &key)
+{
+	std::lock_guard<std::mutex> lock(mutex);
+
+	return sent[key];
+}
+
+void Store::note_sent(const std::string &ip, const std::string &text)
+{
+	std::lock_guard<std::mutex> lock(mutex);
+
+	for (auto &[key, vms] : sent) {
+		const Item &item = items[key];
+
+		if (text.find(item_json(key, item.value, item.rev)) !=
+		    std::string::npos)
+			vms.insert(ip);
+	}
+}
+
 void Store::compact_history()
 {
 	std::lock_guard<std::mutex> lock(mutex);
@@ -265,6 +287,7 @@
 			continue;
 		if (!send_all(fd, text))
 			return;
+		note_sent(ip, text);
 	}
 }
 
--- a/tests/soak/store.h
+++ b/tests/soak/store.h
@@ -69,6 +69,10 @@
 	 * empty. */
 	void set_mode(StoreMode mode, std::set<std::string> vms = {});
 
+	/* Returns the VMs that were sent the item since it was last written or,
+	 * on the first call for its key, begins to note them. */
+	std::set<std::string> vms_sent(const std::string &key);
+
 	std::atomic<unsigned> calls{ 0 };
 
       private:
@@ -89,10 +93,13 @@
 	std::string changes_since(uint64_t after, const std::string &prefix);
 	std::string answer(int status, const std::string &body);
 	StoreMode mode_for(const std::string &ip);
+	void note_sent(const std::string &ip, const std::string &text);
 
 	std::mutex mutex;
 	std::condition_variable changed;
 	std::map<std::string, Item> items;
+	/* The VMs that were sent an item, for the keys that a test asks for. */
+	std::map<std::string, std::set<std::string>> sent;
 	std::deque<Event> history;
 	uint64_t rev = 1;
 	uint64_t compacted_rev = 0;
