spread: ask no silent VM for a configuration while one that was heard has it

Cause: a VM that asks a lost reader for the configuration waits a second, then asks the other one that said that it had it, lost too, for another second; the VM that takes over from them at 1.0 to 1.2 s has read it by then and isn't asked.

Now of those that have a configuration such are asked first that were heard recently, and a request to a VM that has fallen silent, which has sent nothing, is given up once another that hasn't fallen silent serves it; the same for the first list of targets.

--- a/entry/pull.c
+++ b/entry/pull.c
@@ -214,12 +214,30 @@
 	return fetcher_get(f, &to, path, PULL_TIMEOUT, done, pull);
 }
 
+/* Gives up the request to a VM that has fallen silent if another one can serve
+ * this VM. */
+static void abandon_silent(struct pull *pull, struct fetcher *f,
+			   struct tr_spread *spread, uint64_t held)
+{
+	struct entry *e = pull->e;
+	uint32_t source = f->to.sin_addr.s_addr;
+	apr_time_t now = entry_now(e);
+
+	if (!f->busy || f->progressed ||
+	    !tr_spread_should_abandon(spread, &e->members, source, held, now))
+		return;
+	fetcher_cancel(f);
+	e->counts.pulls_failed++;
+	tr_spread_failed(spread, source, &e->random, now);
+}
+
 /* Fetches a list after a start from another VM, if one has it. */
 static void fetch_first_list(struct pull *pull)
 {
 	struct entry *e = pull->e;
 	const struct tr_node *holder;
 
+	abandon_silent(pull, &pull->targets, &pull->list_spread, 0);
 	if (pull->targets.busy || e->list_fetched ||
 	    (e->roster.as_of && entry_is_settled(e)) ||
 	    entry_now(e) - pull->targets_asked_at < FIRST_LIST_INTERVAL)
@@ -241,6 +259,8 @@
 	struct entry *e = pull->e;
 	const struct tr_node *holder;
 
+	abandon_silent(pull, &pull->routes, &pull->routes_spread,
+		       entry_routes_order(e));
 	if (pull->routes.busy)
 		return;
 	holder = tr_spread_choose_source(
--- a/lib/spread.c
+++ b/lib/spread.c
@@ -116,11 +116,16 @@
 	       (near ? FETCHERS_PER_SOURCE * sources : FETCHERS_REMOTE);
 }
 
-/*
- * Draws a random source of the revision, inside or outside of this group.
- * Sources in this VM's data centre are preferred, since traffic between data
- * centres is expensive.
- */
+/* VMs that were heard recently are preferred: the others may be lost, and a
+ * request to such a one takes until its timeout. After that those in this VM's
+ * data centre are, since traffic between data centres is expensive. */
+static int preference(const struct tr_membership *m, const struct tr_node *node,
+		      apr_time_t now)
+{
+	return 2 * tr_node_heard_recently(m, node, now) + node->here;
+}
+
+/* Draws a random source of the revision, inside or outside of this group. */
 static const struct tr_node *
 draw_source(const struct tr_spread *s, const struct tr_membership *m,
 	    uint64_t revision, bool near, uint32_t except,
@@ -128,16 +133,18 @@
 {
 	const struct tr_node *found = NULL;
 	unsigned seen = 0;
+	int best = -1;
 
 	for (unsigned i = 1; i < m->count; i++) {
 		const struct tr_node *node = &m->nodes[i];
+		int preferred = preference(m, node, now);
 
 		if (node->ip == except || node->near != near ||
-		    !is_source(s, m, node, revision, now) ||
-		    (found && found->here && !node->here))
+		    !is_source(s, m, node, revision, now) || preferred < best)
 			continue;
-		if (found && node->here && !found->here)
+		if (preferred > best)
 			seen = 0;
+		best = preferred;
 		if (!tr_random_below(random, ++seen))
 			found = node;
 	}
@@ -185,6 +192,22 @@
 	return source;
 }
 
+/* Returns whether a request to the VM with that address, which hasn't answered
+ * yet, should be given up: it has fallen silent, and another VM that hasn't
+ * serves a revision newer than held. */
+bool tr_spread_should_abandon(const struct tr_spread *s,
+			      const struct tr_membership *m, uint32_t source,
+			      uint64_t held, apr_time_t now)
+{
+	if (tr_membership_hears(m, source, now))
+		return false;
+	for (unsigned i = 1; i < m->count; i++)
+		if (is_source(s, m, &m->nodes[i], held + 1, now) &&
+		    tr_node_heard_recently(m, &m->nodes[i], now))
+			return true;
+	return false;
+}
+
 /* The source sent nothing: retry with another one after a delay. */
 void tr_spread_failed(struct tr_spread *s, uint32_t source,
 		      struct tr_random *random, apr_time_t now)
--- a/lib/spread.h
+++ b/lib/spread.h
@@ -37,6 +37,9 @@
 					      uint64_t held, uint64_t refused,
 					      struct tr_random *random,
 					      apr_time_t now);
+bool tr_spread_should_abandon(const struct tr_spread *s,
+			      const struct tr_membership *m, uint32_t source,
+			      uint64_t held, apr_time_t now);
 void tr_spread_failed(struct tr_spread *s, uint32_t source,
 		      struct tr_random *random, apr_time_t now);
 bool tr_spread_link_reserve(struct tr_spread_link *link, size_t bytes,
--- a/tests/spread_test.cc
+++ b/tests/spread_test.cc
@@ -17,6 +17,9 @@
 /* Link speeds in a large fleet, in bits a second: most are slow. */
 const double LINKS[] = { 10e6, 10e6, 50e6, 200e6 };
 
+/* After this time without any data a fetch has failed. */
+const apr_time_t TIMEOUT = TR_MSEC(1000);
+
 struct Copy {
 	unsigned from;
 	apr_time_t done_at;
@@ -30,6 +33,8 @@
 	uint64_t held = 1;
 	apr_time_t held_at = 0;
 	bool down = false;
+	/* Accepts connections and does nothing else. */
+	bool suspended = false;
 	bool fetching = false;
 	Copy copy{};
 };
@@ -75,7 +80,7 @@
 			for (unsigned k = 0; k < vms.size(); k++) {
 				tr_node *node;
 
-				if (k == i || vms[k].down)
+				if (k == i || vms[k].down || vms[k].suspended)
 					continue;
 				node = tr_membership_find_or_add_at(
 					&vms[i].members, k + 1,
@@ -103,28 +108,43 @@
 			tr_spread_failed(&vm.spread, source->ip, &random, now);
 			return;
 		}
-		sent += copy_bytes;
 		vm.fetching = true;
+		vm.copy = { source->ip - 1, now + TIMEOUT };
+		if (from.suspended)
+			return;
+		sent += copy_bytes;
 		vm.copy = { source->ip - 1,
 			    std::max(now, from.link.busy_until) + TR_MSEC(4) };
 	}
 
+	void finish_fetch(Vm &vm)
+	{
+		const Vm &from = vms[vm.copy.from];
+		bool abandoned = tr_spread_should_abandon(
+			&vm.spread, &vm.members, vm.copy.from + 1, vm.held,
+			now);
+
+		if (now < vm.copy.done_at && !abandoned)
+			return;
+		vm.fetching = false;
+		if (abandoned || from.suspended) {
+			tr_spread_failed(&vm.spread, vm.copy.from + 1, &random,
+					 now);
+		} else if (!from.down && from.held > vm.held) {
+			vm.held = from.held;
+			vm.held_at = now;
+		}
+	}
+
 	void step()
 	{
 		now += TR_MSEC(25);
 		exchange_reports();
 		for (Vm &vm : vms) {
-			if (vm.down)
+			if (vm.down || vm.suspended)
 				continue;
-			if (vm.fetching && now >= vm.copy.done_at) {
-				const Vm &from = vms[vm.copy.from];
-
-				vm.fetching = false;
-				if (!from.down && from.held > vm.held) {
-					vm.held = from.held;
-					vm.held_at = now;
-				}
-			}
+			if (vm.fetching)
+				finish_fetch(vm);
 			if (!vm.fetching)
 				fetch(vm);
 		}
@@ -209,6 +229,29 @@
 	EXPECT_GE(fleet.until_all(5), 0);
 }
 
+/* Guards against VMs that go on asking the readers of a configuration, which
+ * were suspended, after another VM has read it too. */
+TEST(Spread, VmsThatHaveFallenSilentAreNotAskedWhileOthersAreHeard)
+{
+	Fleet fleet(44, 20000);
+
+	fleet.publish(0, 5);
+	fleet.publish(1, 5);
+	fleet.now += TR_MSEC(75);
+	fleet.exchange_reports();
+	fleet.vms[0].suspended = fleet.vms[1].suspended = true;
+	for (int i = 0; i < 44; i++)
+		fleet.step();
+	ASSERT_EQ(fleet.holders(5), 2u);
+	fleet.publish(2, 5);
+	long took = fleet.until_all(5);
+
+	EXPECT_GE(took, 0);
+	/* Within two seconds of the change, of which the third reader took
+	 * 1.25. */
+	EXPECT_LE(took, 750);
+}
+
 /* After a quick succession of configurations all VMs have the last one. */
 TEST(Spread, TheNewestWinsInABurstOfChanges)
 {
