tests: fleets of two tests at the same time have addresses of their own

CutPath.AttemptsWithoutAConnectionAreNoLoadOfTheTargets failed once, as the store's stand-in could not bind its address. VmFleet drew the address from the process id by its remainder of 60 and its quotient by 64, so two processes whose ids are 60 apart and in the same 64 had the same: 936 of 15,000 pairs, as counted over all ids. By the quotient of 60 none of 15,000 ids share an address.

--- a/tests/vm_fleet.h
+++ b/tests/vm_fleet.h
@@ -31,7 +31,7 @@
 		ASSERT_NE(mkdtemp(made.data()), nullptr);
 		dir = made;
 		net = "127." + std::to_string(192 + getpid() % 60) + "." +
-		      std::to_string(getpid() / 64 % 250) + ".";
+		      std::to_string(getpid() / 60 % 250) + ".";
 		store = std::make_unique<soak::Store>(
 			soak::Address{ net + "250", 8500 });
 		ASSERT_TRUE(store->open());
