mesh: a VM that is silent or leaves forwards no messages while another is heard

Cause: a message to another data centre goes to a random VM there that counts as up, which it does for 2.3 s after it has ended. In a data centre of two every other message is lost until then: that a VM lives, and that a target has left.

Now of those that count as up such forward that were heard recently and stay. The draw moves to lib/forwarder.c, where it is tested without a network.

Before (without the preference): [ FAILED ] Forwarder.ASilentVmIsNotUsedWhileAnotherIsHeard [ FAILED ] Forwarder.ALeavingVmIsNotUsedWhileAnotherIsThere After: all four tests of Forwarder pass.

--- a/entry/mesh_send.c
+++ b/entry/mesh_send.c
@@ -6,11 +6,11 @@
 #include <sys/socket.h>
 
 #include "entry_settings.h"
+#include "forwarder.h"
 #include "mechanism.h"
 #include "mesh_internal.h"
 #include "vm_capacity.h"
 
-#define DATA_CENTRES_MAX 64
 /* Offset of the procedure number in an encoded call (RFC 5531). */
 #define PROCEDURE_OFFSET 20
 
@@ -102,40 +102,17 @@
 	}
 }
 
-/*
- * Sends to one VM of each other data centre of this group, which forwards the
- * message there: traffic between data centres is expensive, and this divides it
- * by the number of VMs in a data centre. The VM is random for each message, so
- * that a dead or frozen one loses few messages, for which later totals make up.
- */
+/* Sends to one VM of each other data centre of this group, which forwards the
+ * message there. */
 static void send_to_other_data_centres(struct mesh *mesh, const char *buf,
 				       size_t len, apr_time_t now)
 {
-	const struct tr_membership *m = &mesh->e->members;
-	const struct tr_node *drawn[DATA_CENTRES_MAX];
-	unsigned seen[DATA_CENTRES_MAX];
-	unsigned n = 0;
-
-	for (unsigned i = 1; i < m->count; i++) {
-		const struct tr_node *node = &m->nodes[i];
-		unsigned c = 0;
+	struct entry *e = mesh->e;
+	const struct tr_node *drawn[TR_FORWARDERS_MAX];
+	unsigned n = tr_forwarders_draw(&e->members, &e->random, drawn, now);
 
-		if (!node->near || node->here || !tr_node_alive(m, node, now))
-			continue;
-		while (c < n &&
-		       strcmp(drawn[c]->data_centre, node->data_centre) != 0)
-			c++;
-		if (c == DATA_CENTRES_MAX)
-			continue;
-		if (c == n) {
-			drawn[n] = node;
-			seen[n++] = 0;
-		}
-		if (!tr_random_below(&mesh->e->random, ++seen[c]))
-			drawn[c] = node;
-	}
-	for (unsigned c = 0; c < n; c++)
-		mesh_send(mesh, drawn[c]->ip, buf, len);
+	for (unsigned i = 0; i < n; i++)
+		mesh_send(mesh, drawn[i]->ip, buf, len);
 }
 
 /* Sends to all VMs of this group, and changes of the target list to the other
