reading: lost readers are no outage of the store, and old failures show none

Cause: a VM whose reads failed is replaced and asks no more, so its failures stay as they are while others read. As it takes over from lost readers its list is a second old, and it took both for an interruption: what is missing was kept for 1.7 s, by all VMs. Evidence: interruption-ends view_age_ms=1059 failures=2 last_failure_ms=8208 at that VM, state=lapsed from=peer at the others. Ruled out: that the store was away (its last failure would be under a second old), and that the removal is read late (there would be no lapse).

The decisions move from entry/reader.c to lib/reading.c, without I/O. A VM's own failures show an interruption if all came after the last answer that any VM had, two or more; they are forgotten once others are answered. One that took over from lost readers and waited in vain for a second says so by a flag, so that a VM that is answered first, without having asked before, knows of a real outage. A VM that can't read tries again every ten seconds, where it never did while others read. A list of several pages begins the time that missing entries have once.

--- a/entry/mesh_internal.h
+++ b/entry/mesh_internal.h
@@ -14,6 +14,7 @@
 #define MESH_LIST_UPDATE  8U
 #define MESH_REPLY	  16U /* to the first message of a VM */
 #define MESH_CUT_OFF	  32U
+#define MESH_SEES_OUTAGE  128U
 #define MESH_KNOWS_ROUTES 64U /* up to the revision of its list */
 /* The bits above the flags hold an era. */
 #define MESH_ERA_SHIFT	 8
--- a/entry/mesh_send.c
+++ b/entry/mesh_send.c
@@ -9,6 +9,7 @@
 #include "forwarder.h"
 #include "mechanism.h"
 #include "mesh_internal.h"
+#include "reader.h"
 #include "vm_capacity.h"
 
 /* Offset of the procedure number in an encoded call (RFC 5531). */
@@ -32,6 +33,7 @@
 	       (e->members.nodes[0].cannot_read ? MESH_CANNOT_READ : 0) |
 	       (e->members.nodes[0].cut_off ? MESH_CUT_OFF : 0) |
 	       (entry_knows_routes(e) ? MESH_KNOWS_ROUTES : 0) |
+	       (reader_sees_outage(e->reader) ? MESH_SEES_OUTAGE : 0) |
 	       (mesh->list_update ? MESH_LIST_UPDATE : 0);
 }
 
--- a/entry/reader.c
+++ b/entry/reader.c
@@ -1,8 +1,5 @@
 /*
- * Reads the platform's store. Two VMs watch it for the whole fleet. Another VM
- * reads only when its list has become stale; the higher it ranks in the order
- * of readers, the sooner, so that one or two VMs replace a lost reader rather
- * than the whole fleet at once.
+ * Reads the platform's store, when it is this VM's turn; see lib/reading.c.
  */
 #include "reader.h"
 
@@ -14,6 +11,7 @@
 #include "error.h"
 #include "eventlog.h"
 #include "mesh.h"
+#include "reading.h"
 #include "revision.h"
 #include "spread.h"
 
@@ -26,10 +24,6 @@
  * 50 ms, two readers made 24 calls a second for 345 targets. It delays changes
  * by a sixth of the two seconds that operators allow. */
 #define WATCH_INTERVAL TR_MSEC(250)
-/* The list is stale when no reader has confirmed it for two waits. */
-#define VIEW_STALE TR_MSEC(1000)
-/* Added to that for each VM that ranks before this one. */
-#define VIEW_STALE_PER_RANK TR_MSEC(120)
 /* After its start a VM waits this long for another one that has read the store;
  * VMs wait different times. Seeds, by which all VMs find each other, read at
  * once. When 442 VMs start together, the others then need no call; without the
@@ -43,18 +37,9 @@
 #define CHECK_INTERVAL TR_MSEC(100)
 /* Answers take milliseconds, under bad conditions some 60 times as long. */
 #define TIMEOUT TR_MSEC(700)
-/* Delay after a failure, doubled up to the maximum, so that the fleet does not
- * call a store that is down several times a second. */
-#define RETRY_DELAY_MIN TR_MSEC(250)
-#define RETRY_DELAY_MAX TR_MSEC(1500)
 /* A reader whose watches return no changes lists all keys again when the proof
  * of its configuration has used up this share of its lifetime. */
 #define PROOF_RENEW_SHARE 0.35
-/* A VM that hears a smaller share of the others may be the one that is cut off.
- */
-#define HEARD_SHARE_MIN 0.5
-/* Consecutive failures after which another VM should read. */
-#define FAILURES_REPORTED 2
 
 struct reader {
 	struct entry *e;
@@ -71,10 +56,8 @@
 	apr_time_t next_at;
 	apr_time_t sent_at;
 	apr_time_t listing_started_at;
-	apr_time_t retry;
-	unsigned failures;
-	apr_time_t failed_at; /* when the last read failed */
-	bool reading;	      /* this VM reads the store at present */
+	struct tr_reading state;
+	bool reading; /* this VM reads the store at present */
 };
 
 static struct tr_node *self(const struct reader *r)
@@ -84,19 +67,19 @@
 
 static void handle_failure(struct reader *r, const char *why, int status)
 {
-	r->e->counts.store_failures++;
-	r->failed_at = entry_now(r->e);
+	struct entry *e = r->e;
+	bool could_read = !self(r)->cannot_read;
+	apr_time_t now = entry_now(e);
+
+	e->counts.store_failures++;
 	r->listing = false;
-	r->retry = r->retry ? r->retry * 2 : RETRY_DELAY_MIN;
-	if (r->retry > RETRY_DELAY_MAX)
-		r->retry = RETRY_DELAY_MAX;
-	r->next_at = entry_now(r->e) + r->retry / 2 +
-		     tr_random_below(&r->e->random, (uint32_t)r->retry);
-	if (++r->failures == FAILURES_REPORTED) {
-		self(r)->cannot_read = true;
+	r->next_at = now + tr_reading_fail(&r->state, &e->members, &e->random,
+					   r->sent_at, now);
+	if (reader_sees_outage(r))
+		mesh_schedule_report(e->mesh);
+	if (could_read && self(r)->cannot_read)
 		eventlog(EVENT_STATE, "store-lost", "why=%s status=%d", why,
 			 status);
-	}
 }
 
 /*
@@ -122,10 +105,8 @@
 		eventlog(EVENT_STATE, "store-regained",
 			 "as_of=%" PRIu64 " era=%ld failures=%u",
 			 tr_revision_number(as_of), entry_era_number(as_of),
-			 r->failures);
-	self(r)->cannot_read = false;
-	r->failures = 0;
-	r->retry = 0;
+			 r->state.failures.count);
+	tr_reading_succeed(&r->state, &e->members);
 	r->next_at = now + WATCH_INTERVAL;
 	/* The answer reflects the store at some time after the request. */
 	tr_roster_confirm(&e->roster, as_of, now - r->sent_at, now);
@@ -214,29 +195,28 @@
 	r->next_at = entry_now(r->e);
 }
 
-/* Notes an answer after reads that failed, which may end an interruption. */
-static void note_answer(struct reader *r, apr_time_t now)
+bool reader_sees_outage(const struct reader *r)
 {
-	struct tr_roster *roster = &r->e->roster;
-	apr_time_t resumed_at = roster->resumed_at;
-
-	tr_roster_note_answer(roster, r->sent_at, now);
-	if (roster->resumed_at == resumed_at)
-		return;
-	eventlog(EVENT_STATE, "interruption-ends",
-		 "view_age_ms=%ld failures=%u last_failure_ms=%ld",
-		 (long)(entry_view_age(r->e) / 1000), r->failures,
-		 (long)((now - r->failed_at) / 1000));
+	return r && tr_reading_sees_outage(&r->state, &r->e->roster);
 }
 
-/* Returns whether the store may have answered no VM lately. One that was
- * suspended, has not asked, or is cut off from the others does not know. */
-static bool may_end_interruption(const struct reader *r, apr_time_t now)
+/* Notes an answer, which may end an interruption. A VM that was suspended does
+ * not know of one. */
+static void note_answer(struct reader *r, apr_time_t now)
 {
-	const struct entry *e = r->e;
+	struct entry *e = r->e;
+	long view_age_ms = (long)(entry_view_age(e) / 1000);
 
-	return self(r)->cannot_read && now >= e->hold_until &&
-	       tr_membership_recent_share(&e->members, now) >= HEARD_SHARE_MIN;
+	if (now < e->hold_until ||
+	    !tr_reading_may_end_interruption(&r->state, &e->roster, &e->members,
+					     now) ||
+	    !tr_roster_note_answer(&e->roster, r->sent_at, now))
+		return;
+	eventlog(EVENT_STATE, "interruption-ends",
+		 "view_age_ms=%ld failures=%u last_failure_ms=%ld", view_age_ms,
+		 r->state.failures.count,
+		 r->state.failed_at ? (long)((now - r->state.failed_at) / 1000)
+				    : -1);
 }
 
 /* Returns whether the page tells of a change after what the fleet knew when
@@ -256,8 +236,7 @@
 	apr_time_t now = entry_now(r->e);
 
 	store_page_set_era(page, era);
-	if (may_end_interruption(r, now))
-		note_answer(r, now);
+	note_answer(r, now);
 	/* Changes, or a further page of a list, of another era than what they
 	 * continue: the store has returned from a copy in between. */
 	if (known && era != tr_revision_era(known)) {
@@ -373,17 +352,10 @@
 static bool should_read(const struct reader *r, apr_time_t now)
 {
 	const struct entry *e = r->e;
-	apr_time_t stale_after = VIEW_STALE;
 
 	if (!e->roster.confirmed_at || !e->routes)
 		return should_read_at_start(r, now);
-	if (tr_membership_is_reader(&e->members, now))
-		return true;
-	if (entry_view_age(e) <= stale_after)
-		return false;
-	stale_after +=
-		tr_membership_read_rank(&e->members, now) * VIEW_STALE_PER_RANK;
-	return entry_view_age(e) > stale_after;
+	return tr_reading_is_due(&r->state, &e->roster, &e->members, now);
 }
 
 /* Whether the configuration needs a new proof, which watches without changes
@@ -417,7 +389,7 @@
 		 e->roster.confirmed_at ? (long)(entry_view_age(e) / 1000) : -1,
 		 e->routes ? e->routes->version : 0,
 		 e->routes ? tr_revision_number(e->routes->revision) : 0,
-		 r->failures);
+		 r->state.failures.count);
 }
 
 /* Reads when it is due. To be called every 50 ms or so. */
@@ -430,6 +402,7 @@
 		return;
 	if (!should_read(r, now)) {
 		set_reading(r, false);
+		tr_reading_stop(&r->state, &e->roster);
 		if (e->roster.confirmed_at && e->routes)
 			r->next_at = now + CHECK_INTERVAL;
 		return;
@@ -454,6 +427,7 @@
 void reader_reset(struct reader *r)
 {
 	fetcher_cancel(&r->fetch);
+	tr_reading_forget(&r->state);
 	r->listing = false;
 	r->next_at = 0;
 }
--- a/lib/membership.c
+++ b/lib/membership.c
@@ -227,6 +227,7 @@
 	node->ready = status->ready;
 	node->leaving = status->leaving;
 	node->cannot_read = status->cannot_read;
+	node->sees_outage = status->sees_outage;
 	node->cut_off = status->cut_off;
 	memcpy(node->held, status->held, sizeof(node->held));
 	node->capacity = status->capacity;
@@ -259,6 +260,7 @@
 	node->ready = status->ready;
 	node->leaving = status->leaving;
 	node->cannot_read = status->cannot_read;
+	node->sees_outage = status->sees_outage;
 	node->cut_off = status->cut_off;
 	node->heard_at = now;
 }
@@ -677,6 +679,18 @@
 	return false;
 }
 
+/* Returns whether another VM has reported an outage of the store since the last
+ * answer that any VM had. It may be lost by now. */
+bool tr_membership_sees_outage(const struct tr_membership *m,
+			       apr_time_t last_answer)
+{
+	for (unsigned i = 1; i < m->count; i++)
+		if (m->nodes[i].sees_outage &&
+		    m->nodes[i].heard_at > last_answer)
+			return true;
+	return false;
+}
+
 /* Returns whether the VM with that address has not been silent for much longer
  * than usual. */
 bool tr_membership_hears(const struct tr_membership *m, uint32_t ip,
--- a/lib/membership.h
+++ b/lib/membership.h
@@ -99,7 +99,10 @@
 	bool ready;
 	bool leaving;
 	bool cannot_read; /* its last read of the store failed */
-	bool cut_off;	  /* it can't connect to targets */
+	/* The store left its reads unanswered, and nobody is known to have had
+	 * an answer since. */
+	bool sees_outage;
+	bool cut_off; /* it can't connect to targets */
 	/* The place of the routes in force among all, which rises with their
 	 * version; 1 if it has a list of targets. */
 	uint64_t held[TR_RESOURCES];
@@ -137,6 +140,7 @@
 	bool ready;
 	bool leaving;
 	bool cannot_read;
+	bool sees_outage;
 	bool cut_off;
 	uint64_t held[TR_RESOURCES];
 	uint32_t capacity;
@@ -217,5 +221,7 @@
 			    unsigned *vms);
 unsigned tr_membership_read_rank(const struct tr_membership *m, apr_time_t now);
 bool tr_membership_is_reader(const struct tr_membership *m, apr_time_t now);
+bool tr_membership_sees_outage(const struct tr_membership *m,
+			       apr_time_t last_answer);
 
 #endif
--- a/lib/roster.h
+++ b/lib/roster.h
@@ -8,6 +8,7 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#include "clock.h"
 #include "gray.h"
 #include "held_bytes.h"
 #include "index.h"
@@ -16,6 +17,10 @@
 #include "target_speed.h"
 
 #define TR_ADDRESS_MAX 23
+/* The store counts as interrupted if it gave no answer for this long. Readers
+ * ask the store about three times a second, so that three reads have failed by
+ * then. */
+#define TR_INTERRUPTION_MIN TR_MSEC(1000)
 
 /* What the platform lists of one target, as VMs send it to each other. */
 struct tr_target_record {
@@ -178,7 +183,8 @@
 void tr_roster_drop_unlisted(struct tr_roster *roster,
 			     const struct tr_target_record *records,
 			     unsigned count, uint64_t as_of, apr_time_t now);
-void tr_roster_note_answer(struct tr_roster *roster, apr_time_t asked_at,
+apr_time_t tr_roster_last_answer(const struct tr_roster *roster);
+bool tr_roster_note_answer(struct tr_roster *roster, apr_time_t asked_at,
 			   apr_time_t now);
 void tr_roster_note_peer(struct tr_roster *roster, apr_time_t age,
 			 apr_time_t now);
--- a/lib/roster_view.c
+++ b/lib/roster_view.c
@@ -7,10 +7,6 @@
 #include "revision.h"
 #include "roster.h"
 
-/* The store counts as interrupted if it gave no answer for this long. Readers
- * ask the store about three times a second, so that three reads have failed by
- * then. */
-#define INTERRUPTION_MIN TR_MSEC(1000)
 /* The longest usual delay of a message between two VMs: some milliseconds on
  * the network and one turn of an event loop that is busy with callers. */
 #define MAX_MESSAGE_DELAY TR_MSEC(30)
@@ -59,21 +55,34 @@
 	return tr_revision_make((uint32_t)era, number);
 }
 
+/* Returns when the last read was sent that the store has answered, to this VM
+ * or, as far as this VM has heard, to another one; 0 if there is none. */
+apr_time_t tr_roster_last_answer(const struct tr_roster *roster)
+{
+	return roster->confirmed_at > roster->peers_confirmed_at
+		       ? roster->confirmed_at
+		       : roster->peers_confirmed_at;
+}
+
 /*
- * Records that the store has answered. If neither this VM nor another one had
- * an answer for a while, entries may have expired meanwhile, and their targets
+ * Records that the store has answered a read that was sent at asked_at, after
+ * an outage that this VM or another one has seen. If neither had an answer for
+ * a while before that, entries may have expired meanwhile, and their targets
  * get a grace period. Of a VM that alone had none, the others know which
- * targets left. Call before what the answer says is applied.
+ * targets left. Call before what the answer says is applied. Returns whether a
+ * grace period begins.
  */
-void tr_roster_note_answer(struct tr_roster *roster, apr_time_t asked_at,
+bool tr_roster_note_answer(struct tr_roster *roster, apr_time_t asked_at,
 			   apr_time_t now)
 {
-	apr_time_t last = roster->confirmed_at > roster->peers_confirmed_at
-				  ? roster->confirmed_at
-				  : roster->peers_confirmed_at;
+	apr_time_t last = tr_roster_last_answer(roster);
 
-	if (roster->confirmed_at && asked_at - last > INTERRUPTION_MIN)
-		roster->resumed_at = now;
+	/* The list may have several pages. */
+	if (!roster->confirmed_at || roster->resumed_at > last ||
+	    asked_at - last <= TR_INTERRUPTION_MIN)
+		return false;
+	roster->resumed_at = now;
+	return true;
 }
 
 /* Records that another VM has confirmed its list, age ago. */
--- a/tests/config_path_test.cc
+++ b/tests/config_path_test.cc
@@ -2,7 +2,7 @@
  * A change of the configuration that only the readers of the store have got
  * when they are lost. Real entry VMs over loopback.
  */
-#include "store_fleet.h"
+#include "lost_readers.h"
 
 using namespace soak;
 
@@ -13,46 +13,9 @@
 /* Longer than two reads of the store and a message. */
 constexpr auto READ_BY_ALL_READERS = std::chrono::milliseconds(1200);
 
-/* A way in which those that hold the configuration are lost. */
-struct Loss {
-	const char *name;
-	void (*lose)(Vm &vm);
-	/* What the others' paths to it are then, see cut_calls.c. */
-	const char *peers;
-};
-
-const Loss LOSSES[] = {
-	{ "Killed", [](Vm &vm) { vm.kill_now(); }, "open" },
-	{ "Suspended", [](Vm &vm) { vm.send(SIGSTOP); }, "open" },
-	{ "ToldToEnd", [](Vm &vm) { vm.send(SIGTERM); }, "open" },
-	{ "CutOff", [](Vm &) {}, "cut" },
-	{ "Restarted",
-	  [](Vm &vm) {
-		  vm.kill_now();
-		  vm.start();
-	  },
-	  "open" },
-};
-
-class ConfigPath : public StoreFleet, public testing::WithParamInterface<Loss>
+class ConfigPath : public LostReaders
 {
       protected:
-	ConfigPath()
-	{
-		vm_count = 5;
-	}
-
-	void set_peers(unsigned vm, const std::string &state)
-	{
-		std::ofstream(dir + "/" + vms[vm]->ip + ".peers") << state;
-	}
-
-	void set_all_peers(const std::string &state)
-	{
-		for (unsigned i = 0; i < vms.size(); i++)
-			set_peers(i, state);
-	}
-
 	/* The VMs that the store has sent the newest configuration. */
 	std::set<unsigned> holders()
 	{
@@ -92,15 +55,6 @@
 			},
 			IN_FORCE);
 	}
-
-	void lose(const std::set<unsigned> &lost)
-	{
-		for (unsigned vm : lost)
-			GetParam().lose(*vms[vm]);
-		set_all_peers("open");
-		for (unsigned vm : lost)
-			set_peers(vm, GetParam().peers);
-	}
 };
 
 /* Guards against a configuration that is lost with the VMs that have read it,
@@ -132,8 +86,6 @@
 }
 
 INSTANTIATE_TEST_SUITE_P(Readers, ConfigPath, testing::ValuesIn(LOSSES),
-			 [](const testing::TestParamInfo<Loss> &loss) {
-				 return std::string(loss.param.name);
-			 });
+			 name_of_loss);
 
 } // namespace
