pull: a configuration that is older than announced is not taken for an unreadable one

A VM that fetches a configuration and gets another one than its source had announced, as the source has started anew since and has an older one, noted the announced one as refused and asked no VM for it again: it would keep the old configuration till the next. What it gets is readable, so only what can't be read counts as refused now, and the places that are guessed for VMs of another build, as before.

--- a/entry/entry.c
+++ b/entry/entry.c
@@ -240,15 +240,16 @@
 	       (e->routes && item->revision == e->routes->revision);
 }
 
-/* Applies a configuration from the store or a peer. */
-void entry_apply_routes(struct entry *e, const struct store_item *item,
+/* Applies a configuration from the store or a peer. Returns false if it can't
+ * be read; one that is older than the one in force can. */
+bool entry_apply_routes(struct entry *e, const struct store_item *item,
 			const char *from)
 {
 	struct tr_error err = { 0 };
 	struct tr_routes *routes;
 
 	if (item->removed || was_looked_at(e, item))
-		return;
+		return item->revision != e->refused_revision;
 	routes = e->dialect->parse_routes(item, &err);
 	if (!routes) {
 		e->refused_revision = item->revision;
@@ -257,12 +258,13 @@
 			 " field=%s value=\"%s\" expected=\"%s\" from=%s",
 			 item->key, (guint64)tr_revision_number(item->revision),
 			 err.field, err.value, err.expected, from);
-		return;
+		return false;
 	}
 	if (replaces_routes(e, routes, from))
 		activate_routes(e, routes, from);
 	else
 		tr_routes_unref(routes);
+	return true;
 }
 
 /* Logs an event about something refused. The lines are limited in rate, so that
--- a/entry/entry.h
+++ b/entry/entry.h
@@ -160,13 +160,20 @@
 	return (long)tr_revision_era(revision) - 1;
 }
 
+/* Returns whether the place of a configuration is one that mesh_routes_order()
+ * guesses for a VM of another build. */
+static inline bool entry_is_guessed_order(uint64_t order)
+{
+	return order % 2;
+}
+
 bool entry_apply_item(struct entry *e, const struct store_item *item,
 		      const char *from, struct tr_target_record *record);
 bool entry_apply_listed(struct entry *e, const struct tr_target_record *record,
 			const char *from);
 void entry_apply_target(struct entry *e, const struct tr_target_record *record,
 			const char *from);
-void entry_apply_routes(struct entry *e, const struct store_item *item,
+bool entry_apply_routes(struct entry *e, const struct store_item *item,
 			const char *from);
 void entry_enter_era(struct entry *e, uint64_t as_of, uint64_t start,
 		     const char *from);
--- a/entry/pull.c
+++ b/entry/pull.c
@@ -76,6 +76,7 @@
 	struct store_item item = { .key = "peer" };
 	auto_free char *text = NULL;
 	uint64_t before = entry_routes_order(e);
+	bool readable = true;
 
 	if (answer && answer->parser.status_code == 200)
 		text = decompress_answer(answer, &item.value_len);
@@ -84,14 +85,19 @@
 		item.revision = tr_roster_peer_revision(
 			&e->roster, header_number(answer, HEADER_ERA),
 			header_number(answer, HEADER_REVISION));
-		entry_apply_routes(e, &item, "peer");
+		readable = entry_apply_routes(e, &item, "peer");
 	}
 	if (entry_routes_order(e) > before) {
 		/* Others of the group can now fetch it here. */
 		pull->on_new_data(e);
 		return;
 	}
-	if (text && pull->routes_wanted > e->refused_order)
+	/* A source that has started anew may have an older one than it said;
+	 * the place that was guessed for another build is not asked for again.
+	 */
+	if ((!readable ||
+	     (text && entry_is_guessed_order(pull->routes_wanted))) &&
+	    pull->routes_wanted > e->refused_order)
 		e->refused_order = pull->routes_wanted;
 	e->counts.pulls_failed++;
 	tr_spread_failed(&pull->routes_spread, pull->routes.to.sin_addr.s_addr,
