soak: the link proxy passes on a reset as a reset, and nothing after what it dropped

Traced in the code of the stand-in: a target that stops sending a body without a length resets its connection, and the proxy read that as an end and closed the other side with shutdown(), an orderly end, by which such a body is whole. What it had dropped was left out in the same way, and what came later followed the gap; no link loses bytes so and delivers the rest. It now resets both sides at once, also where the link is reset or bytes were dropped, after which nothing arrives.

--- a/tests/soak/net.h
+++ b/tests/soak/net.h
@@ -93,6 +93,17 @@
 	setsockopt(fd, SOL_SOCKET, SO_LINGER, &now, sizeof(now));
 }
 
+/* Resets the connection at once, while another thread may wait for data on it:
+ * after shutdown() the peer would see an orderly end. */
+inline void reset(int fd)
+{
+	sockaddr none{};
+
+	none.sa_family = AF_UNSPEC;
+	set_reset_on_close(fd);
+	connect(fd, &none, sizeof(none));
+}
+
 inline std::string header(const std::string &text, const std::string &name)
 {
 	size_t end = text.find("\r\n\r\n");
--- a/tests/soak/proxy.h
+++ b/tests/soak/proxy.h
@@ -19,7 +19,8 @@
 /*
  * Listens on the published address of a target and forwards bytes in both
  * directions, subject to the link mode. Dropped bytes are discarded without
- * telling either end, as on a link that is down.
+ * telling either end, as on a link that is down; nothing that follows them on
+ * the connection arrives, and it does not end in order.
  */
 class Proxy
 {
@@ -52,35 +53,43 @@
 	}
 
       private:
-	/* Returns false when the connection has to be closed. */
-	bool forward_chunk(int to, const char *buf, ssize_t n, bool to_target)
+	bool drops(bool to_target) const
 	{
 		LinkMode now = link_mode;
 
-		if (now == LinkMode::Reset)
+		return now == LinkMode::DropBoth ||
+		       now == (to_target ? LinkMode::DropToTarget
+					 : LinkMode::DropToCaller);
+	}
+
+	/* Returns false when the connection has to be reset. */
+	bool forward_chunk(int to, const char *buf, ssize_t n)
+	{
+		if (link_mode == LinkMode::Reset)
 			return false;
-		if (now == LinkMode::Delayed)
+		if (link_mode == LinkMode::Delayed)
 			usleep(150000);
-		if (now == LinkMode::DropBoth ||
-		    now == (to_target ? LinkMode::DropToTarget
-				      : LinkMode::DropToCaller))
-			return true;
 		return send_all(to, std::string(buf, (size_t)n));
 	}
 
 	void pump(int from, int to, bool to_target)
 	{
+		bool dropped = false;
+		bool refused = false;
 		char buf[16384];
-		ssize_t n;
-
-		while ((n = recv(from, buf, sizeof(buf), 0)) > 0)
-			if (!forward_chunk(to, buf, n, to_target)) {
-				set_reset_on_close(from);
-				set_reset_on_close(to);
-				break;
-			}
-		shutdown(from, SHUT_RDWR);
-		shutdown(to, SHUT_RDWR);
+		ssize_t n = 0;
+
+		while (!refused && (n = recv(from, buf, sizeof(buf), 0)) > 0) {
+			dropped |= drops(to_target);
+			refused = !dropped && !forward_chunk(to, buf, n);
+		}
+		if (dropped || refused || (n < 0 && errno != EAGAIN)) {
+			reset(from);
+			reset(to);
+		} else {
+			shutdown(from, SHUT_RDWR);
+			shutdown(to, SHUT_RDWR);
+		}
 	}
 
 	void relay(int caller, const std::string &from)
