mesh: the revision up to which a VM knows the configuration is taken as told

By reading: the era of that revision was completed, where the sender knows none, by this VM's own, as for builds that name no eras. Only builds that name eras tell it, so a missing era is an old one; completed, it could take a VM that has started after the store returned from a copy past changes that it has not seen. A VM with a configuration and no list yet says nothing.

--- a/entry/entry.c
+++ b/entry/entry.c
@@ -164,7 +164,8 @@
  */
 bool entry_knows_routes(const struct entry *e)
 {
-	return e->routes && e->routes_view.as_of >= e->roster.as_of &&
+	return e->routes && e->roster.as_of &&
+	       e->routes_view.as_of >= e->roster.as_of &&
 	       e->refused_revision <= e->routes->revision;
 }
 
--- a/entry/mesh_receive.c
+++ b/entry/mesh_receive.c
@@ -20,19 +20,23 @@
 	mesh->e->roster.departures_due = false;
 }
 
+/* Takes over up to where the sender knows the configuration. Only builds that
+ * name eras say so, so an era that is missing is not known to the sender. */
 static void check_routes(struct mesh *mesh, struct tr_node *node,
 			 const struct mesh_message *msg, apr_time_t now)
 {
 	struct entry *e = mesh->e;
 	const struct tr_routes_report reported = {
-		.as_of = tr_roster_peer_revision(
-			&e->roster, msg->flags >> MESH_ERA_SHIFT, msg->as_of),
+		.as_of = tr_revision_make(msg->flags >> MESH_ERA_SHIFT,
+					  msg->as_of),
 		.order = msg->config_order,
 	};
 
 	(void)node;
 	(void)now;
-	if (msg->flags & MESH_KNOWS_ROUTES)
+	if (msg->flags & MESH_KNOWS_ROUTES &&
+	    msg->flags >> MESH_ERA_SHIFT <= TR_ERA_MAX &&
+	    msg->as_of <= TR_REVISION_NUMBER_MAX)
 		tr_routes_view_compare(&e->routes_view, entry_routes_order(e),
 				       &reported);
 }
--- a/tests/entry_routes_test.cc
+++ b/tests/entry_routes_test.cc
@@ -73,6 +73,7 @@
 {
 	EXPECT_FALSE(entry_knows_routes(&e));
 	EXPECT_TRUE(apply(config(9), 20));
+	EXPECT_FALSE(entry_knows_routes(&e));
 	e.roster.as_of = 20;
 	EXPECT_TRUE(entry_knows_routes(&e));
 	e.roster.as_of = 25;
