stream: a reset that a write has noticed is not an orderly end

A target answers a long upload at once with a 200 without a length, sends a part of the body and its connection is reset while the upload is still written.

Cause: the kernel reports a socket's error once. flush_output() comes before the read, send() took ECONNRESET there and the error was dropped; recv() then returned 0, which is STREAM_CLOSED, an orderly end, with which a body without a length is complete. The same at a VM that reaches a target for another one: tunnel.c then told that VM of an orderly end, although frames can say that a stream broke off.

The stream now notes that a write has failed, and an end of the input after that is STREAM_RESET. Ruled out: to take every failed write for a reset. A target that has ended its answer in order and does not read the rest of the request resets the connection as well; there the kernel reports EPIPE, and the answer is whole. So is one with its length that came before the reset. A timeout of the connection that is noticed by a write (ETIMEDOUT) counts as a reset too. A connection whose write has failed is not kept for reuse.

--- a/entry/stream.c
+++ b/entry/stream.c
@@ -106,7 +106,10 @@
 /*
  * Sends as much of the bytes as the socket takes, and returns how many need not
  * be sent any more. A write error is reported only through the next read, so
- * that no callback runs while the owner is in the middle of a write.
+ * that no callback runs while the owner is in the middle of a write. It is
+ * noted because the kernel reports it once, and reads as an orderly end after
+ * that. EPIPE is the error of a connection whose peer had ended its side in
+ * order before it was lost.
  */
 static size_t send_some(struct stream *s, const uint8_t *data, size_t len)
 {
@@ -118,8 +121,11 @@
 
 		if (n < 0 && (errno == EAGAIN || errno == EINTR))
 			break;
-		if (n < 0)
+		if (n < 0) {
+			s->write_failed = true;
+			s->lost |= errno != EPIPE;
 			return len;
+		}
 		offset += (size_t)n;
 		s->sent += (uint64_t)n;
 	}
@@ -175,7 +181,7 @@
 	if (n > 0)
 		s->calls->received(s->ctx, buf, (size_t)n);
 	else if (!n)
-		end_stream(s, STREAM_CLOSED);
+		end_stream(s, s->lost ? STREAM_RESET : STREAM_CLOSED);
 	else if (errno != EAGAIN && errno != EINTR)
 		end_stream(s, STREAM_RESET);
 }
--- a/entry/stream.h
+++ b/entry/stream.h
@@ -34,6 +34,8 @@
 	bool refused;	   /* nothing listened at the peer */
 	bool wants_write;  /* the loop watches for writability */
 	bool paused;	   /* nothing is read */
+	bool write_failed; /* nothing more can be sent */
+	bool lost;	   /* a write failed, and not by an orderly end */
 	GByteArray *out;   /* output buffer */
 	size_t out_offset; /* bytes of out that were sent */
 	uint64_t sent;	   /* bytes, since it was opened */
--- a/entry/upstream.c
+++ b/entry/upstream.c
@@ -137,7 +137,7 @@
 
 	if (!u->use_pool || u->peer || !u->response.complete ||
 	    !u->response.keep_alive || !u->response.framed ||
-	    !stream_is_drained(&u->stream))
+	    !stream_is_drained(&u->stream) || u->stream.write_failed)
 		return 0;
 	if (!timeout)
 		return DEFAULT_KEEP_ALIVE;
--- /dev/null
+++ b/tests/broken_answer_test.cc
@@ -0,0 +1,299 @@
+/*
+ * Targets whose answers break off or are no answers, over loopback: real entry
+ * VMs, which reach the targets by themselves or through another VM.
+ */
+#include "vm_fleet.h"
+
+#include <set>
+
+using namespace soak;
+
+namespace
+{
+
+constexpr unsigned VMS = 2, TARGETS = 4;
+constexpr uint16_t PORT = 9000, FULL_PORT = 9002;
+constexpr unsigned WARM_UP_READS = 200;
+/* More than the buffers of a connection whose receiver does not read. */
+constexpr size_t LARGE_BODY = 6000000;
+constexpr int NARROW_BUFFER_BYTES = 8192;
+/* How an answer that ends with its connection begins, and what follows. */
+constexpr size_t FIRST_PART = 1000, REST = 1400;
+/* For the VM to have read the first part and to wait for the target. */
+constexpr useconds_t SHORT_PAUSE = 100000;
+
+/* A request as a target gets it. Its body may still be on the way. */
+struct Arrival {
+	int fd;
+	std::string id, head;
+	std::string body_begun;
+
+	std::string head_lines() const
+	{
+		return "X-Request-Id: " + id + "\r\nX-Server-Stamp: s\r\n";
+	}
+
+	size_t body_left() const
+	{
+		std::string len = header(head, "Content-Length");
+
+		return (len.empty() ? 0 : std::stoul(len)) - body_begun.size();
+	}
+
+	/* Returns false if the connection ends first. */
+	bool read_body() const
+	{
+		char buf[65536];
+
+		for (size_t left = body_left(); left;) {
+			ssize_t n =
+				recv(fd, buf, std::min(left, sizeof(buf)), 0);
+
+			if (n <= 0)
+				return false;
+			left -= (size_t)n;
+		}
+		return true;
+	}
+};
+
+class BrokenAnswer : public VmFleet
+{
+      protected:
+	/* Answers a request. Returns false to close the connection. */
+	using Act = std::function<bool(const Arrival &)>;
+
+	std::vector<std::unique_ptr<Listener>> targets;
+	std::vector<std::unique_ptr<FullListener>> full;
+	std::mutex mutex;
+	/* What targets do with the first attempt of requests to /.../odd. */
+	Act act;
+	std::map<std::string, unsigned> attempts;
+
+	void SetUp() override
+	{
+		ASSERT_NO_FATAL_FAILURE(open_store("broken-answer"));
+		ASSERT_EQ(setenv("CUT_PATH_DIR", dir.c_str(), 1), 0);
+		write_store();
+		for (unsigned i = 0; i < TARGETS; i++) {
+			targets.push_back(std::make_unique<Listener>(
+				address(i, PORT),
+				[this](int fd, const std::string &) {
+					serve(fd);
+				}));
+			targets.back()->receive_bytes = NARROW_BUFFER_BYTES;
+			ASSERT_TRUE(targets.back()->open());
+			full.push_back(std::make_unique<FullListener>(
+				address(i, FULL_PORT)));
+		}
+		start_vms(VMS);
+		for (unsigned i = 0; i < VMS; i++)
+			ASSERT_TRUE(eventually([&] {
+				return status(i, "/read/warm") == 200;
+			}));
+		/* The VMs earn the repeats that the tests spend. */
+		for (unsigned i = 0; i < WARM_UP_READS; i++)
+			status(i % VMS, "/read/warm");
+	}
+
+	void TearDown() override
+	{
+		close_all();
+		targets.clear();
+		full.clear();
+	}
+
+	void write_store()
+	{
+		store->write(
+			"op/config",
+			R"({"version":1,"routes":{"columns":["name","host",)"
+			R"("prefix","kind","timeout","targetLatency",)"
+			R"("priority","maxAttempts","service"],"rows":[["r1",)"
+			R"("h.x","/read/","safe","3s","1s",1,3,"s1"],["r2",)"
+			R"("h.x","/order/","unsafe","3s","1s",1,3,"s1"]]},)"
+			R"("services":{"columns":["name","healthPath",)"
+			R"("maxConns"],"rows":[["s1","/health",90]]},)"
+			R"("limits":{"maxHeaderBytes":4096,)"
+			R"("maxBodyBytes":9000000,"headerTimeout":"3s",)"
+			R"("idleTimeout":"9s"}})");
+		for (unsigned i = 0; i < TARGETS; i++)
+			store->write(
+				"servers/i-" + std::to_string(i),
+				R"({"address":")" + address(i, PORT).text() +
+					R"(","info":{"service":"s1",)"
+					R"("version":"v","zone":"z0","slots":)"
+					R"(30},"status":{"state":"ready",)"
+					R"("coldLeft":"0ms","sequence":1}})");
+	}
+
+	Address address(unsigned target, uint16_t port)
+	{
+		return { net + std::to_string(100 + target), port };
+	}
+
+	void serve(int fd)
+	{
+		std::string rest;
+		char buf[4096];
+
+		for (;;) {
+			size_t end = rest.find("\r\n\r\n");
+
+			if (end == std::string::npos) {
+				ssize_t n = recv(fd, buf, sizeof(buf), 0);
+
+				if (n <= 0)
+					return;
+				rest.append(buf, (size_t)n);
+				continue;
+			}
+			std::string head = rest.substr(0, end + 4);
+			Arrival arrival{ fd, header(head, "X-Request-Id"), head,
+					 rest.substr(end + 4) };
+
+			rest.clear();
+			if (!(is_odd(arrival) ? act(arrival) : answer(arrival)))
+				return;
+		}
+	}
+
+	bool is_odd(const Arrival &arrival)
+	{
+		std::lock_guard<std::mutex> lock(mutex);
+
+		return !attempts[arrival.id]++ &&
+		       arrival.head.find("/odd") != std::string::npos;
+	}
+
+	static bool answer(const Arrival &arrival)
+	{
+		return arrival.read_body() &&
+		       send_all(arrival.fd,
+				http(200, arrival.head_lines(), "whole"));
+	}
+
+	/* Lets the first VM reach the targets through the other one only. */
+	void leave_by_other_vm()
+	{
+		vms[0]->set_path("refused");
+		ASSERT_TRUE(eventually([&] {
+			return status(0, "/order/warm", "order") == 200 &&
+			       log_of(0).find("event=path cut=1") !=
+				       std::string::npos;
+		}));
+	}
+
+	/* Checks that an order gets a 502 and a read is served by another
+	 * target, by the first VM itself. */
+	void expect_not_passed_on(const std::string &body,
+				  const std::string &what)
+	{
+		std::string read = send_request(0, "/read/odd", body);
+
+		EXPECT_EQ(status(0, "/order/odd", body.empty() ? "x" : body),
+			  502)
+			<< what;
+		EXPECT_EQ(read.substr(0, 12), "HTTP/1.1 200") << what;
+		EXPECT_EQ(body_of(read), "whole") << what;
+	}
+};
+
+std::string begin_without_length(const Arrival &arrival)
+{
+	return "HTTP/1.1 200 OK\r\n" + arrival.head_lines() + "\r\n" +
+	       std::string(FIRST_PART, 'a');
+}
+
+/* Begins an answer without a length, and resets the connection while the VM
+ * still writes the request. */
+bool cut_by_reset(const Arrival &arrival)
+{
+	send_all(arrival.fd, begin_without_length(arrival));
+	usleep(SHORT_PAUSE);
+	set_reset_on_close(arrival.fd);
+	return false;
+}
+
+/* Guards against a write that takes the report of a reset, after which the next
+ * read looks like an orderly end. */
+TEST_F(BrokenAnswer, AResetWhileTheRequestIsWrittenCutsTheAnswer)
+{
+	const std::string body(LARGE_BODY, 'u');
+
+	act = cut_by_reset;
+	for (int i = 0; i < 3; i++)
+		expect_not_passed_on(body, "reset");
+}
+
+/* Guards against the same at the other VM, which would report an orderly end.
+ */
+TEST_F(BrokenAnswer, AResetThatAnotherVmSeesCutsTheAnswer)
+{
+	const std::string body(LARGE_BODY, 'u');
+
+	ASSERT_NO_FATAL_FAILURE(leave_by_other_vm());
+	act = cut_by_reset;
+	for (int i = 0; i < 3; i++)
+		expect_not_passed_on(body, "reset");
+}
+
+/* Guards against an answer that is refused although its target has ended it in
+ * order, while the request is still written. */
+TEST_F(BrokenAnswer, AnEarlyAnswerThatEndsInOrderIsWhole)
+{
+	act = [](const Arrival &arrival) {
+		send_all(arrival.fd, begin_without_length(arrival));
+		usleep(SHORT_PAUSE);
+		send_all(arrival.fd, std::string(REST, 'a'));
+		shutdown(arrival.fd, SHUT_WR);
+		arrival.read_body();
+		return false;
+	};
+	std::string found =
+		send_request(0, "/order/odd", std::string(LARGE_BODY, 'u'));
+
+	EXPECT_EQ(found.substr(0, 12), "HTTP/1.1 200");
+	EXPECT_EQ(body_of(found).size(), FIRST_PART + REST);
+}
+
+/* Guards against the same where the rest of the request is reset after that end
+ * and the VM notices both at once. */
+TEST_F(BrokenAnswer, AResetAfterTheOrderlyEndCutsNothing)
+{
+	act = [this](const Arrival &arrival) {
+		send_all(arrival.fd, begin_without_length(arrival));
+		usleep(SHORT_PAUSE);
+		vms[0]->send(SIGSTOP);
+		send_all(arrival.fd, std::string(REST, 'a'));
+		shutdown(arrival.fd, SHUT_WR);
+		usleep(SHORT_PAUSE);
+		reset(arrival.fd);
+		vms[0]->send(SIGCONT);
+		return false;
+	};
+	std::string found =
+		send_request(0, "/order/odd", std::string(LARGE_BODY, 'u'));
+
+	EXPECT_EQ(found.substr(0, 12), "HTTP/1.1 200");
+	EXPECT_EQ(body_of(found).size(), FIRST_PART + REST);
+}
+
+/* Guards against an answer with its length that is refused because of a reset
+ * after it. */
+TEST_F(BrokenAnswer, AnAnswerWithItsLengthIsWholeBeforeAReset)
+{
+	act = [](const Arrival &arrival) {
+		send_all(arrival.fd, http(200, arrival.head_lines(), "early"));
+		usleep(SHORT_PAUSE);
+		set_reset_on_close(arrival.fd);
+		return false;
+	};
+	std::string found =
+		send_request(0, "/order/odd", std::string(LARGE_BODY, 'u'));
+
+	EXPECT_EQ(found.substr(0, 12), "HTTP/1.1 200");
+	EXPECT_EQ(body_of(found), "early");
+}
+
+} // namespace
--- a/tests/soak/net.h
+++ b/tests/soak/net.h
@@ -207,6 +207,9 @@
 
 		fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
 		setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof(one));
+		if (receive_bytes)
+			setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &receive_bytes,
+				   sizeof(receive_bytes));
 		if (bind(fd, (sockaddr *)&addr, sizeof(addr)) ||
 		    listen(fd, 256)) {
 			close(fd);
@@ -240,6 +243,8 @@
 	}
 
 	const Address address;
+	/* Size of the connections' receive buffers; 0: the default. */
+	int receive_bytes = 0;
 
       private:
 	struct Connection {
