message: an answer whose status is none is broken

A target in trouble sent an answer with the status 000. Without a length, callers got it as "HTTP/1.1 0 <unknown>"; with one and the connection kept open, the request waited at the target until its deadline (504), as statuses below 200 count as interim and another answer was awaited. Statuses of 600 and above, and answers of HTTP/2.0 or 0.9, were passed on.

Cause: http_parser takes any number up to 999, and nothing asked whether the head can be one of HTTP/1.x. on_head() now refuses other versions and statuses outside of 100 to 599 (RFC 9110, 15) for all answers: of targets on any connection, of other VMs and of the store. To the detection of gray targets it is a broken answer; a read is sent to another target at once, an order gets 502, as it may have run.

Before, with real VMs: orders answered 0, 600, 999, 200 (HTTP/2.0) and 504 in eight of eight kinds, and reads with the broken answer where it ended at once. After: 502, and reads are served by another target. Unusual answers that are sound (no reason, HTTP/1.0, interim ones before, bytes above 127, chunk extensions, trailers, line ends without CR) pass before and after.

--- a/entry/message.c
+++ b/entry/message.c
@@ -72,10 +72,22 @@
 	return 0;
 }
 
+/* Returns whether this can be a message of HTTP/1.x at all. */
+static bool has_sound_head(const struct message *msg)
+{
+	const http_parser *p = &msg->parser;
+
+	return p->type != HTTP_RESPONSE ||
+	       (p->http_major == 1 && p->status_code >= 100 &&
+		p->status_code <= 599);
+}
+
 static int on_head(http_parser *p)
 {
 	struct message *msg = message_of(p);
 
+	if (!has_sound_head(msg))
+		return -1;
 	/*
 	 * Any further fields are trailers, which no check of the head has
 	 * covered.
--- a/tests/broken_answer_test.cc
+++ b/tests/broken_answer_test.cc
@@ -153,17 +153,28 @@
 					 rest.substr(end + 4) };
 
 			rest.clear();
-			if (!(is_odd(arrival) ? act(arrival) : answer(arrival)))
+			if (!act_on(arrival)(arrival))
 				return;
 		}
 	}
 
-	bool is_odd(const Arrival &arrival)
+	/* Returns what the target does with the request. */
+	Act act_on(const Arrival &arrival)
 	{
 		std::lock_guard<std::mutex> lock(mutex);
+		bool is_first = !attempts[arrival.id]++;
 
-		return !attempts[arrival.id]++ &&
-		       arrival.head.find("/odd") != std::string::npos;
+		return is_first && arrival.head.find("/odd") !=
+					       std::string::npos
+			       ? act
+			       : answer;
+	}
+
+	void set_act(Act with)
+	{
+		std::lock_guard<std::mutex> lock(mutex);
+
+		act = std::move(with);
 	}
 
 	static bool answer(const Arrival &arrival)
@@ -184,6 +195,21 @@
 		}));
 	}
 
+	/* Answers the first attempt of each request with the bytes, in which ID
+	 * stands for the fields of a sound answer. Then the target closes the
+	 * connection, or waits for another request. */
+	void act_with(const std::string &bytes, bool closes = true)
+	{
+		set_act([bytes, closes](const Arrival &arrival) {
+			std::string text = bytes;
+
+			text.replace(text.find("ID\r\n"), 4,
+				     arrival.head_lines());
+			arrival.read_body();
+			return send_all(arrival.fd, text) && !closes;
+		});
+	}
+
 	/* Checks that an order gets a 502 and a read is served by another
 	 * target, by the first VM itself. */
 	void expect_not_passed_on(const std::string &body,
@@ -221,7 +247,7 @@
 {
 	const std::string body(LARGE_BODY, 'u');
 
-	act = cut_by_reset;
+	set_act(cut_by_reset);
 	for (int i = 0; i < 3; i++)
 		expect_not_passed_on(body, "reset");
 }
@@ -233,7 +259,7 @@
 	const std::string body(LARGE_BODY, 'u');
 
 	ASSERT_NO_FATAL_FAILURE(leave_by_other_vm());
-	act = cut_by_reset;
+	set_act(cut_by_reset);
 	for (int i = 0; i < 3; i++)
 		expect_not_passed_on(body, "reset");
 }
@@ -242,14 +268,14 @@
  * order, while the request is still written. */
 TEST_F(BrokenAnswer, AnEarlyAnswerThatEndsInOrderIsWhole)
 {
-	act = [](const Arrival &arrival) {
+	set_act([](const Arrival &arrival) {
 		send_all(arrival.fd, begin_without_length(arrival));
 		usleep(SHORT_PAUSE);
 		send_all(arrival.fd, std::string(REST, 'a'));
 		shutdown(arrival.fd, SHUT_WR);
 		arrival.read_body();
 		return false;
-	};
+	});
 	std::string found =
 		send_request(0, "/order/odd", std::string(LARGE_BODY, 'u'));
 
@@ -261,7 +287,7 @@
  * and the VM notices both at once. */
 TEST_F(BrokenAnswer, AResetAfterTheOrderlyEndCutsNothing)
 {
-	act = [this](const Arrival &arrival) {
+	set_act([this](const Arrival &arrival) {
 		send_all(arrival.fd, begin_without_length(arrival));
 		usleep(SHORT_PAUSE);
 		vms[0]->send(SIGSTOP);
@@ -271,7 +297,7 @@
 		reset(arrival.fd);
 		vms[0]->send(SIGCONT);
 		return false;
-	};
+	});
 	std::string found =
 		send_request(0, "/order/odd", std::string(LARGE_BODY, 'u'));
 
@@ -283,12 +309,12 @@
  * after it. */
 TEST_F(BrokenAnswer, AnAnswerWithItsLengthIsWholeBeforeAReset)
 {
-	act = [](const Arrival &arrival) {
+	set_act([](const Arrival &arrival) {
 		send_all(arrival.fd, http(200, arrival.head_lines(), "early"));
 		usleep(SHORT_PAUSE);
 		set_reset_on_close(arrival.fd);
 		return false;
-	};
+	});
 	std::string found =
 		send_request(0, "/order/odd", std::string(LARGE_BODY, 'u'));
 
@@ -296,4 +322,75 @@
 	EXPECT_EQ(body_of(found), "early");
 }
 
+struct Odd {
+	const char *bytes;
+	/* Whether the target closes the connection after them. */
+	bool closes;
+};
+
+/* Guards against a status that is none: it was passed on, or taken for an
+ * interim one after which the VM waited for another. */
+TEST_F(BrokenAnswer, AStatusThatIsNoneIsNotPassedOn)
+{
+	const Odd odd[] = {
+		{ "HTTP/1.1 000 X\r\nID\r\n\r\nnot", true },
+		{ "HTTP/1.1 000 X\r\nID\r\nContent-Length: 3\r\n\r\nnot",
+		  false },
+		{ "HTTP/1.1 0 X\r\nID\r\n\r\nnot", true },
+		{ "HTTP/1.1 20 X\r\nID\r\nContent-Length: 3\r\n\r\nnot",
+		  false },
+		{ "HTTP/1.1 99 X\r\nID\r\nContent-Length: 3\r\n\r\nnot",
+		  false },
+		{ "HTTP/1.1 600 X\r\nID\r\nContent-Length: 3\r\n\r\nnot",
+		  false },
+		{ "HTTP/1.1 999 X\r\nID\r\n\r\nnot", true },
+		{ "HTTP/2.0 200 X\r\nID\r\nContent-Length: 3\r\n\r\nnot",
+		  false },
+	};
+
+	for (const Odd &each : odd) {
+		act_with(each.bytes, each.closes);
+		expect_not_passed_on("", each.bytes);
+	}
+}
+
+/* Guards against refusing sound answers that are unusual. */
+TEST_F(BrokenAnswer, UnusualAnswersArePassedOn)
+{
+	const Odd odd[] = {
+		{ "HTTP/1.1 200 X\r\nID\r\n\r\nfine", true },
+		{ "HTTP/1.1 200 \r\nID\r\nContent-Length: 4\r\n\r\nfine",
+		  false },
+		{ "HTTP/1.1 200\r\nID\r\nContent-Length: 4\r\n\r\nfine",
+		  false },
+		{ "HTTP/1.0 200 OK\r\nID\r\n\r\nfine", true },
+		{ "HTTP/1.1 200 OK\r\nID\r\nX-Y: \xe9\xff\tz \r\n"
+		  "Content-Length: 4 \r\n\r\nfine",
+		  false },
+		{ "HTTP/1.1 200 OK\r\nID\r\nx!#$%&'*+.^_`|~-9:\r\n"
+		  "Content-Length: 4\r\n\r\nfine",
+		  false },
+		{ "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\n"
+		  "Link: </a>\r\n\r\nHTTP/1.1 200 OK\r\nID\r\n"
+		  "Content-Length: 4\r\n\r\nfine",
+		  false },
+		{ "HTTP/1.1 200 OK\r\nID\r\nTransfer-Encoding: chunked\r\n\r\n"
+		  "3;a=\"b c\"\r\nfin\r\n1\r\ne\r\n0\r\nX-After: 1\r\n\r\n",
+		  false },
+		{ "HTTP/1.1 200 OK\nID\r\nContent-Length: 4\n\nfine", false },
+	};
+
+	for (const Odd &each : odd) {
+		act_with(each.bytes, each.closes);
+		for (const char *path : { "/read/odd", "/order/odd" }) {
+			std::string found = send_request(
+				0, path, path[1] == 'o' ? "order" : "");
+
+			EXPECT_EQ(found.substr(0, 12), "HTTP/1.1 200")
+				<< each.bytes;
+			EXPECT_EQ(body_of(found), "fine") << each.bytes;
+		}
+	}
+}
+
 } // namespace
--- a/tests/message_test.cc
+++ b/tests/message_test.cc
@@ -170,6 +170,39 @@
 	EXPECT_EQ(body(), "all of it");
 }
 
+/* Guards against a status that is none and is passed on or waited for. */
+TEST_F(Message, AStatusHasThreeDigitsInTheRangeOfTheStandard)
+{
+	start(HTTP_RESPONSE);
+	for (const char *line :
+	     { "HTTP/1.1 000 X", "HTTP/1.1 0 X", "HTTP/1.1 1 X",
+	       "HTTP/1.1 20 OK", "HTTP/1.1 099 X", "HTTP/1.1 2000 OK",
+	       "HTTP/1.1 600 X", "HTTP/1.1 999 X", "HTTP/1.1 -200 OK",
+	       "HTTP/1.1 2 00 OK", "HTTP/1.1 OK", "HTTP/1.1", "HTTP/1.1 200OK",
+	       "HTTP/0.9 200 OK", "HTTP/2.0 200 OK" }) {
+		message_reset(&msg);
+		EXPECT_EQ(feed(line + std::string("\r\nContent-Length: 2"
+						  "\r\n\r\nok")),
+			  -1)
+			<< line;
+		EXPECT_FALSE(message_end_of_stream(&msg)) << line;
+	}
+}
+
+/* Guards against refusing answers that are sound and unusual. */
+TEST_F(Message, AStatusLineMayLackItsReason)
+{
+	start(HTTP_RESPONSE);
+	for (const char *line :
+	     { "HTTP/1.1 200 ", "HTTP/1.1 200", "HTTP/1.0 200 OK",
+	       "HTTP/1.1 200 d\xe9j\xe0\tvu", "HTTP/1.1 599 X" }) {
+		message_reset(&msg);
+		feed(line + std::string("\r\nContent-Length: 2\r\n\r\nok"));
+		EXPECT_TRUE(msg.complete) << line;
+		EXPECT_EQ(body(), "ok");
+	}
+}
+
 TEST_F(Message, AResponseToHeadHasNoBody)
 {
 	start(HTTP_RESPONSE);
