message: refuse an answer whose coding this VM does not undo

An answer with a transfer coding other than chunks (gzip, alone or before chunks), with chunks twice, or with chunks in HTTP/1.0 was passed on: its body was read to the end of the stream or as chunks, and sent on with a length of its own and without the coding. Callers took that for the target's body.

Cause: http_parser reads a body with an unknown coding to the end, and the field that tells of the coding is one of the connection and is not passed on. The only Transfer-Encoding is now "chunked", once, in HTTP/1.1; "identity", which says nothing, passes as before. Requests are held to the same. Heads that tell the length in two ways, or not as a number, were refused before: the test has them too.

--- a/entry/message.c
+++ b/entry/message.c
@@ -72,14 +72,43 @@
 	return 0;
 }
 
+/* Returns whether the value is the word, with any blanks around it. */
+static bool value_is(const char *value, const char *word)
+{
+	size_t len = strlen(word);
+
+	value += strspn(value, " \t");
+	return !strncasecmp(value, word, len) &&
+	       !value[len + strspn(value + len, " \t")];
+}
+
+/*
+ * Returns whether the body is in no other coding than chunks, which is the only
+ * one that is decoded here and which HTTP/1.0 lacks. http_parser checks the
+ * length.
+ */
+static bool has_sound_framing(const struct message *msg)
+{
+	const char *coding = message_header(msg, "Transfer-Encoding");
+	bool chunked = (msg->parser.flags & F_CHUNKED) != 0;
+
+	if (!coding)
+		return !chunked;
+	return message_count(msg, "Transfer-Encoding") == 1 &&
+	       value_is(coding, chunked ? "chunked" : "identity") &&
+	       msg->parser.http_minor > 0;
+}
+
 /* Returns whether this can be a message of HTTP/1.x at all. */
 static bool has_sound_head(const struct message *msg)
 {
 	const http_parser *p = &msg->parser;
 
-	return p->type != HTTP_RESPONSE ||
-	       (p->http_major == 1 && p->status_code >= 100 &&
-		p->status_code <= 599);
+	if (p->type == HTTP_RESPONSE &&
+	    (p->http_major != 1 || p->status_code < 100 ||
+	     p->status_code > 599))
+		return false;
+	return has_sound_framing(msg);
 }
 
 static int on_head(http_parser *p)
--- a/tests/broken_answer_test.cc
+++ b/tests/broken_answer_test.cc
@@ -410,6 +410,30 @@
 	expect_not_passed_on("", "000");
 }
 
+/* Guards against a body that ends elsewhere than the target's. */
+TEST_F(BrokenAnswer, ABodyWithoutOneLengthIsNotPassedOn)
+{
+	const Odd odd[] = {
+		{ "HTTP/1.1 200 X\r\nID\r\nContent-Length:\r\n\r\nnot", true },
+		{ "HTTP/1.1 200 X\r\nID\r\nContent-Length: 3\r\n"
+		  "Content-Length: 4\r\n\r\nnot",
+		  false },
+		{ "HTTP/1.1 200 X\r\nID\r\nContent-Length: 3\r\n"
+		  "Transfer-Encoding: chunked\r\n\r\n3\r\nnot\r\n0\r\n\r\n",
+		  false },
+		{ "HTTP/1.1 200 X\r\nID\r\nTransfer-Encoding: gzip, chunked\r\n\r\n"
+		  "3\r\nnot\r\n0\r\n\r\n",
+		  false },
+		{ "HTTP/1.1 200 X\r\nID\r\nTransfer-Encoding: gzip\r\n\r\nnot",
+		  true },
+	};
+
+	for (const Odd &each : odd) {
+		act_with(each.bytes, each.closes);
+		expect_not_passed_on("", each.bytes);
+	}
+}
+
 /* Guards against refusing sound answers that are unusual. */
 TEST_F(BrokenAnswer, UnusualAnswersArePassedOn)
 {
--- a/tests/message_test.cc
+++ b/tests/message_test.cc
@@ -359,6 +359,42 @@
 	}
 }
 
+/* Guards against a body whose length the head tells in two ways, or by a coding
+ * that is not undone here. */
+TEST_F(Message, AResponseTellsItsLengthInOneWay)
+{
+	start(HTTP_RESPONSE);
+	for (const char *fields :
+	     { "Content-Length:\r\n",
+	       "Content-Length: \r\n",
+	       "Content-Length: 2, 2\r\n",
+	       "Content-Length: +2\r\n",
+	       "Content-Length: 2x\r\n",
+	       "Content-Length: 2 3\r\n",
+	       "Content-Length: 2\r\n 3\r\n",
+	       "Content-Length: 2\r\nContent-Length: 3\r\n",
+	       "Content-Length: 2\r\nContent-Length:\r\n",
+	       "Content-Length: 2\r\nTransfer-Encoding: chunked\r\n",
+	       "Transfer-Encoding: chunked\r\nContent-Length: 2\r\n",
+	       "Content-Length: 2\r\nTransfer-Encoding: identity\r\n",
+	       "Transfer-Encoding: gzip\r\n",
+	       "Transfer-Encoding: gzip, chunked\r\n",
+	       "Transfer-Encoding: chunked, chunked\r\n",
+	       "Transfer-Encoding: chunked, identity\r\n",
+	       "Transfer-Encoding: chunked\r\nTransfer-Encoding: gzip\r\n",
+	       "Transfer-Encoding: chunked;q=1\r\n",
+	       "Transfer-Encoding: xchunked\r\n",
+	       "Transfer-Encoding:\r\n" }) {
+		message_reset(&msg);
+		EXPECT_EQ(feed(OK + fields + "\r\n2\r\nok\r\n0\r\n\r\n"), -1)
+			<< fields;
+	}
+	message_reset(&msg);
+	EXPECT_EQ(feed("HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+		       "2\r\nok\r\n0\r\n\r\n"),
+		  -1);
+}
+
 TEST_F(Message, AResponseToHeadHasNoBody)
 {
 	start(HTTP_RESPONSE);
