message: an answer with a status that has no body ends with its head

An order or a read that was answered with 304 or 204 and a Content-Length, which a 304 may have, waited for that body until its deadline and got 504. Interim answers were read in the same way.

Cause: the parser goes by the fields. RFC 9112, 6.3: answers with 1xx, 204 and 304 end with the empty line after the head, whatever the fields say. on_head() says so now, as it does for HEAD, and the limit of a body no longer applies where none comes.

--- a/entry/message.c
+++ b/entry/message.c
@@ -111,9 +111,21 @@
 	return has_sound_framing(msg);
 }
 
+/* Returns whether no body follows the head, whatever its fields say. */
+static bool has_no_body(const struct message *msg)
+{
+	const http_parser *p = &msg->parser;
+
+	return msg->head_only ||
+	       (p->type == HTTP_RESPONSE &&
+		(p->status_code < 200 || p->status_code == 204 ||
+		 p->status_code == 304));
+}
+
 static int on_head(http_parser *p)
 {
 	struct message *msg = message_of(p);
+	bool no_body = has_no_body(msg);
 
 	if (!has_sound_head(msg))
 		return -1;
@@ -123,12 +135,13 @@
 	 */
 	msg->head_done = true;
 	msg->framed = (p->flags & (F_CHUNKED | F_CONTENTLENGTH)) != 0;
-	if ((p->flags & F_CONTENTLENGTH) && p->content_length > msg->max_body) {
+	if (!no_body && (p->flags & F_CONTENTLENGTH) &&
+	    p->content_length > msg->max_body) {
 		msg->body_too_long = true;
 		return -1;
 	}
 	syntax_begin_body(&msg->syntax, (p->flags & F_CHUNKED) != 0);
-	return msg->head_only;
+	return no_body;
 }
 
 static int on_body(http_parser *p, const char *at, size_t len)
--- a/tests/broken_answer_test.cc
+++ b/tests/broken_answer_test.cc
@@ -473,4 +473,14 @@
 	}
 }
 
+/* Guards against waiting for a body that the status excludes. */
+TEST_F(BrokenAnswer, AnAnswerWithoutABodyMayTellALength)
+{
+	act_with("HTTP/1.1 304 X\r\nID\r\nContent-Length: 9\r\n\r\n", false);
+	EXPECT_EQ(status(0, "/read/odd"), 304);
+	EXPECT_EQ(status(0, "/order/odd", "order"), 304);
+	act_with("HTTP/1.1 204 X\r\nID\r\nContent-Length: 9\r\n\r\n", false);
+	EXPECT_EQ(status(0, "/order/odd", "order"), 204);
+}
+
 } // namespace
--- a/tests/message_test.cc
+++ b/tests/message_test.cc
@@ -395,6 +395,22 @@
 		  -1);
 }
 
+/* Guards against waiting for a body that a status excludes. */
+TEST_F(Message, SomeStatusesHaveNoBodyWhateverTheHeadSays)
+{
+	start(HTTP_RESPONSE);
+	for (const char *status : { "100 X", "103 X", "204 X", "304 X" })
+		for (const char *fields :
+		     { "", "Content-Length: 10\r\n",
+		       "Content-Length: 99999999\r\n",
+		       "Transfer-Encoding: chunked\r\n" }) {
+			message_reset(&msg);
+			feed("HTTP/1.1 " + std::string(status) + "\r\n" +
+			     fields + "\r\n");
+			EXPECT_TRUE(msg.complete) << status << fields;
+		}
+}
+
 TEST_F(Message, AResponseToHeadHasNoBody)
 {
 	start(HTTP_RESPONSE);
