upstream: an answer with status 101 is broken

A target that answers with 101, which this VM never asks for, was taken for one that goes on to answer: the order waited until its deadline and got 504, a read until it was sent to a second target. What follows a 101 is of another protocol, in which a part that looks like an answer would have been passed on.

It is a broken answer now.

--- a/entry/upstream.c
+++ b/entry/upstream.c
@@ -255,6 +255,12 @@
 			finish(u, classify_response(u));
 			return;
 		}
+		/* What follows would be of another protocol, which this VM
+		 * has not asked for. */
+		if (u->response.parser.status_code == 101) {
+			finish(u, UPSTREAM_BROKEN);
+			return;
+		}
 		if (!message_skip(&u->response)) {
 			finish(u, UPSTREAM_OVERSIZED);
 			return;
--- a/tests/broken_answer_test.cc
+++ b/tests/broken_answer_test.cc
@@ -356,6 +356,15 @@
 	}
 }
 
+/* Guards against waiting for an answer in a protocol that was not asked for. */
+TEST_F(BrokenAnswer, AnotherProtocolIsNotAwaited)
+{
+	act_with("HTTP/1.1 101 X\r\nConnection: Upgrade\r\nUpgrade: odd\r\n"
+		 "ID\r\n\r\n",
+		 false);
+	expect_not_passed_on("", "101");
+}
+
 const Odd odd_fields[] = {
 	{ "HTTP/1.1 200 X\r\nID\r\nX Y: 1\r\n\r\nnot", true },
 	{ "HTTP/1.1 200 X\r\nID\r\nX-Y : 1\r\nContent-Length: 3\r\n\r\nnot",
