attempt: an answer with a field or a status that is none is garbage

toucanreeld passed on answers of targets in whose head or trailer a name held a blank or a control byte, or a value a control byte, and statuses of 600 and above.

Cause: libcurl hands on header lines as they came, and looks at the first digits of the status only. receive_header() now asks for a name, a colon and a value as in RFC 9110, and for a status from 100 to 599; otherwise the attempt ends as garbage, with an outcome that is unknown.

An answer that ends with its connection, cut or not, was never passed on as whole by this daemon, and isn't.

--- a/src/attempt.c
+++ b/src/attempt.c
@@ -6,6 +6,7 @@
 
 #include "cleanup.h"
 #include "client.h"
+#include "field.h"
 #include "headers.h"
 #include "loop.h"
 #include "request.h"
@@ -165,12 +166,14 @@
 	       !strncasecmp(line, HEADER_PREFIX, strlen(HEADER_PREFIX));
 }
 
-static void read_status_line(struct request *r, const char *line)
+/* Returns whether the status is one: libcurl takes any of three digits. */
+static bool read_status_line(struct request *r, const char *line)
 {
 	r->attempt.header_bytes = 0;
 	r->attempt.length_known = false;
 	reply_clear(&r->reply);
 	sscanf(line, "HTTP/%*s %d", &r->reply.status);
+	return r->reply.status >= 100 && r->reply.status <= 599;
 }
 
 static size_t receive_header(char *data, size_t size, size_t n, void *ctx)
@@ -185,12 +188,16 @@
 
 	while (len && (data[len - 1] == '\r' || data[len - 1] == '\n'))
 		len--;
-	if (len > 5 && !strncmp(data, "HTTP/", 5)) {
-		read_status_line(r, data);
+	if (len > 5 && !strncmp(data, "HTTP/", 5))
+		return read_status_line(r, data) ? total : 0;
+	if (!len)
 		return total;
-	}
 	a->header_bytes += len;
-	if (a->header_bytes > HEADERS_MAX)
+	colon = memchr(data, ':', len);
+	/* libcurl passes on any line. */
+	if (a->header_bytes > HEADERS_MAX || !colon ||
+	    !field_is_name(data, (size_t)(colon - data)) ||
+	    !field_is_value(colon, len - (size_t)(colon - data)))
 		return 0;
 	if (is_header(data, len, "Content-Length", &value, &value_len)) {
 		r->reply.length = strtoll(value, NULL, 10);
@@ -202,9 +209,6 @@
 	if (read_target_state(r, data, len) ||
 	    is_hop_header(data, len, a->forwarded))
 		return total;
-	colon = memchr(data, ':', len);
-	if (!colon)
-		return total;
 	value = colon + 1;
 	value_len = len - (size_t)(value - data);
 	while (value_len && *value == ' ') {
--- a/tests/path_test.cc
+++ b/tests/path_test.cc
@@ -189,6 +189,43 @@
 	EXPECT_EQ(outcome(answer), "unknown");
 }
 
+/* Guards against an answer that is none by its status or by a field, and is
+ * passed on. */
+TEST(Path, AnswerWithAnInvalidHeadIsReportedAsGarbage)
+{
+	const char *const heads[] = {
+		"HTTP/1.1 000 X\r\n",
+		"HTTP/1.1 0 X\r\n",
+		"HTTP/1.1 99 X\r\n",
+		"HTTP/1.1 0200 X\r\n",
+		"HTTP/1.1 2000 X\r\n",
+		"HTTP/1.1 600 X\r\n",
+		"HTTP/1.1 200 OK\r\nX Y: 1\r\n",
+		"HTTP/1.1 200 OK\r\nX-Y : 1\r\n",
+		"HTTP/1.1 200 OK\r\nX\x01Y: 1\r\n",
+		"HTTP/1.1 200 OK\r\nX-Y: \x01\r\n",
+		"HTTP/1.1 200 OK\r\nX-Y: \x7f\r\n",
+		"HTTP/1.1 200 OK\r\n: 1\r\n",
+		"HTTP/1.1 200 OK\r\nno field\r\n",
+		"HTTP/1.1 200 OK\r\nContent-Length : 3\r\n",
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding : chunked\r\n",
+	};
+	for (const char *head : heads) {
+		RawTarget target([&](int fd, const std::string &) {
+			RawTarget::send_text(
+				fd,
+				head + std::string("Content-Length: 3\r\n\r\n"
+						   "not"));
+			shutdown(fd, SHUT_RDWR);
+		});
+		Stack vm({ target.address });
+		std::string answer = vm.get("/a");
+
+		EXPECT_EQ(code(answer), TR_GARBAGE) << head << answer;
+		EXPECT_EQ(outcome(answer), "unknown") << head;
+	}
+}
+
 TEST(Path, OversizedHeadersOfATargetAreRejected)
 {
 	RawTarget target([](int fd, const std::string &) {
