caller: a connection whose reply is still on its way is not idle

Cause: listener_close_idle() asked whether a request was being read or handled, and not whether the last reply was delivered. Connections with output that the socket has not taken, and those that wait for the caller to close, are left to their own timeouts and to the end of the stop.

--- a/entry/caller.c
+++ b/entry/caller.c
@@ -476,14 +476,21 @@
 	listener->fd = -1;
 }
 
-/* Closes the connections on which no request has begun. */
+/* Returns whether no request has begun, and the last reply is delivered. */
+static bool is_idle(const struct caller *c)
+{
+	return !c->handling && !c->in.begun && !c->pipelined && !c->lingering &&
+	       stream_is_drained(&c->stream);
+}
+
+/* Closes the connections that are idle. */
 void listener_close_idle(struct listener *listener)
 {
 	struct caller *next;
 
 	for (struct caller *c = listener->callers; c; c = next) {
 		next = c->next;
-		if (!c->handling && !c->in.begun && !c->pipelined)
+		if (is_idle(c))
 			free_caller(c);
 	}
 }
--- a/tests/entry_path_test.cc
+++ b/tests/entry_path_test.cc
@@ -91,7 +91,7 @@
 	std::atomic<bool> store_down{ false };
 	std::atomic<bool> truncate_config{ false };
 	std::string header_timeout = "3s", idle_timeout = "9s";
-	std::string max_body = "1000", more_settings;
+	std::string max_body = "1000", more_settings, grace = "3s";
 	/*
 	 * Organisations of the configuration, as rows; within which time a VM
 	 * must prove that their keys are still valid, and whether it must.
@@ -188,7 +188,8 @@
 		    << more_settings << "seeds: []\nbounds:\n"
 		    << "  repeat_ratio: 0.2\n  repeat_slack: 50\n"
 		    << "  floor_share: 0.7\n  repeat_window: 10s\n"
-		    << "  keep_most: 5s\n  grace: 3s\n  drain: 2s\n"
+		    << "  keep_most: 5s\n  grace: " << grace
+		    << "\n  drain: 2s\n"
 		    << "  fail_closed: " << (fail_closed ? "true" : "false")
 		    << "\n  key_proof: " << proof
 		    << "\n  limit_over: 0.25\n  limit_slack: 4\n"
@@ -739,6 +740,44 @@
 	EXPECT_EQ(status_of(answer), 504) << answer;
 }
 
+/* Guards against an answer that is cut in a stop while its caller reads it. */
+TEST_F(Entry, AReplyThatIsStillReadIsNotCutAtShutdown)
+{
+	/* More than the buffers of a connection that is not read. */
+	const std::string large(12000000, 'x');
+	const std::string request = "GET /read/a HTTP/1.1\r\nHost: h.x\r\n"
+				    "X-Request-Id: id-1\r\n\r\n";
+	int fd, other;
+
+	grace = "6s";
+	target_handler = [&](const std::string &got) {
+		return http(200,
+			    "X-Request-Id: " + header(got, "X-Request-Id") +
+				    "\r\nX-Server-Stamp: s.1\r\n",
+			    large);
+	};
+	start_ready();
+	fd = http_connect(front);
+	ASSERT_GE(fd, 0);
+	ASSERT_GT(send(fd, request.data(), request.size(), 0), 0);
+	ASSERT_TRUE(eventually([&] {
+		char c;
+
+		return recv(fd, &c, 1, MSG_PEEK) == 1;
+	}));
+	kill(pid, SIGTERM);
+	ASSERT_TRUE(eventually([&] {
+		other = http_connect(front);
+		if (other >= 0)
+			close(other);
+		return other < 0;
+	}));
+	std::string answer = http_read(fd);
+	close(fd);
+	EXPECT_EQ(status_of(answer), 200);
+	EXPECT_EQ(answer.size() - answer.find("\r\n\r\n") - 4, large.size());
+}
+
 TEST_F(Entry, SighupReloadsAndAnInvalidFileChangesNothing)
 {
 	std::string lines;
