exchange: a request that is held when the VM ends gets a reply

A VM that holds requests, after its start or a pause, until it knows the targets closed their connections without a reply when its grace was over. Nothing of them had been sent to a target, and their callers could not know.

Cause: exchange_reply_all() answered requests that an exchange exists for; held ones have none yet.

Before: no byte; after: 503.

--- a/entry/exchange.c
+++ b/entry/exchange.c
@@ -484,6 +484,7 @@
  */
 void exchange_reply_all(struct entry *e)
 {
+	exchange_refuse_held(e);
 	for (struct exchange *x = e->exchanges; x; x = x->next)
 		if (!x->done)
 			exchange_reply_local(
--- a/entry/exchange_arrive.c
+++ b/entry/exchange_arrive.c
@@ -330,6 +330,13 @@
 		admit(e, g_ptr_array_remove_index(e->held_callers, 0));
 }
 
+/* Refuses the held requests. */
+void exchange_refuse_held(struct entry *e)
+{
+	while (e->held_callers->len)
+		reject(g_ptr_array_remove_index(e->held_callers, 0), 503);
+}
+
 /*
  * The caller has disconnected. A request that may be repeated is cancelled at
  * its target. Any other goes on to its end, since it cannot be undone.
--- a/entry/exchange_internal.h
+++ b/entry/exchange_internal.h
@@ -77,5 +77,6 @@
 void exchange_count_request(struct entry *e, struct caller *caller);
 bool exchange_routes_outdated(const struct entry *e);
 void exchange_refuse(struct caller *caller, int status, apr_time_t after);
+void exchange_refuse_held(struct entry *e);
 
 #endif
--- a/tests/entry_path_test.cc
+++ b/tests/entry_path_test.cc
@@ -778,6 +778,27 @@
 	EXPECT_EQ(answer.size() - answer.find("\r\n\r\n") - 4, large.size());
 }
 
+/* Guards against a request that is held when the VM ends, whose connection was
+ * closed without a reply. */
+TEST_F(Entry, ARequestThatIsHeldGetsAReplyAtShutdown)
+{
+	const std::string request = "GET /read/a HTTP/1.1\r\nHost: h.x\r\n"
+				    "X-Request-Id: id-1\r\n\r\n";
+	int fd = -1;
+
+	grace = "400ms";
+	store_down = true;
+	start();
+	ASSERT_TRUE(eventually([&] {
+		fd = http_connect(front);
+		return fd >= 0;
+	}));
+	ASSERT_GT(send(fd, request.data(), request.size(), 0), 0);
+	kill(pid, SIGTERM);
+	EXPECT_EQ(status_of(http_read(fd)), 503);
+	close(fd);
+}
+
 TEST_F(Entry, SighupReloadsAndAnInvalidFileChangesNothing)
 {
 	std::string lines;
