stop: a request that the VM may not see to its end is refused

In a planned stop of one VM, uploads whose last byte came late in the grace (3 to 5.5 s of 6 s after SIGTERM) were passed on to a target, and at 0.92 of the grace the VM answered them 504 while the target was at work; four of eight were of a kind that may run only once.

Cause: nothing asked whether a request that is sent now can be answered before the VM ends. New connections are refused after 0.45 of the grace, but a request that is being read on an older one was sent at any time.

If the request's own deadline comes before the end, it is sent. Otherwise, while connections are accepted, it is sent if nearly all answers of its service would come in time (the age at which a request counts as overdue); after that it is refused with 503, as the usual time of a service says little of a single late upload, and callers can be served by another VM at once. A request that would be refused is refused while its body is still being read, as soon as its head is known. Refusing all from the signal on was ruled out: callers come for as long as they keep an answer of a lookup.

Before: an upload on a new connection got 504 at the end and was seen by the target; one on a kept connection whose body was not whole got no byte. After: both 503 with Retry-After, not seen by the target; one with a deadline before the end is served, as before.

--- a/entry/entry.h
+++ b/entry/entry.h
@@ -26,6 +26,7 @@
 #include "roster.h"
 #include "route.h"
 #include "routes_view.h"
+#include "stop.h"
 
 struct entry_settings;
 struct exchange;
@@ -116,6 +117,7 @@
 	uint64_t outdated_revision;
 	double split_position; /* quasi-random draw of the traffic split */
 	bool leaving;	       /* since the stop signal */
+	struct tr_stop stop;
 	bool ready;	       /* since the routes and the list are here */
 	bool start_settled;    /* see entry_is_settled() */
 	bool list_fetched;     /* from a peer, since the start */
--- a/entry/exchange.c
+++ b/entry/exchange.c
@@ -185,6 +185,20 @@
 						  "limited",	   "resting",
 						  "body-too-large" };
 
+/* Returns whether an attempt that is sent now ends before a VM that is being
+ * stopped does. */
+static bool ends_before_vm(const struct exchange *x)
+{
+	const struct tr_stop_request req = {
+		.deadline = x->deadline,
+		.expected = exchange_typical_latency(x),
+		.spread = tr_service_stats_spread(
+			&x->e->roster.services[x->service]),
+	};
+
+	return tr_stop_may_send(&x->e->stop, &req, entry_now(x->e));
+}
+
 /*
  * Sends the request to a target or lets it wait. Returns NULL, or the reason
  * why neither is possible.
@@ -194,6 +208,8 @@
 	enum tr_fatal_verdict verdict;
 	struct tr_placement p;
 
+	if (!ends_before_vm(x))
+		return "vm-ends";
 	/* The proof may have expired while the request was held. */
 	if (x->needs_key && !entry_may_use_keys(x->e))
 		return "unproven";
@@ -227,7 +243,7 @@
 static bool can_repeat(struct exchange *x)
 {
 	return !x->done && x->tried_count < MAX_TRIED_TARGETS &&
-	       free_upstream(x) &&
+	       free_upstream(x) && ends_before_vm(x) &&
 	       x->deadline - entry_now(x->e) >=
 		       exchange_typical_latency(x) / 2 &&
 	       tr_fatal_may_repeat(&x->e->fatals, x->identity);
--- a/entry/exchange_arrive.c
+++ b/entry/exchange_arrive.c
@@ -138,20 +138,22 @@
 
 /*
  * Returns when the reply must be sent: by the caller's deadline or the route's
- * timeout, whichever is earlier.
+ * timeout, whichever is earlier. The caller's time runs from the first byte: a
+ * body that came in slowly has used up time that the target no longer has.
  */
-static apr_time_t deadline_of(const struct exchange *x,
-			      const struct message *in)
+static apr_time_t deadline_of(const struct entry *e,
+			      const struct caller *caller,
+			      const struct tr_path_route *route)
 {
-	const char *text = message_header(in, x->e->dialect->deadline_ms);
+	const char *text = message_header(&caller->in, e->dialect->deadline_ms);
 	apr_time_t left = text ? TR_MSEC(strtoll(text, NULL, 10)) : 0;
 	apr_time_t transit = left / REPLY_TRANSIT_PART;
 
 	if (left <= 0)
-		return x->arrived + x->route->timeout;
+		return caller->request_began_at + route->timeout;
 	left -= transit < MAX_REPLY_TRANSIT ? transit : MAX_REPLY_TRANSIT;
-	return x->arrived +
-	       (left < x->route->timeout ? left : x->route->timeout);
+	return caller->request_began_at +
+	       (left < route->timeout ? left : route->timeout);
 }
 
 /* Memory is short: gives up a request that has not ended. */
@@ -215,12 +217,8 @@
 	x->id = g_strdup(message_header(in, e->dialect->request_id));
 	x->method =
 		g_strdup(http_method_str((enum http_method)in->parser.method));
-	/*
-	 * The caller's time runs from the first byte: a body that came in
-	 * slowly has used up time that the target no longer has.
-	 */
 	x->arrived = caller->request_began_at;
-	x->deadline = deadline_of(x, in);
+	x->deadline = deadline_of(e, caller, route);
 	x->head = make_request_head(x, in);
 	move_body(x);
 	x->identity = identity_of(x, in);
@@ -246,6 +244,16 @@
 	return newest > entry_routes_order(e) && newest > e->refused_order;
 }
 
+/* Returns the route of the request, or NULL. */
+static const struct tr_path_route *match_route(const struct entry *e,
+					       const struct message *in)
+{
+	const char *host = message_header(in, "Host");
+
+	return tr_routes_match(e->routes, host, strcspn(host, ":"),
+			       message_target(in));
+}
+
 /* Checks the request, and refuses it or starts its exchange. */
 static void admit(struct entry *e, struct caller *caller)
 {
@@ -264,8 +272,7 @@
 		reject(caller, 400);
 		return;
 	}
-	route = tr_routes_match(e->routes, host, strcspn(host, ":"),
-				message_target(in));
+	route = match_route(e, in);
 	if (!route && exchange_routes_outdated(e)) {
 		reject(caller, 503);
 		return;
@@ -337,6 +344,35 @@
 		reject(g_ptr_array_remove_index(e->held_callers, 0), 503);
 }
 
+/* Returns whether the request, of which the head has been read, can't be sent
+ * to a target any more when its body is whole. */
+static bool is_too_late(const struct entry *e, const struct caller *caller)
+{
+	const struct tr_path_route *route;
+
+	if (!e->routes || !message_header(&caller->in, "Host"))
+		return false;
+	route = match_route(e, &caller->in);
+	return route &&
+	       tr_stop_ends_before(&e->stop, deadline_of(e, caller, route));
+}
+
+/*
+ * Refuses requests of which the body is still being read and that this VM,
+ * which takes no more of them, will not send to a target: other VMs can serve
+ * them.
+ */
+void exchange_refuse_unread(struct entry *e)
+{
+	struct caller *next;
+
+	for (struct caller *c = e->front.callers; c; c = next) {
+		next = c->next;
+		if (!c->handling && c->in.head_done && is_too_late(e, c))
+			reject(c, 503);
+	}
+}
+
 /*
  * The caller has disconnected. A request that may be repeated is cancelled at
  * its target. Any other goes on to its end, since it cannot be undone.
--- a/entry/toucanreel_entry.c
+++ b/entry/toucanreel_entry.c
@@ -38,14 +38,6 @@
 #define TIME_STEP_AT_START TR_MSEC(5)
 /* How often the settings file is checked for a change without a signal. */
 #define SETTINGS_PERIOD TR_SEC(1)
-/*
- * Shares of the grace period between the stop signal and the kill, after which
- * idle connections are closed, new ones are refused, and the process exits in
- * any case.
- */
-#define STOP_IDLE_SHARE	  0.2
-#define STOP_REFUSE_SHARE 0.45
-#define STOP_END_SHARE	  0.92
 
 /*
  * If organisations have limits, requests are held after the start for the first
@@ -62,7 +54,6 @@
 	struct entry e;
 	struct entry_settings *settings;
 	const char *path;
-	apr_time_t stop_since;
 	GSList *old_settings;
 	apr_time_t settings_checked_at;
 	struct timespec settings_mtime;
@@ -72,17 +63,20 @@
 static void step_stop(struct daemon *d, apr_time_t now)
 {
 	struct entry *e = &d->e;
-	double elapsed =
-		(double)(now - d->stop_since) / (double)d->settings->grace_us;
+	enum tr_stop_phase phase;
 
-	if (elapsed > STOP_IDLE_SHARE)
+	e->stop.grace = d->settings->grace_us;
+	phase = tr_stop_phase(&e->stop, now);
+	if (phase >= TR_STOP_NO_IDLE)
 		listener_close_idle(&e->front);
-	if (elapsed > STOP_REFUSE_SHARE)
+	if (phase >= TR_STOP_REFUSES) {
 		listener_stop_accepting(&e->front);
-	if (elapsed > STOP_END_SHARE)
+		exchange_refuse_unread(e);
+	}
+	if (phase >= TR_STOP_OVER)
 		exchange_reply_all(e);
-	if (elapsed > STOP_END_SHARE ||
-	    (elapsed > STOP_REFUSE_SHARE && !e->exchanges_count &&
+	if (phase >= TR_STOP_OVER ||
+	    (phase >= TR_STOP_REFUSES && !e->exchanges_count &&
 	     !e->front.count && !e->tunnels_count))
 		loop_stop(e->loop);
 }
@@ -209,7 +203,7 @@
 			 e->routes->version);
 		mesh_schedule_report(e->mesh);
 	}
-	if (d->stop_since)
+	if (e->stop.since)
 		step_stop(d, now);
 	loop_add_timer(e->loop, e->ready ? TIME_STEP : TIME_STEP_AT_START, step,
 		       d);
@@ -243,9 +237,10 @@
 	struct daemon *d = ctx;
 	struct entry *e = &d->e;
 
-	if (d->stop_since)
+	if (e->stop.since)
 		return;
-	d->stop_since = entry_now(e);
+	e->stop.since = entry_now(e);
+	e->stop.grace = d->settings->grace_us;
 	e->leaving = true;
 	e->members.nodes[0].leaving = true;
 	e->front.closing = true;
--- a/tests/entry_path_test.cc
+++ b/tests/entry_path_test.cc
@@ -778,6 +778,163 @@
 	EXPECT_EQ(answer.size() - answer.find("\r\n\r\n") - 4, large.size());
 }
 
+/* An upload whose body arrives while the VM is being stopped. */
+class LateUpload : public Entry
+{
+      protected:
+	static constexpr size_t BODY = 600;
+
+	int fd = -1;
+
+	void TearDown() override
+	{
+		if (fd >= 0)
+			close(fd);
+		Entry::TearDown();
+	}
+
+	/* Sends the head and a part of the body, on a connection that is kept
+	 * open after a read or on a new one. */
+	void begin(bool kept, unsigned deadline_ms)
+	{
+		std::string read = "GET /read/a HTTP/1.1\r\nHost: h.x\r\n"
+				   "X-Request-Id: id-1\r\n\r\n";
+		std::string head =
+			"POST /order/1 HTTP/1.1\r\nHost: h.x\r\n"
+			"X-Request-Id: id-2\r\nContent-Length: " +
+			std::to_string(BODY) +
+			"\r\nX-Deadline-Ms: " + std::to_string(deadline_ms) +
+			"\r\n\r\nbegun";
+
+		fd = http_connect(front);
+		ASSERT_GE(fd, 0);
+		if (kept) {
+			ASSERT_GT(send(fd, read.data(), read.size(), 0), 0);
+			ASSERT_EQ(status_of(http_read(fd)), 200);
+		}
+		ASSERT_GT(send(fd, head.data(), head.size(), 0), 0);
+	}
+
+	/* Sends SIGTERM, and waits until the VM takes no connections. */
+	void stop_until_refusing()
+	{
+		kill(pid, SIGTERM);
+		ASSERT_TRUE(eventually([this] {
+			int other = http_connect(front);
+
+			if (other >= 0)
+				close(other);
+			return other < 0;
+		}));
+	}
+
+	/* Sends a part of the head. */
+	void begin_head()
+	{
+		const std::string part = "POST /order/1 HTTP/1.1\r\nHost: ";
+
+		fd = http_connect(front);
+		ASSERT_GE(fd, 0);
+		ASSERT_GT(send(fd, part.data(), part.size(), 0), 0);
+	}
+
+	/* Sends the rest of the request. Returns the answer. */
+	std::string finish_head()
+	{
+		const std::string rest = "h.x\r\nX-Request-Id: id-2\r\n"
+					 "Content-Length: 4\r\n\r\nbody";
+
+		send(fd, rest.data(), rest.size(), MSG_NOSIGNAL);
+		return http_read(fd);
+	}
+
+	/* Sends the rest of the body. Returns the answer. */
+	std::string finish()
+	{
+		std::string rest(BODY - strlen("begun"), 'x');
+
+		send(fd, rest.data(), rest.size(), MSG_NOSIGNAL);
+		return http_read(fd);
+	}
+
+	size_t uploads_seen()
+	{
+		size_t n = 0;
+
+		for (const std::string &request : target.seen())
+			n += request.rfind("POST", 0) == 0;
+		return n;
+	}
+};
+
+/* Guards against an upload that is passed on late in a stop and cut at its end,
+ * while the target is at work. */
+TEST_F(LateUpload, WhatMayNotEndInTimeIsRefused)
+{
+	auto over = std::make_shared<std::atomic<bool>>(false);
+
+	target_handler = [over](const std::string &request) {
+		while (!*over && request.rfind("POST", 0) == 0)
+			usleep(1000);
+		return http(200,
+			    "X-Request-Id: " + header(request, "X-Request-Id") +
+				    "\r\nX-Server-Stamp: s.1\r\n",
+			    "fine");
+	};
+	grace = "6s";
+	start_ready();
+	begin(false, 9000);
+	stop_until_refusing();
+	std::string answer = finish();
+	*over = true;
+	EXPECT_EQ(status_of(answer), 503) << answer;
+	EXPECT_NE(header(answer, "Retry-After"), "");
+	EXPECT_EQ(uploads_seen(), 0u);
+}
+
+/* Guards against the same on a connection that was kept open, and against a
+ * caller that is told only when it has sent the rest. */
+TEST_F(LateUpload, ItIsRefusedBeforeItsBodyIsWhole)
+{
+	grace = "6s";
+	start_ready();
+	begin(true, 9000);
+	stop_until_refusing();
+	std::string answer = http_read(fd);
+
+	EXPECT_EQ(status_of(answer), 503) << answer;
+	EXPECT_EQ(header(answer, "Connection"), "close");
+	EXPECT_EQ(uploads_seen(), 0u);
+}
+
+/* Guards against passing on a request that comes late as a whole. */
+TEST_F(LateUpload, ItIsRefusedWhenItsHeadComesLate)
+{
+	grace = "6s";
+	header_timeout = "9s";
+	start_ready();
+	begin_head();
+	stop_until_refusing();
+	std::string answer = finish_head();
+
+	EXPECT_EQ(status_of(answer), 503) << answer;
+	EXPECT_NE(header(answer, "Retry-After"), "");
+	EXPECT_EQ(uploads_seen(), 0u);
+}
+
+/* Guards against refusing what ends before the VM does in any case. */
+TEST_F(LateUpload, WhatEndsInTimeIsServed)
+{
+	grace = "10s";
+	start_ready();
+	begin(false, 8500);
+	stop_until_refusing();
+	std::string answer = finish();
+
+	EXPECT_EQ(status_of(answer), 200) << answer;
+	EXPECT_EQ(uploads_seen(), 1u);
+}
+
 /* Guards against a request that is held when the VM ends, whose connection was
  * closed without a reply. */
 TEST_F(Entry, ARequestThatIsHeldGetsAReplyAtShutdown)
