tests: bytes that become no answer, and odd entries of the store

Both were handled before, so only tests are new. Entries with lists and objects nested 100,000 and 20,000 deep, numbers too large, ports out of range, broken texts and odd keys: no VM ends, one that starts after them and one that runs before take the next configuration.

--- a/tests/broken_answer_test.cc
+++ b/tests/broken_answer_test.cc
@@ -1,6 +1,7 @@
 /*
- * Targets whose answers break off or are no answers, over loopback: real entry
- * VMs, which reach the targets by themselves or through another VM.
+ * Targets whose answers break off or are no answers, and entries of the store
+ * that can't be read, over loopback: real entry VMs, which reach the targets by
+ * themselves or through another VM.
  */
 #include "vm_fleet.h"
 
@@ -103,20 +104,28 @@
 		full.clear();
 	}
 
-	void write_store()
+	void write_config(unsigned version, const std::string &more_routes)
 	{
 		store->write(
 			"op/config",
-			R"({"version":1,"routes":{"columns":["name","host",)"
-			R"("prefix","kind","timeout","targetLatency",)"
-			R"("priority","maxAttempts","service"],"rows":[["r1",)"
-			R"("h.x","/read/","safe","3s","1s",1,3,"s1"],["r2",)"
-			R"("h.x","/order/","unsafe","3s","1s",1,3,"s1"]]},)"
-			R"("services":{"columns":["name","healthPath",)"
-			R"("maxConns"],"rows":[["s1","/health",90]]},)"
-			R"("limits":{"maxHeaderBytes":4096,)"
-			R"("maxBodyBytes":9000000,"headerTimeout":"3s",)"
-			R"("idleTimeout":"9s"}})");
+			R"({"version":)" + std::to_string(version) +
+				R"(,"routes":{"columns":["name","host",)"
+				R"("prefix","kind","timeout","targetLatency",)"
+				R"("priority","maxAttempts","service"],"rows":[["r1",)"
+				R"("h.x","/read/","safe","3s","1s",1,3,"s1"],["r2",)"
+				R"("h.x","/order/","unsafe","3s","1s",1,3,"s1"])" +
+				more_routes +
+				R"(]},)"
+				R"("services":{"columns":["name","healthPath",)"
+				R"("maxConns"],"rows":[["s1","/health",90]]},)"
+				R"("limits":{"maxHeaderBytes":4096,)"
+				R"("maxBodyBytes":9000000,"headerTimeout":"3s",)"
+				R"("idleTimeout":"9s"}})");
+	}
+
+	void write_store()
+	{
+		write_config(1, "");
 		for (unsigned i = 0; i < TARGETS; i++)
 			store->write(
 				"servers/i-" + std::to_string(i),
@@ -482,6 +491,52 @@
 	}
 }
 
+/* Guards against an entry of the store, by another writer, that ends the VMs
+ * that read the list, or keeps them from following it. */
+TEST_F(BrokenAnswer, OddEntriesOfTheStoreStopNobody)
+{
+	const std::string sound = R"({"address":")" + address(0, PORT).text() +
+				  R"(","info":{"service":"s1","version":"v",)"
+				  R"("zone":"z0","slots":30},"status":{)"
+				  R"("state":"ready","coldLeft":"0ms",)"
+				  R"("sequence":1},"odd":)";
+	std::string open_objects;
+	std::vector<std::string> values;
+
+	for (int i = 0; i < 20000; i++)
+		open_objects += R"({"a":)";
+	for (const std::string &odd :
+	     { std::string(200000, '['),
+	       std::string(100000, '[') + std::string(100000, ']'),
+	       open_objects + "1" + std::string(20000, '}'),
+	       "1" + std::string(30, '0'), "-1" + std::string(400, '0'),
+	       std::string("1e999"), std::string("\"\\ud800\""),
+	       std::string("\"\0\"", 3), std::string("nul") }) {
+		values.push_back(odd);
+		values.push_back(sound + odd + "}");
+	}
+	for (const char *port : { "0", "70000", "-1", "65536", "99999999999" })
+		values.push_back(R"({"address":")" + net + "100:" + port +
+				 sound.substr(sound.find(R"(","info")")) +
+				 "1}");
+	vms[1]->kill_now();
+	for (size_t i = 0; i < values.size(); i++)
+		store->write("servers/odd-" + std::to_string(i), values[i]);
+	for (const char *key :
+	     { "servers/", "servers/a b", "servers/a/b", R"(servers/\n)" })
+		store->write(key, sound + "1}");
+	vms[1]->start();
+	write_config(2, R"(,["r3","h.x","/new/","safe","3s","1s",1,3,"s1"])");
+	for (unsigned i = 0; i < VMS; i++) {
+		EXPECT_TRUE(eventually([&] {
+			return status(i, "/new/a") == 200;
+		})) << i;
+		EXPECT_FALSE(vms[i]->has_exited()) << i;
+	}
+	EXPECT_NE((log_of(0) + log_of(1)).find("event=target-refused"),
+		  std::string::npos);
+}
+
 /* Guards against waiting for a body that the status excludes. */
 TEST_F(BrokenAnswer, AnAnswerWithoutABodyMayTellALength)
 {
--- a/tests/endless_path_test.cc
+++ b/tests/endless_path_test.cc
@@ -29,7 +29,27 @@
 #endif
 const char OVERSIZED[] = "event=response-oversized";
 
-enum class Answer { Sound, Interim, Body };
+enum class Answer { Sound, Interim, Body, Other };
+
+/* Bytes without end that never become an answer: how they begin, and what comes
+ * again and again. ID stands for the fields of a sound answer. */
+struct Endless {
+	const char *begin, *piece;
+};
+
+const Endless endless_heads[] = {
+	{ "", "\r\n" },
+	{ "", "\x01 no answer" },
+	{ "HTTP/1.1 200 ", "x" },
+	{ "HTTP/1.1 200 OK\r\n", "x" },
+	{ "HTTP/1.1 200 OK\r\nID\r\nX: ", "x" },
+	{ "HTTP/1.1 200 OK\r\nID\r\n", "X: y\r\n" },
+	{ "HTTP/1.1 200 OK\r\nID\r\nTransfer-Encoding: chunked\r\n\r\n1;",
+	  "x" },
+	{ "HTTP/1.1 200 OK\r\nID\r\nTransfer-Encoding: chunked\r\n\r\n", "0" },
+	{ "HTTP/1.1 200 OK\r\nID\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n",
+	  "X: y\r\n" },
+};
 
 class EndlessPath : public VmFleet
 {
@@ -37,6 +57,7 @@
 	std::vector<std::unique_ptr<Listener>> targets;
 	std::vector<std::unique_ptr<FullListener>> full;
 	std::atomic<Answer> answers[TARGETS] = {};
+	std::atomic<const Endless *> endless{ endless_heads };
 	std::atomic<unsigned> endless_count{ 0 };
 	std::mutex mutex;
 	std::map<std::string, unsigned> runs;
@@ -134,6 +155,10 @@
 			return answer_without_end(
 				fd, target, "", "HTTP/1.1 100 Continue\r\n\r\n",
 				0);
+		if (answers[target] == Answer::Other)
+			return answer_without_end(
+				fd, target, with_id(endless.load()->begin, id),
+				endless.load()->piece, 0);
 		if (answers[target] == Answer::Body)
 			return answer_without_end(
 				fd, target,
@@ -146,6 +171,17 @@
 					 "whole"));
 	}
 
+	static std::string with_id(std::string text, const std::string &id)
+	{
+		size_t at = text.find("ID\r\n");
+
+		if (at != std::string::npos)
+			text.replace(at, 4,
+				     "X-Request-Id: " + id +
+					     "\r\nX-Server-Stamp: s\r\n");
+		return text;
+	}
+
 	/* Answers without an end, until the VM closes or the target is sound
 	 * again. */
 	bool answer_without_end(int fd, unsigned target,
@@ -276,6 +312,28 @@
 	EXPECT_TRUE(eventually([&] { return any_log_has(OVERSIZED); }));
 }
 
+/* Guards against reading bytes that become no answer until the deadline, or
+ * keeping them. */
+TEST_F(EndlessPath, BytesThatBecomeNoAnswerAreGivenUp)
+{
+	for (const Endless &each : endless_heads) {
+		endless = &each;
+		endless_count = 0;
+		answers[0] = answers[1] = Answer::Other;
+		EXPECT_EQ(failed_reads(12), 0u) << each.begin << each.piece;
+		answers[2] = answers[3] = Answer::Other;
+		runs.clear();
+		for (unsigned i = 0; i < VMS; i++)
+			EXPECT_EQ(status(i, "/order/a", "order"), 502)
+				<< each.begin << each.piece;
+		EXPECT_EQ(runs_once(), VMS);
+		EXPECT_GT(endless_count, 0u);
+		for (unsigned i = 0; i < OF_S1; i++)
+			answers[i] = Answer::Sound;
+	}
+	expect_bounded_memory();
+}
+
 /* Guards against telling an order as not run whose target never ends its head.
  */
 TEST_F(EndlessPath, AnOrderWithoutAnEndOfItsHeadMayHaveRun)
--- a/tests/platform_test.cc
+++ b/tests/platform_test.cc
@@ -260,6 +260,9 @@
 		{ R"("born":1782630203067)", R"("born":-4)", "born" },
 		{ "10.1.0.9:80", "10.1.0.9", "address" },
 		{ "10.1.0.9:80", "10.1.0.9:0", "address" },
+		{ "10.1.0.9:80", "10.1.0.9:-1", "address" },
+		{ "10.1.0.9:80", "10.1.0.9:70000", "address" },
+		{ "10.1.0.9:80", "10.1.0.9:18446744073709551696", "address" },
 		{ "10.1.0.9:80", "10.1.0.9:80x", "address" },
 		{ "10.1.0.9:80", "10.1.0.900:80", "address" },
 		{ "10.1.0.9:80", "host.example:80", "address" },
@@ -308,6 +311,49 @@
 	}
 }
 
+/* Guards against an entry whose depth or numbers end the process that reads it.
+ */
+TEST(Platform, RecordsThatAreTooDeepOrTooLargeAreRefusedOrUsable)
+{
+	const std::string open_lists(200000, '[');
+	std::string deep = open_lists + std::string(200000, ']');
+	std::string odd[] = { deep, std::string(1000000, '9'), "1e999",
+			      "-1" + std::string(30, '0'), open_lists };
+	/* Parts of a record, and an object that takes a further field. */
+	const char *parts[] = {
+		"1782630203067", R"("10.1.0.9:80")", R"("s1")", "3}", "4,",
+		R"("0ms")",	 R"({"born")"
+	};
+
+	for (const std::string &value : odd)
+		for (std::string part : parts) {
+			std::string last = part.substr(part.size() - 1);
+			std::string text = record_with(
+				part,
+				part[0] == '{' ? R"({"odd":)" + value + "," +
+							 part.substr(1)
+				: last == "}" || last == "," ? value + last
+							     : value);
+			store_item item = item_of("servers/i-7f", text);
+			tr_target_record r;
+			tr_error err{};
+
+			if (platform_dialect.parse_target(&item, &r, &err)) {
+				EXPECT_NE(err.code, TR_OK) << part;
+				continue;
+			}
+			EXPECT_STREQ(r.address, "10.1.0.9:80") << part;
+			EXPECT_EQ(r.slots, 3u) << part;
+		}
+	for (std::string &text : odd) {
+		store_item item = item_of("servers/i-7f", text);
+		tr_target_record r;
+		tr_error err{};
+
+		EXPECT_EQ(platform_dialect.parse_target(&item, &r, &err), -1);
+	}
+}
+
 /*
  * Guards against header injection: an id is sent in a header, and its key may
  * hold a line break.
