store: an entry with a NUL in its key is left out

Another writer's entry whose key holds a NUL kept all VMs from following the list: no configuration and no target that came after it was in force, and a VM that started then served nothing.

Cause: jansson refuses a text with \u0000 as a whole, and with it the page. As a C string its key would be that of another entry.

--- a/tests/broken_answer_test.cc
+++ b/tests/broken_answer_test.cc
@@ -522,8 +522,8 @@
 	vms[1]->kill_now();
 	for (size_t i = 0; i < values.size(); i++)
 		store->write("servers/odd-" + std::to_string(i), values[i]);
-	for (const char *key :
-	     { "servers/", "servers/a b", "servers/a/b", R"(servers/\n)" })
+	for (const char *key : { "servers/", "servers/a b", "servers/a/b",
+				 R"(servers/\n)", R"(servers/i-0\u0000x)" })
 		store->write(key, sound + "1}");
 	vms[1]->start();
 	write_config(2, R"(,["r3","h.x","/new/","safe","3s","1s",1,3,"s1"])");
--- a/tests/platform_test.cc
+++ b/tests/platform_test.cc
@@ -164,6 +164,21 @@
 	}
 }
 
+/* Guards against a page that is refused, or a target that is changed, because
+ * of an entry whose key holds a NUL. */
+TEST(Platform, AnEntryWithANulInItsKeyIsLeftOut)
+{
+	Page p;
+
+	ASSERT_EQ(p.read(R"({"items":[{"key":"servers/i-1\u0000x","rev":8,)"
+			 R"("value":"aGVsbG8="},{"key":"op/config\u0000",)"
+			 R"("rev":8,"value":"aGVsbG8="},{"key":"servers/i-1",)"
+			 R"("rev":9,"value":"aGVsbG8="}],"asOf":530})"),
+		  0);
+	ASSERT_EQ(p.page.items->len, 1u);
+	EXPECT_EQ(p.item(0)->revision, 9u);
+}
+
 TEST(Platform, InvalidPagesAreRejectedWithAReason)
 {
 	const char *const wrong[] = {
