tests: how bytes of a message arrive changes nothing

Four sound answers with up to two bytes changed, 40,000 times by a fixed seed, are fed whole and in parts of one to nine bytes: they are read, refused or awaited alike.

--- a/entry/entry.h
+++ b/entry/entry.h
@@ -117,7 +117,7 @@
 	uint64_t outdated_revision;
 	double split_position; /* quasi-random draw of the traffic split */
 	bool leaving;	       /* since the stop signal */
-	struct tr_stop stop;
+	struct tr_stop stop;   /* its phases */
 	bool ready;	       /* since the routes and the list are here */
 	bool start_settled;    /* see entry_is_settled() */
 	bool list_fetched;     /* from a peer, since the start */
--- a/entry/toucanreel_entry.c
+++ b/entry/toucanreel_entry.c
@@ -65,6 +65,7 @@
 	struct entry *e = &d->e;
 	enum tr_stop_phase phase;
 
+	/* It may have been reloaded. */
 	e->stop.grace = d->settings->grace_us;
 	phase = tr_stop_phase(&e->stop, now);
 	if (phase >= TR_STOP_NO_IDLE)
--- a/tests/message_test.cc
+++ b/tests/message_test.cc
@@ -1,4 +1,5 @@
 #include <gtest/gtest.h>
+#include <random>
 #include <string>
 
 extern "C" {
@@ -395,6 +396,43 @@
 		  -1);
 }
 
+/* Guards against a scan that loses its place where bytes arrive in parts: they
+ * are read, refused or awaited however they come. */
+TEST_F(Message, HowBytesArriveChangesNothing)
+{
+	const std::string samples[] = {
+		OK + "A: b\r\nContent-Length: 4\r\n\r\nbody",
+		OK + "Transfer-Encoding: chunked\r\n\r\n2;x\r\nbo\r\n2\r\ndy"
+		     "\r\n0\r\nC: d\r\n\r\n",
+		OK + "A: b\r\n c\r\n\r\nto the end",
+		"HTTP/1.1 304 \r\nContent-Length: 9\r\n\r\n",
+	};
+	const std::string odd(" \t\r\n:;0aZ\0\x7f\xff", 12);
+	std::mt19937 random(20261207);
+
+	for (int run = 0; run < 40000; run++) {
+		std::string text = samples[random() % 4];
+		std::string found[2];
+
+		for (unsigned n = random() % 3; n; n--)
+			text[random() % text.size()] =
+				odd[random() % odd.size()];
+		for (size_t part : { text.size(), random() % 9 + 1 }) {
+			std::string &as = found[part != text.size()];
+
+			start(HTTP_RESPONSE);
+			for (size_t at = 0; at < text.size(); at += part)
+				if (feed(text.substr(at, part)) < 0)
+					as = "refused ";
+			as += msg.complete ? "complete " + body() : "awaited";
+			if (as == "awaited" && message_end_of_stream(&msg))
+				as = "ended " + body();
+			message_free(&msg);
+		}
+		ASSERT_EQ(found[0], found[1]) << text;
+	}
+}
+
 /* Guards against waiting for a body that a status excludes. */
 TEST_F(Message, SomeStatusesHaveNoBodyWhateverTheHeadSays)
 {
