client: a fetched answer with an invalid field does not count

toucanreeld took an answer to a health check, of the platform or of another VM for a good one where a name in its head held a blank or a control byte, a value a control byte, or a line was no field.

Cause: client_fetch() looks for two fields only, and libcurl hands on any line.

--- a/src/attempt.c
+++ b/src/attempt.c
@@ -166,7 +166,7 @@
 	       !strncasecmp(line, HEADER_PREFIX, strlen(HEADER_PREFIX));
 }
 
-/* Returns whether the status is one: libcurl takes any of three digits. */
+/* Returns whether the status is valid: libcurl takes any of three digits. */
 static bool read_status_line(struct request *r, const char *line)
 {
 	r->attempt.header_bytes = 0;
@@ -193,11 +193,8 @@
 	if (!len)
 		return total;
 	a->header_bytes += len;
-	colon = memchr(data, ':', len);
 	/* libcurl passes on any line. */
-	if (a->header_bytes > HEADERS_MAX || !colon ||
-	    !field_is_name(data, (size_t)(colon - data)) ||
-	    !field_is_value(colon, len - (size_t)(colon - data)))
+	if (a->header_bytes > HEADERS_MAX || !field_is_line(data, len))
 		return 0;
 	if (is_header(data, len, "Content-Length", &value, &value_len)) {
 		r->reply.length = strtoll(value, NULL, 10);
@@ -209,6 +206,7 @@
 	if (read_target_state(r, data, len) ||
 	    is_hop_header(data, len, a->forwarded))
 		return total;
+	colon = memchr(data, ':', len);
 	value = colon + 1;
 	value_len = len - (size_t)(value - data);
 	while (value_len && *value == ' ') {
--- a/src/client.c
+++ b/src/client.c
@@ -5,6 +5,7 @@
 #include <string.h>
 #include <strings.h>
 
+#include "field.h"
 #include "loop.h"
 
 #define POOL_MAX	     256
@@ -255,8 +256,15 @@
 {
 	struct fetch *fetch = ctx;
 	char line[256];
-	size_t len = size * n < sizeof(line) - 1 ? size * n : sizeof(line) - 1;
-
+	size_t whole = size * n;
+	size_t len = whole < sizeof(line) - 1 ? whole : sizeof(line) - 1;
+
+	while (whole && (data[whole - 1] == '\r' || data[whole - 1] == '\n'))
+		whole--;
+	/* libcurl passes on any line. */
+	if (whole && strncmp(data, "HTTP/", 5) != 0 &&
+	    !field_is_line(data, whole))
+		return 0;
 	memcpy(line, data, len);
 	line[len] = 0;
 	if (!strncasecmp(line, "X-Consul-Index:", 15))
--- a/src/field.c
+++ b/src/field.c
@@ -38,3 +38,14 @@
 {
 	return consists_of(text, len, field_is_value_char);
 }
+
+/* Returns whether the line, without its end, is a field: a name, a colon and a
+ * value. */
+bool field_is_line(const char *line, size_t len)
+{
+	const char *colon = memchr(line, ':', len);
+	size_t name_len = colon ? (size_t)(colon - line) : 0;
+
+	return field_is_name(line, name_len) &&
+	       field_is_value(line + name_len, len - name_len);
+}
--- a/src/field.h
+++ b/src/field.h
@@ -9,5 +9,6 @@
 bool field_is_value_char(unsigned char c);
 bool field_is_name(const char *text, size_t len);
 bool field_is_value(const char *text, size_t len);
+bool field_is_line(const char *line, size_t len);
 
 #endif
--- a/tests/path_test.cc
+++ b/tests/path_test.cc
@@ -226,6 +226,65 @@
 	}
 }
 
+/* Fetches from the address, and returns the status, or 0 without an answer. */
+static long fetch_status(const std::string &address)
+{
+	struct Fetched {
+		struct loop *loop;
+		long status;
+	} fetched{};
+	std::string url = "http://" + address + "/";
+	apr_pool_t *pool = nullptr;
+	struct client *client;
+
+	apr_initialize();
+	curl_global_init(CURL_GLOBAL_DEFAULT);
+	apr_pool_create(&pool, nullptr);
+	fetched.loop = loop_new(pool);
+	client = client_new(fetched.loop, nullptr);
+	client_fetch(
+		client, url.c_str(), nullptr, TR_SEC(5),
+		[](void *ctx, const struct fetch_response *response) {
+			auto *to = static_cast<Fetched *>(ctx);
+
+			to->status = response->status;
+			loop_stop(to->loop);
+		},
+		&fetched);
+	loop_run(fetched.loop);
+	client_destroy(client);
+	loop_destroy(fetched.loop);
+	apr_pool_destroy(pool);
+	return fetched.status;
+}
+
+/* Guards against a probe, or an answer of the platform, that counts although
+ * its head is invalid. */
+TEST(Path, FetchedAnswerWithAnInvalidHeadDoesNotCount)
+{
+	const std::pair<const char *, long> lines[] = {
+		{ "X-Y: 1", 200 },
+		{ "X Y: 1", 0 },
+		{ "X-Y : 1", 0 },
+		{ "X\x01Y: 1", 0 },
+		{ "X-Y: \x01", 0 },
+		{ "no field", 0 },
+		{ "Content-Length : 3", 0 },
+	};
+
+	for (const auto &[line, status] : lines) {
+		RawTarget target([line = line](int fd, const std::string &) {
+			RawTarget::send_text(fd, "HTTP/1.1 200 OK\r\n" +
+							 std::string(line) +
+							 "\r\nContent-Length: "
+							 "3\r\n\r\nyes");
+			shutdown(fd, SHUT_RDWR);
+		});
+
+		EXPECT_EQ(fetch_status(target.address), status) << line;
+	}
+}
+
 TEST(Path, OversizedHeadersOfATargetAreRejected)
 {
 	RawTarget target([](int fd, const std::string &) {
