tests: cut reads on kept connections, orders that run once, the store's answers

What the tests of broken answers left out. A VM whose store sends a field with a blank in its name was ready and served; after, it counts failures and answers 503. Each order in the table of broken answers reaches one target. A reset after the request was written was handled before: 502.

--- a/tests/broken_answer_test.cc
+++ b/tests/broken_answer_test.cc
@@ -67,7 +67,8 @@
 	std::vector<std::unique_ptr<Listener>> targets;
 	std::vector<std::unique_ptr<FullListener>> full;
 	std::mutex mutex;
-	/* What targets do with the first attempt of requests to /.../odd. */
+	/* What targets do with the first attempt of requests to /.../odd, and
+	 * with each of those to /.../always. */
 	Act act;
 	std::map<std::string, unsigned> attempts;
 
@@ -173,6 +174,8 @@
 		std::lock_guard<std::mutex> lock(mutex);
 		bool is_first = !attempts[arrival.id]++;
 
+		if (arrival.head.find("/always") != std::string::npos)
+			return act;
 		return is_first && arrival.head.find("/odd") !=
 					       std::string::npos
 			       ? act
@@ -219,8 +222,15 @@
 		});
 	}
 
-	/* Checks that an order gets a 502 and a read is served by another
-	 * target, by the first VM itself. */
+	unsigned attempts_of_last_request()
+	{
+		std::lock_guard<std::mutex> lock(mutex);
+
+		return attempts["id-" + std::to_string(asked)];
+	}
+
+	/* Checks that an order gets a 502, after one attempt, and a read is
+	 * served by another target. */
 	void expect_not_passed_on(const std::string &body,
 				  const std::string &what)
 	{
@@ -229,6 +239,7 @@
 		EXPECT_EQ(status(0, "/order/odd", body.empty() ? "x" : body),
 			  502)
 			<< what;
+		EXPECT_EQ(attempts_of_last_request(), 1u) << what;
 		EXPECT_EQ(read.substr(0, 12), "HTTP/1.1 200") << what;
 		EXPECT_EQ(body_of(read), "whole") << what;
 	}
@@ -261,6 +272,29 @@
 		expect_not_passed_on(body, "reset");
 }
 
+/* Guards against the same where the request is written before. */
+TEST_F(BrokenAnswer, AResetAfterTheRequestIsWrittenCutsTheAnswer)
+{
+	set_act(cut_by_reset);
+	for (int i = 0; i < 3; i++)
+		expect_not_passed_on("", "reset");
+}
+
+/* Guards against the same on kept connections and in repeated attempts. */
+TEST_F(BrokenAnswer, AReadThatIsCutAtEachTargetIsNotServed)
+{
+	const std::string body(LARGE_BODY, 'u');
+
+	for (int i = 0; i < 3; i++) {
+		/* The connections are kept then. */
+		for (unsigned n = 0; n < 2 * TARGETS; n++)
+			EXPECT_EQ(status(0, "/read/warm"), 200);
+		set_act(cut_by_reset);
+		EXPECT_EQ(status(0, "/read/always", body), 502);
+		EXPECT_GT(attempts_of_last_request(), 1u);
+	}
+}
+
 /* Guards against the same at the other VM, which would report an orderly end.
  */
 TEST_F(BrokenAnswer, AResetThatAnotherVmSeesCutsTheAnswer)
--- a/tests/entry_path_test.cc
+++ b/tests/entry_path_test.cc
@@ -90,6 +90,8 @@
 	std::atomic<int> version{ 1 };
 	std::atomic<bool> store_down{ false };
 	std::atomic<bool> truncate_config{ false };
+	/* A line in the heads of the store's answers. */
+	std::string store_field;
 	std::string header_timeout = "3s", idle_timeout = "9s";
 	std::string max_body = "1000", more_settings, grace = "3s";
 	/*
@@ -165,7 +167,7 @@
 		if (watch)
 			std::this_thread::sleep_for(
 				std::chrono::milliseconds(20));
-		return http(200, "",
+		return http(200, store_field,
 			    watch ? R"({"events":[)" + items + R"(],"asOf":)" +
 					    std::to_string(10 + version) + "}"
 				  : R"({"items":[)" + items +
@@ -688,6 +690,24 @@
  * to a full pipe blocks. Here nobody reads, and far more is logged than a pipe
  * holds.
  */
+/* Guards against a list from a store whose answers are invalid. */
+TEST_F(Entry, AnInvalidAnswerOfTheStoreIsNotRead)
+{
+	store_field = "Store Name: 1\r\n";
+	start();
+	EXPECT_TRUE(eventually([this] {
+		std::string text =
+			http_request(metrics, "GET /metrics HTTP/1.1\r\n"
+					      "Host: x\r\n\r\n");
+		size_t at = text.find("store_failures_total ");
+
+		return at != std::string::npos &&
+		       std::stoi(text.substr(at + 21)) > 1;
+	}));
+	EXPECT_NE(readiness(), 200);
+	EXPECT_EQ(status_of(send_request("GET /read/a")), 503);
+}
+
 TEST_F(Entry, AnUnreadLogBlocksNothing)
 {
 	start_ready();
