reading: names and state that a newcomer stops at

Found by reading the change whole. No behaviour changes: the tests of messages, broken answers, endless bytes, paths and stops pass as before.

--- a/entry/entry.c
+++ b/entry/entry.c
@@ -125,7 +125,7 @@
 /* Returns whether this VM is ready to serve callers. */
 bool entry_takes_callers(const struct entry *e)
 {
-	return e->ready && !e->leaving && entry_may_use_keys(e);
+	return e->ready && !entry_is_leaving(e) && entry_may_use_keys(e);
 }
 
 static void set_limits(struct entry *e, struct tr_organisations *o)
--- a/entry/entry.h
+++ b/entry/entry.h
@@ -116,8 +116,7 @@
 	 * force. */
 	uint64_t outdated_revision;
 	double split_position; /* quasi-random draw of the traffic split */
-	bool leaving;	       /* since the stop signal */
-	struct tr_stop stop;   /* its phases */
+	struct tr_stop stop;   /* begins with the stop signal */
 	bool ready;	       /* since the routes and the list are here */
 	bool start_settled;    /* see entry_is_settled() */
 	bool list_fetched;     /* from a peer, since the start */
@@ -155,6 +154,12 @@
 	return tr_clock_now(loop_clock(e->loop));
 }
 
+/* Returns whether the VM has got the stop signal. */
+static inline bool entry_is_leaving(const struct entry *e)
+{
+	return e->stop.since != 0;
+}
+
 /* Returns the era of the revision as the store numbers it, or -1 if it is not
  * known. */
 static inline long entry_era_number(uint64_t revision)
--- a/entry/mesh_send.c
+++ b/entry/mesh_send.c
@@ -29,7 +29,7 @@
 static uint32_t own_flags(const struct entry *e, const struct mesh *mesh)
 {
 	return (e->ready && entry_may_use_keys(e) ? MESH_READY : 0) |
-	       (e->leaving ? MESH_LEAVING : 0) |
+	       (entry_is_leaving(e) ? MESH_LEAVING : 0) |
 	       (e->members.nodes[0].cannot_read ? MESH_CANNOT_READ : 0) |
 	       (e->members.nodes[0].cut_off ? MESH_CUT_OFF : 0) |
 	       (entry_knows_routes(e) ? MESH_KNOWS_ROUTES : 0) |
--- a/entry/message.c
+++ b/entry/message.c
@@ -87,7 +87,7 @@
  * one that is decoded here and which HTTP/1.0 lacks. http_parser checks the
  * length.
  */
-static bool has_sound_framing(const struct message *msg)
+static bool has_valid_coding(const struct message *msg)
 {
 	const char *coding = message_header(msg, "Transfer-Encoding");
 	bool chunked = (msg->parser.flags & F_CHUNKED) != 0;
@@ -100,7 +100,7 @@
 }
 
 /* Returns whether this can be a message of HTTP/1.x at all. */
-static bool has_sound_head(const struct message *msg)
+static bool has_valid_head(const struct message *msg)
 {
 	const http_parser *p = &msg->parser;
 
@@ -108,7 +108,7 @@
 	    (p->http_major != 1 || p->status_code < 100 ||
 	     p->status_code > 599))
 		return false;
-	return has_sound_framing(msg);
+	return has_valid_coding(msg);
 }
 
 /* Returns whether no body follows the head, whatever its fields say. */
@@ -127,7 +127,7 @@
 	struct message *msg = message_of(p);
 	bool no_body = has_no_body(msg);
 
-	if (!has_sound_head(msg))
+	if (!has_valid_head(msg))
 		return -1;
 	/*
 	 * Any further fields are trailers, which no check of the head has
--- a/entry/reader.c
+++ b/entry/reader.c
@@ -398,7 +398,7 @@
 	const struct entry *e = r->e;
 	apr_time_t now = entry_now(e);
 
-	if (r->fetch.busy || now < r->next_at || e->leaving)
+	if (r->fetch.busy || now < r->next_at || entry_is_leaving(e))
 		return;
 	if (!should_read(r, now)) {
 		set_reading(r, false);
--- a/entry/toucanreel_entry.c
+++ b/entry/toucanreel_entry.c
@@ -204,7 +204,7 @@
 			 e->routes->version);
 		mesh_schedule_report(e->mesh);
 	}
-	if (e->stop.since)
+	if (entry_is_leaving(e))
 		step_stop(d, now);
 	loop_add_timer(e->loop, e->ready ? TIME_STEP : TIME_STEP_AT_START, step,
 		       d);
@@ -238,11 +238,10 @@
 	struct daemon *d = ctx;
 	struct entry *e = &d->e;
 
-	if (e->stop.since)
+	if (entry_is_leaving(e))
 		return;
 	e->stop.since = entry_now(e);
 	e->stop.grace = d->settings->grace_us;
-	e->leaving = true;
 	e->members.nodes[0].leaving = true;
 	e->front.closing = true;
 	eventlog(EVENT_LIFECYCLE, "stop", "in_hand=%u", e->exchanges_count);
--- a/entry/tunnel.c
+++ b/entry/tunnel.c
@@ -315,7 +315,7 @@
 		decline(caller, TUNNEL_UNKNOWN);
 		return;
 	}
-	if (path_is_cut(e, row_index(e, row)) || e->leaving ||
+	if (path_is_cut(e, row_index(e, row)) || entry_is_leaving(e) ||
 	    e->tunnels_count >= MAX_TUNNELS) {
 		decline(caller, TUNNEL_NO_PATH);
 		return;
--- a/tests/broken_answer_test.cc
+++ b/tests/broken_answer_test.cc
@@ -213,12 +213,10 @@
 	void act_with(const std::string &bytes, bool closes = true)
 	{
 		set_act([bytes, closes](const Arrival &arrival) {
-			std::string text = bytes;
-
-			text.replace(text.find("ID\r\n"), 4,
-				     arrival.head_lines());
 			arrival.read_body();
-			return send_all(arrival.fd, text) && !closes;
+			return send_all(arrival.fd,
+					with_id(bytes, arrival.id)) &&
+			       !closes;
 		});
 	}
 
@@ -371,9 +369,9 @@
 	bool closes;
 };
 
-/* Guards against a status that is none: it was passed on, or taken for an
- * interim one after which the VM waited for another. */
-TEST_F(BrokenAnswer, AStatusThatIsNoneIsNotPassedOn)
+/* Guards against an invalid status that is passed on, or taken for an interim
+ * one after which the VM waits for another. */
+TEST_F(BrokenAnswer, AnInvalidStatusIsNotPassedOn)
 {
 	const Odd odd[] = {
 		{ "HTTP/1.1 000 X\r\nID\r\n\r\nnot", true },
@@ -440,9 +438,9 @@
 	  false },
 };
 
-/* Guards against a field that is none: its line was passed on, or it changed
+/* Guards against an invalid field whose line is passed on, or that changes
  * where the body ends. */
-TEST_F(BrokenAnswer, AFieldThatIsNoneIsNotPassedOn)
+TEST_F(BrokenAnswer, AnInvalidFieldIsNotPassedOn)
 {
 	for (const Odd &each : odd_fields) {
 		act_with(each.bytes, each.closes);
@@ -451,7 +449,7 @@
 }
 
 /* Guards against the same in answers that come through another VM. */
-TEST_F(BrokenAnswer, NothingOfTheKindIsPassedOnThroughAnotherVm)
+TEST_F(BrokenAnswer, AnInvalidHeadIsNotPassedOnThroughAnotherVm)
 {
 	ASSERT_NO_FATAL_FAILURE(leave_by_other_vm());
 	for (const Odd &each : odd_fields) {
--- a/tests/endless_path_test.cc
+++ b/tests/endless_path_test.cc
@@ -171,17 +171,6 @@
 					 "whole"));
 	}
 
-	static std::string with_id(std::string text, const std::string &id)
-	{
-		size_t at = text.find("ID\r\n");
-
-		if (at != std::string::npos)
-			text.replace(at, 4,
-				     "X-Request-Id: " + id +
-					     "\r\nX-Server-Stamp: s\r\n");
-		return text;
-	}
-
 	/* Answers without an end, until the VM closes or the target is sound
 	 * again. */
 	bool answer_without_end(int fd, unsigned target,
--- a/tests/message_test.cc
+++ b/tests/message_test.cc
@@ -173,7 +173,8 @@
 
 const std::string OK = "HTTP/1.1 200 OK\r\n";
 
-/* Guards against a status that is none and is passed on or waited for. */
+/* Guards against an invalid status that is passed on, or taken for an interim
+ * one. */
 TEST_F(Message, AStatusHasThreeDigitsInTheRangeOfTheStandard)
 {
 	start(HTTP_RESPONSE);
--- a/tests/path_test.cc
+++ b/tests/path_test.cc
@@ -189,8 +189,8 @@
 	EXPECT_EQ(outcome(answer), "unknown");
 }
 
-/* Guards against an answer that is none by its status or by a field, and is
- * passed on. */
+/* Guards against an answer with an invalid status or field that is passed on.
+ */
 TEST(Path, AnswerWithAnInvalidHeadIsReportedAsGarbage)
 {
 	const char *const heads[] = {
--- a/tests/vm_fleet.h
+++ b/tests/vm_fleet.h
@@ -119,6 +119,19 @@
 		       "\r\n\r\n" + body;
 	}
 
+	/* Replaces the line ID by the fields of a sound answer to the request
+	 * with this id. */
+	static std::string with_id(std::string text, const std::string &id)
+	{
+		size_t at = text.find("ID\r\n");
+
+		if (at != std::string::npos)
+			text.replace(at, 4,
+				     "X-Request-Id: " + id +
+					     "\r\nX-Server-Stamp: s\r\n");
+		return text;
+	}
+
 	std::string send_request(unsigned vm, const std::string &path,
 				 const std::string &body = "")
 	{
